--- /dev/null
+++ b/include/damaskroute/peer/shard_batch.h
@@ -0,0 +1,30 @@
+#ifndef DAMASKROUTE_PEER_SHARD_BATCH_H_
+#define DAMASKROUTE_PEER_SHARD_BATCH_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "damaskroute/core/ids.h"
+#include "damaskroute/core/priority.h"
+#include "damaskroute/peer/shard_call.h"
+
+namespace damaskroute {
+
+/// Calls of one query that the receiving holder sends to its backend servers.
+struct ShardBatch {
+  std::uint64_t query_id = 0;  ///< Unique per coordinator process.
+  std::string request_id;      ///< The caller's id, for logs and backend servers.
+  ServiceName service;
+  IndexVersion version = 0;
+  std::chrono::microseconds time_left{0};  ///< Until the caller's deadline, at sending.
+  Priority priority = Priority::kNormal;
+  std::uint64_t fingerprint = 0;  ///< Hash of front and query body.
+  std::string body;               ///< Query as JSON.
+  std::vector<ShardCall> calls;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_PEER_SHARD_BATCH_H_
