Add the callers' HTTP server, the backend client, JSON log lines and request parsing

Cause: the callers' port needs bounded memory and shard calls must be sent once; cpprestsdk's listener and client give neither. Change: HttpServer and BackendClient on Boost.Beast with limits for headers, bodies, connections and each phase; problem documents; strict parsing of query and action bodies. Before: nothing. Conclusion: the node can be wired on these.

--- /dev/null
+++ b/include/damaskroute/api/internal/body_reader.h
@@ -0,0 +1,33 @@
+#ifndef DAMASKROUTE_API_INTERNAL_BODY_READER_H_
+#define DAMASKROUTE_API_INTERNAL_BODY_READER_H_
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "rapidjson/document.h"
+
+namespace damaskroute::internal {
+
+/// Parses a request body that must be one JSON object without repeated members.
+absl::StatusOr<rapidjson::Document> ParseBodyObject(std::string_view body);
+
+/// Compact JSON text of a value.
+std::string ToJson(const rapidjson::Value& value);
+
+/// The error for a member with a wrong value: `"NAME": expected EXPECTED`.
+absl::Status MemberError(std::string_view name, std::string_view expected);
+
+/// Reads `deadline_ms`: an integer from 1 to `kMaxDeadline`.
+absl::StatusOr<std::chrono::milliseconds> ReadDeadline(const rapidjson::Value& value);
+
+/// Reads an identifier of 1 to `max_bytes` printable ASCII characters without spaces.
+absl::StatusOr<std::string> ReadIdentifier(std::string_view name, const rapidjson::Value& value,
+                                           std::size_t max_bytes);
+
+}  // namespace damaskroute::internal
+
+#endif  // DAMASKROUTE_API_INTERNAL_BODY_READER_H_
--- /dev/null
+++ b/include/damaskroute/http/exchange_result.h
@@ -0,0 +1,38 @@
+#ifndef DAMASKROUTE_HTTP_EXCHANGE_RESULT_H_
+#define DAMASKROUTE_HTTP_EXCHANGE_RESULT_H_
+
+#include <cstdint>
+#include <string>
+
+#include "damaskroute/core/ids.h"
+#include "damaskroute/core/key_range.h"
+
+namespace damaskroute {
+
+/// How an HTTP exchange with a backend server ended.
+enum class ExchangeEnd : std::uint8_t {
+  kAnswered,        ///< A whole response was read.
+  kConnectFailed,   ///< No byte of the request was sent.
+  kConnectionLost,  ///< The connection broke after bytes of the request may have been sent.
+  kTimedOut,        ///< The deadline passed after bytes of the request may have been sent.
+  kCancelled,       ///< Cancelled by the owner after bytes may have been sent.
+  kBadAnswer,       ///< The response is not valid HTTP or too long.
+};
+
+/// Result of one HTTP exchange with a backend server. Header values that are absent or malformed
+/// keep their defaults.
+struct ExchangeResult {
+  ExchangeEnd end = ExchangeEnd::kConnectFailed;
+  int status = 0;
+  std::string request_id;     ///< `Damask-Request-Id`.
+  std::uint32_t attempt = 0;  ///< `Damask-Attempt`.
+  IndexVersion version = 0;   ///< `Damask-Index-Version`.
+  KeyRange range;             ///< `Damask-Range`.
+  BootId boot_id = 0;         ///< `Damask-Boot-Id`.
+  std::string state;          ///< `Damask-State`.
+  std::string body;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_HTTP_EXCHANGE_RESULT_H_
--- /dev/null
+++ b/include/damaskroute/http/http_response.h
@@ -0,0 +1,19 @@
+#ifndef DAMASKROUTE_HTTP_HTTP_RESPONSE_H_
+#define DAMASKROUTE_HTTP_HTTP_RESPONSE_H_
+
+#include <chrono>
+#include <string>
+
+namespace damaskroute {
+
+/// Response to be sent by `HttpServer`.
+struct HttpResponse {
+  int status = 200;
+  std::string content_type = "application/json";
+  std::string body;
+  std::chrono::milliseconds retry_after{0};  ///< Sent as `Retry-After` if above 0.
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_HTTP_HTTP_RESPONSE_H_
--- /dev/null
+++ b/include/damaskroute/http/http_server_options.h
@@ -0,0 +1,27 @@
+#ifndef DAMASKROUTE_HTTP_HTTP_SERVER_OPTIONS_H_
+#define DAMASKROUTE_HTTP_HTTP_SERVER_OPTIONS_H_
+
+#include <chrono>
+#include <cstddef>
+
+#include "damaskroute/core/endpoint.h"
+
+namespace damaskroute {
+
+/// Limits of an `HttpServer`. Together they bound the memory that clients can make it use.
+struct HttpServerOptions {
+  Endpoint listen;
+  std::size_t max_header_bytes = 16 * 1024;
+  std::size_t max_body_bytes = 1024 * 1024;
+  std::size_t max_buffered_bytes = 32 * 1024 * 1024;  ///< Bodies of all connections together.
+  std::size_t max_connections = 4096;
+  std::chrono::milliseconds idle_timeout{30'000};     ///< Between requests.
+  std::chrono::milliseconds header_timeout{5'000};    ///< From the first byte to the last header.
+  std::chrono::milliseconds body_timeout{10'000};     ///< From the header to the whole body.
+  std::chrono::milliseconds write_timeout{10'000};    ///< For sending one response.
+  std::chrono::milliseconds handler_timeout{70'000};  ///< For the handler; above all deadlines.
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_HTTP_HTTP_SERVER_OPTIONS_H_
--- /dev/null
+++ b/include/damaskroute/log/log_line.h
@@ -0,0 +1,49 @@
+#ifndef DAMASKROUTE_LOG_LOG_LINE_H_
+#define DAMASKROUTE_LOG_LOG_LINE_H_
+
+#include <concepts>
+#include <string>
+#include <string_view>
+
+#include "damaskroute/log/log_level.h"
+#include "fmt/format.h"
+
+namespace damaskroute {
+
+/// One line of the log as a JSON object, written to standard error in one piece on destruction:
+///
+///     LogLine(LogLevel::kInfo, "configuration installed").Field("revision", 7);
+///
+/// writes `{"time":"2026-01-31T12:00:00.000Z","level":"info","message":"configuration
+/// installed","revision":7}`.
+class LogLine {
+ public:
+  LogLine(LogLevel level, std::string_view message);
+  LogLine(const LogLine&) = delete;
+  LogLine& operator=(const LogLine&) = delete;
+  ~LogLine();
+
+  /// Adds a text field.
+  LogLine& Field(std::string_view key, std::string_view value);
+
+  /// Adds a number field.
+  template <typename T>
+  requires(std::integral<T> || std::floating_point<T>) LogLine& Field(std::string_view key,
+                                                                      T value) {
+    if (enabled_) AppendRaw(key, fmt::format("{}", value));
+    return *this;
+  }
+
+ private:
+  void AppendRaw(std::string_view key, std::string_view json);
+
+  bool enabled_;
+  std::string line_;
+};
+
+/// Appends `text` to `out` as a JSON string with quotes; invalid UTF-8 bytes become U+FFFD.
+void AppendJsonString(std::string& out, std::string_view text);
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_LOG_LOG_LINE_H_
--- /dev/null
+++ b/src/api/body_reader.cc
@@ -0,0 +1,100 @@
+#include "damaskroute/api/internal/body_reader.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "damaskroute/api/query_request.h"
+#include "fmt/format.h"
+#include "rapidjson/error/en.h"
+#include "rapidjson/stringbuffer.h"
+#include "rapidjson/writer.h"
+
+namespace damaskroute::internal {
+namespace {
+
+// Deeper bodies are refused, so that no consumer has to recurse without a bound.
+constexpr int kMaxDepth = 32;
+
+int DepthOf(std::string_view text) {
+  int depth = 0;
+  int deepest = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    char c = text[i];
+    if (in_string) {
+      if (c == '\\') ++i;
+      if (c == '"') in_string = false;
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '{' || c == '[') {
+      deepest = std::max(deepest, ++depth);
+    } else if (c == '}' || c == ']') {
+      --depth;
+    }
+  }
+  return deepest;
+}
+
+bool HasRepeatedMember(const rapidjson::Value& object) {
+  std::vector<std::string_view> names;
+  for (const auto& member : object.GetObject()) {
+    names.emplace_back(member.name.GetString(), member.name.GetStringLength());
+  }
+  std::sort(names.begin(), names.end());
+  return std::adjacent_find(names.begin(), names.end()) != names.end();
+}
+
+}  // namespace
+
+absl::StatusOr<rapidjson::Document> ParseBodyObject(std::string_view body) {
+  if (DepthOf(body) > kMaxDepth) {
+    return absl::InvalidArgumentError(
+        fmt::format("the body nests deeper than {} levels", kMaxDepth));
+  }
+  rapidjson::Document document;
+  document.Parse<rapidjson::kParseValidateEncodingFlag>(body.data(), body.size());
+  if (document.HasParseError()) {
+    return absl::InvalidArgumentError(
+        fmt::format("the body is not valid JSON at byte {}: {}", document.GetErrorOffset(),
+                    rapidjson::GetParseError_En(document.GetParseError())));
+  }
+  if (!document.IsObject()) return absl::InvalidArgumentError("the body must be a JSON object");
+  if (HasRepeatedMember(document)) {
+    return absl::InvalidArgumentError("a member of the body occurs more than once");
+  }
+  return document;
+}
+
+std::string ToJson(const rapidjson::Value& value) {
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  value.Accept(writer);
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
+absl::Status MemberError(std::string_view name, std::string_view expected) {
+  return absl::InvalidArgumentError(fmt::format("\"{}\": expected {}", name, expected));
+}
+
+absl::StatusOr<std::chrono::milliseconds> ReadDeadline(const rapidjson::Value& value) {
+  if (!value.IsInt64() || value.GetInt64() < 1 || value.GetInt64() > kMaxDeadline.count()) {
+    return MemberError("deadline_ms", fmt::format("an integer from 1 to {}", kMaxDeadline.count()));
+  }
+  return std::chrono::milliseconds(value.GetInt64());
+}
+
+absl::StatusOr<std::string> ReadIdentifier(std::string_view name, const rapidjson::Value& value,
+                                           std::size_t max_bytes) {
+  auto is_allowed = [](char c) { return c > ' ' && c <= '~'; };
+  if (value.IsString()) {
+    std::string text(value.GetString(), value.GetStringLength());
+    if (!text.empty() && text.size() <= max_bytes &&
+        std::all_of(text.begin(), text.end(), is_allowed)) {
+      return text;
+    }
+  }
+  return MemberError(name,
+                     fmt::format("1 to {} printable ASCII characters without spaces", max_bytes));
+}
+
+}  // namespace damaskroute::internal
--- /dev/null
+++ b/src/http/problem.cc
@@ -0,0 +1,41 @@
+#include "damaskroute/http/problem.h"
+
+#include <boost/beast/http/status.hpp>
+#include <string>
+
+#include "damaskroute/log/log_line.h"
+#include "fmt/format.h"
+
+namespace damaskroute {
+
+std::string_view HttpReason(int status) {
+  auto reason = boost::beast::http::obsolete_reason(
+      boost::beast::http::int_to_status(static_cast<unsigned>(status)));
+  return {reason.data(), reason.size()};
+}
+
+HttpResponse MakeProblemResponse(const Problem& problem) {
+  HttpResponse response;
+  response.status = problem.status;
+  response.content_type = "application/problem+json";
+  response.retry_after = problem.retry_after;
+  std::string& body = response.body;
+  body = R"({"type":)";
+  AppendJsonString(body, problem.type);
+  body += R"(,"title":)";
+  AppendJsonString(body, HttpReason(problem.status));
+  body += fmt::format(R"(,"status":{},"detail":)", problem.status);
+  AppendJsonString(body, problem.detail);
+  body += fmt::format(R"(,"verdict":"{}")", VerdictName(problem.verdict));
+  if (problem.retry_after.count() > 0) {
+    body += fmt::format(R"(,"retry_after_ms":{})", problem.retry_after.count());
+  }
+  if (!problem.request_id.empty()) {
+    body += R"(,"request_id":)";
+    AppendJsonString(body, problem.request_id);
+  }
+  body += "}\n";
+  return response;
+}
+
+}  // namespace damaskroute
