--- /dev/null
+++ b/include/damaskroute/peer/action_result.h
@@ -0,0 +1,24 @@
+#ifndef DAMASKROUTE_PEER_ACTION_RESULT_H_
+#define DAMASKROUTE_PEER_ACTION_RESULT_H_
+
+#include <cstdint>
+#include <string>
+
+#include "damaskroute/core/ids.h"
+#include "damaskroute/core/verdict.h"
+#include "damaskroute/peer/shard_outcome.h"
+
+namespace damaskroute {
+
+/// How the attempt of a `RunAction` ended.
+struct ActionResult {
+  std::uint64_t query_id = 0;
+  Verdict verdict = Verdict::kMayHaveRun;
+  ShardOutcome outcome = ShardOutcome::kBadAnswer;
+  std::string body;  ///< Answer of the backend server.
+  BootId boot_id = 0;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_PEER_ACTION_RESULT_H_
--- /dev/null
+++ b/include/damaskroute/peer/crash_report.h
@@ -0,0 +1,21 @@
+#ifndef DAMASKROUTE_PEER_CRASH_REPORT_H_
+#define DAMASKROUTE_PEER_CRASH_REPORT_H_
+
+#include <cstdint>
+
+#include "damaskroute/core/ids.h"
+
+namespace damaskroute {
+
+/// A backend server's connection was lost while it ran a request.
+struct CrashReport {
+  std::uint64_t fingerprint = 0;  ///< Hash of front and body of the request.
+  bool is_action = false;         ///< For an action, one report blocks the fingerprint.
+  ServiceName service;
+  BackendName backend;
+  BootId boot_id = 0;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_PEER_CRASH_REPORT_H_
--- /dev/null
+++ b/include/damaskroute/peer/roster_announce.h
@@ -0,0 +1,19 @@
+#ifndef DAMASKROUTE_PEER_ROSTER_ANNOUNCE_H_
+#define DAMASKROUTE_PEER_ROSTER_ANNOUNCE_H_
+
+#include "damaskroute/core/ids.h"
+#include "damaskroute/peer/config_announce.h"
+
+namespace damaskroute {
+
+/// `ConfigAnnounce` about the roster of a zone.
+struct RosterAnnounce {
+  ZoneName zone;
+  ConfigAnnounce announce;
+
+  friend bool operator==(const RosterAnnounce&, const RosterAnnounce&) = default;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_PEER_ROSTER_ANNOUNCE_H_
--- /dev/null
+++ b/src/peer/message_fields.h
@@ -0,0 +1,132 @@
+#ifndef DAMASKROUTE_SRC_PEER_MESSAGE_FIELDS_H_
+#define DAMASKROUTE_SRC_PEER_MESSAGE_FIELDS_H_
+
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/common.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "damaskroute/peer/message.h"
+
+// Field lists for cereal, in the namespace of the types so that argument-dependent lookup finds
+// them. The order is the wire format.
+namespace damaskroute {
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, KeyRange& value) {
+  archive(value.low, value.high);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, HeldRange& value) {
+  archive(value.version, value.range);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ShardCall& value) {
+  archive(value.call_id, value.attempt, value.backend, value.range);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ShardBatch& value) {
+  archive(value.query_id, value.request_id, value.service, value.version, value.time_left,
+          value.priority, value.fingerprint, value.body, value.calls);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ShardReply& value) {
+  archive(value.query_id, value.call_id, value.attempt, value.backend, value.outcome, value.version,
+          value.range, value.rows, value.boot_id, value.in_flight);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, CancelCalls& value) {
+  archive(value.query_id, value.call_ids);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, BackendReport& value) {
+  archive(value.holder, value.sequence, value.service, value.backend, value.boot_id, value.state,
+          value.share, value.held);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, WarmGrant& value) {
+  archive(value.backend, value.boot_id, value.validity);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ShareRelease& value) {
+  archive(value.backend, value.revision);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ForwardQuery& value) {
+  archive(value.query_id, value.front, value.request_id, value.time_left, value.priority,
+          value.body);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ForwardReply& value) {
+  archive(value.query_id, value.status, value.body);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ForwardAction& value) {
+  archive(value.query_id, value.front, value.action_id, value.time_left, value.body);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ActionReply& value) {
+  archive(value.query_id, value.verdict, value.status, value.body);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, RunAction& value) {
+  archive(value.query_id, value.action_id, value.service, value.backend, value.time_left,
+          value.fingerprint, value.body);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ActionResult& value) {
+  archive(value.query_id, value.verdict, value.outcome, value.body, value.boot_id);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, CrashReport& value) {
+  archive(value.fingerprint, value.is_action, value.service, value.backend, value.boot_id);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ConfigAnnounce& value) {
+  archive(value.revision, value.hash);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ConfigPull& value) {
+  archive(value.base_revision, value.base_hash);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ConfigData& value) {
+  archive(value.revision, value.hash, value.base_revision, value.document, value.deltas);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, RosterAnnounce& value) {
+  archive(value.zone, value.announce);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, RosterPull& value) {
+  archive(value.zone, value.pull);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, RosterData& value) {
+  archive(value.zone, value.data);
+}
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_SRC_PEER_MESSAGE_FIELDS_H_
--- /dev/null
+++ b/src/peer/string_streambuf.h
@@ -0,0 +1,31 @@
+#ifndef DAMASKROUTE_SRC_PEER_STRING_STREAMBUF_H_
+#define DAMASKROUTE_SRC_PEER_STRING_STREAMBUF_H_
+
+#include <ostream>
+#include <streambuf>
+#include <string>
+
+namespace damaskroute::internal {
+
+/// Stream that appends to a string, for cereal's output archive.
+class StringStreambuf : public std::streambuf {
+ public:
+  explicit StringStreambuf(std::string& target) : target_(target) {}
+
+ protected:
+  std::streamsize xsputn(const char* data, std::streamsize size) override {
+    target_.append(data, static_cast<std::size_t>(size));
+    return size;
+  }
+  int_type overflow(int_type byte) override {
+    if (byte != traits_type::eof()) target_.push_back(static_cast<char>(byte));
+    return byte;
+  }
+
+ private:
+  std::string& target_;
+};
+
+}  // namespace damaskroute::internal
+
+#endif  // DAMASKROUTE_SRC_PEER_STRING_STREAMBUF_H_
