--- a/include/damaskroute/config/config_codec.h
+++ b/include/damaskroute/config/config_codec.h
@@ -19,7 +19,7 @@
 absl::StatusOr<ConfigDocument> DecodeConfig(std::string_view bytes);
 
 /// SHA-256 of `bytes` as 64 hexadecimal digits.
-std::string ContentHash(std::string_view bytes);
+std::string Sha256Hex(std::string_view bytes);
 
 }  // namespace damaskroute
 
--- a/include/damaskroute/http/http_request.h
+++ b/include/damaskroute/http/http_request.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKROUTE_HTTP_HTTP_REQUEST_H_
 #define DAMASKROUTE_HTTP_HTTP_REQUEST_H_
 
+#include <cstddef>
 #include <string>
 
 #include "damaskroute/core/time.h"
@@ -13,7 +14,8 @@
   std::string target;        ///< Path and query as sent.
   std::string content_type;  ///< Empty if the header is absent.
   std::string body;
-  TimePoint received;  ///< When the header was complete; deadlines count from here.
+  std::size_t loop = 0;  ///< Index of the event loop that runs the handler.
+  TimePoint received;    ///< When the header was complete; deadlines count from here.
 };
 
 }  // namespace damaskroute
--- /dev/null
+++ b/include/damaskroute/node/service_runtime.h
@@ -0,0 +1,24 @@
+#ifndef DAMASKROUTE_NODE_SERVICE_RUNTIME_H_
+#define DAMASKROUTE_NODE_SERVICE_RUNTIME_H_
+
+#include "damaskroute/core/ids.h"
+#include "damaskroute/core/snapshot.h"
+#include "damaskroute/scatter/hedge_policy.h"
+#include "damaskroute/scatter/service_view.h"
+#include "damaskroute/scatter/token_budget.h"
+
+namespace damaskroute {
+
+/// What a coordinator keeps about a service over its queries. Safe for use by several threads.
+struct ServiceRuntime {
+  ServiceRuntime(ServiceName service_name, TokenBudget& node_copies);
+
+  ServiceName name;
+  HedgePolicy hedge;
+  TokenBudget retries;
+  Snapshot<ServiceView> view;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_NODE_SERVICE_RUNTIME_H_
--- a/include/damaskroute/scatter/scatter_action.h
+++ b/include/damaskroute/scatter/scatter_action.h
@@ -22,7 +22,7 @@
 };
 
 /// Tell the holder that the results of these calls are no longer needed.
-struct CancelCalls {
+struct CancelSentCalls {
   NodeName holder;
   std::vector<std::uint32_t> call_ids;
 };
@@ -45,7 +45,7 @@
 };
 
 /// What the owner of a `ScatterGather` has to do, in order.
-using ScatterAction = std::variant<SendCalls, CancelCalls, SetTimer, ReportCrash, Finish>;
+using ScatterAction = std::variant<SendCalls, CancelSentCalls, SetTimer, ReportCrash, Finish>;
 
 }  // namespace damaskroute
 
--- a/src/config/config_codec.cc
+++ b/src/config/config_codec.cc
@@ -203,7 +203,7 @@
   }
 }
 
-std::string ContentHash(std::string_view bytes) {
+std::string Sha256Hex(std::string_view bytes) {
   std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
   SHA256(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(), digest.data());
   std::string hex;
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -104,8 +104,9 @@
 
 class Session {
  public:
-  Session(std::shared_ptr<Shared> shared, Tcp::socket socket)
+  Session(std::shared_ptr<Shared> shared, Tcp::socket socket, std::size_t loop)
       : shared_(std::move(shared)),
+        loop_(loop),
         counted_(shared_->connections, 1),
         stream_(std::move(socket)),
         buffer_(shared_->options.max_header_bytes + 8192) {}
@@ -169,6 +170,7 @@
     request.target = std::string(message.target());
     request.content_type = std::string(message[http::field::content_type]);
     request.body = std::move(message.body());
+    request.loop = loop_;
     request.received = received;
     auto pending = std::make_shared<PendingResponse>(stream_.get_executor());
     pending->ready.expires_after(shared_->options.handler_timeout);
@@ -219,19 +221,21 @@
   }
 
   std::shared_ptr<Shared> shared_;
+  std::size_t loop_;
   Counted counted_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
 };
 
-asio::awaitable<void> RunSession(std::shared_ptr<Shared> shared, Tcp::socket socket) {
-  Session session(std::move(shared), std::move(socket));
+asio::awaitable<void> RunSession(std::shared_ptr<Shared> shared, Tcp::socket socket,
+                                  std::size_t loop) {
+  Session session(std::move(shared), std::move(socket), loop);
   co_await session.Run();
 }
 
-void Spawn(const std::shared_ptr<Shared>& shared, Tcp::socket socket) {
+void Spawn(const std::shared_ptr<Shared>& shared, Tcp::socket socket, std::size_t loop) {
   auto executor = socket.get_executor();
-  asio::co_spawn(executor, RunSession(shared, std::move(socket)), [](std::exception_ptr failure) {
+  asio::co_spawn(executor, RunSession(shared, std::move(socket), loop), [](std::exception_ptr failure) {
     if (!failure) return;
     try {
       std::rethrow_exception(failure);
@@ -245,7 +249,8 @@
   std::size_t next = 0;
   while (!shared->draining) {
     error_code error;
-    Tcp::socket socket(*shared->loops[next++ % shared->loops.size()]);
+    std::size_t loop = next++ % shared->loops.size();
+    Tcp::socket socket(*shared->loops[loop]);
     co_await shared->acceptor->async_accept(socket, Redirect(error));
     if (error == asio::error::operation_aborted) co_return;
     if (error) {
@@ -258,8 +263,8 @@
     socket.set_option(Tcp::no_delay(true), error);
     // The session must start on its own loop, as its stream is not shared between threads.
     auto executor = socket.get_executor();
-    asio::post(executor, [shared, socket = std::move(socket)]() mutable {
-      Spawn(shared, std::move(socket));
+    asio::post(executor, [shared, loop, socket = std::move(socket)]() mutable {
+      Spawn(shared, std::move(socket), loop);
     });
   }
 }
--- a/src/scatter/scatter_gather.cc
+++ b/src/scatter/scatter_gather.cc
@@ -35,7 +35,7 @@
   std::vector<ScatterAction> reports;
   std::vector<SendCalls> sends;
   std::vector<std::int32_t> send_of_holder;  // Position in `sends` by HolderShare::node_index.
-  std::vector<CancelCalls> cancels;
+  std::vector<CancelSentCalls> cancels;
 };
 
 ScatterGather::ScatterGather(QuerySpec spec, std::shared_ptr<const ServiceView> view,
@@ -125,7 +125,7 @@
   finished_ = true;
   ReleasePolicies();
   std::vector<ScatterAction> actions;
-  for (CancelCalls& cancel : pending.cancels) actions.emplace_back(std::move(cancel));
+  for (CancelSentCalls& cancel : pending.cancels) actions.emplace_back(std::move(cancel));
   return actions;
 }
 
@@ -379,7 +379,7 @@
   CloseCall(call_id);
   const NodeName& holder = call.target.holder->node;
   auto it = std::find_if(pending.cancels.begin(), pending.cancels.end(),
-                         [&](const CancelCalls& cancel) { return cancel.holder == holder; });
+                         [&](const CancelSentCalls& cancel) { return cancel.holder == holder; });
   if (it == pending.cancels.end()) it = pending.cancels.insert(it, {holder, {}});
   it->call_ids.push_back(call_id);
 }
@@ -432,7 +432,7 @@
   std::vector<ScatterAction> actions = std::move(pending.reports);
   actions.reserve(actions.size() + pending.sends.size() + pending.cancels.size() + 1);
   for (SendCalls& send : pending.sends) actions.emplace_back(std::move(send));
-  for (CancelCalls& cancel : pending.cancels) actions.emplace_back(std::move(cancel));
+  for (CancelSentCalls& cancel : pending.cancels) actions.emplace_back(std::move(cancel));
   if (finished_) {
     actions.emplace_back(Finish{std::move(result_)});
     return actions;
--- /dev/null
+++ b/src/settings/node_settings.cc
@@ -0,0 +1,103 @@
+#include "damaskroute/settings/node_settings.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "damaskroute/settings/yaml_reader.h"
+#include "fmt/format.h"
+
+namespace damaskroute {
+namespace {
+
+using std::chrono::milliseconds;
+
+absl::StatusOr<std::string> ReadFile(const std::filesystem::path& path) {
+  std::ifstream stream(path, std::ios::binary);
+  if (!stream) return absl::NotFoundError(fmt::format("{}: cannot be read", path.string()));
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+void ReadCallers(const YamlReader& callers, NodeSettings& settings) {
+  callers.ExpectKeys({"listen", "max_connections"});
+  settings.callers = callers.Address("listen");
+  settings.max_caller_connections =
+      static_cast<std::size_t>(callers.Integer("max_connections", 1, 100'000, 4096));
+}
+
+void ReadOperators(const YamlReader& operators, const std::string& file, NodeSettings& settings) {
+  operators.ExpectKeys({"listen", "token_file", "threads"});
+  settings.operators = operators.Address("listen");
+  settings.operator_threads = static_cast<int>(operators.Integer("threads", 1, 64, 2));
+  std::string name = operators.String("token_file");
+  if (name.empty()) return;
+  auto token = ReadFile(std::filesystem::path(file).parent_path() / name);
+  if (!token.ok()) {
+    operators.Fail("token_file", "a file that can be read");
+    return;
+  }
+  settings.operator_token = *token;
+  while (!settings.operator_token.empty() && settings.operator_token.back() <= ' ') {
+    settings.operator_token.pop_back();
+  }
+  if (settings.operator_token.size() < 16) {
+    operators.Fail("token_file", "a file with a token of at least 16 characters");
+  }
+}
+
+void ReadPeers(const YamlReader& peers, NodeSettings& settings) {
+  peers.ExpectKeys({"listen", "key_id", "key", "other_key_id", "other_key", "seeds"});
+  settings.peers = peers.Address("listen");
+  settings.peer_keys.current.id = static_cast<std::uint8_t>(peers.Integer("key_id", 0, 255));
+  settings.peer_keys.current.secret = peers.String("key");
+  if (peers.Has("other_key") || peers.Has("other_key_id")) {
+    settings.peer_keys.other =
+        PeerKey{static_cast<std::uint8_t>(peers.Integer("other_key_id", 0, 255)),
+                peers.String("other_key")};
+  }
+  if (!settings.peer_keys.Validate().ok()) {
+    peers.Fail("key", "keys of at least 16 characters with different key ids");
+  }
+  for (const std::string& text : peers.Strings("seeds")) {
+    auto seed = ParseEndpoint(text);
+    if (seed.ok()) {
+      settings.seeds.push_back(*seed);
+    } else {
+      peers.Fail("seeds", "a list of addresses such as 127.0.0.1:9000");
+    }
+  }
+}
+
+}  // namespace
+
+absl::StatusOr<NodeSettings> ParseNodeSettings(const std::string& file, const std::string& text) {
+  YamlErrors errors;
+  YamlReader root = YamlReader::Parse(file, text, &errors);
+  root.ExpectKeys({"node", "zone", "loops", "log_level", "callers", "operators", "peers", "store",
+                   "backends_per_node", "drain_time"});
+  NodeSettings settings;
+  settings.node = root.Name("node");
+  settings.zone = root.Name("zone");
+  settings.loops = static_cast<int>(root.Integer("loops", 1, 64, 4));
+  settings.log_level =
+      static_cast<LogLevel>(root.Choice("log_level", {"debug", "info", "warning", "error"}, 1));
+  ReadCallers(root.Map("callers"), settings);
+  ReadOperators(root.Map("operators"), file, settings);
+  ReadPeers(root.Map("peers"), settings);
+  settings.store = root.Address("store");
+  settings.backends_per_node = root.Number("backends_per_node", 1, 10'000, 4.7);
+  settings.drain_time = root.Span<milliseconds>("drain_time", milliseconds(0),
+                                                milliseconds(600'000), milliseconds(5000));
+  if (!errors.status().ok()) return errors.status();
+  return settings;
+}
+
+absl::StatusOr<NodeSettings> LoadNodeSettings(const std::string& file) {
+  auto text = ReadFile(file);
+  if (!text.ok()) return text.status();
+  return ParseNodeSettings(file, *text);
+}
+
+}  // namespace damaskroute
--- a/tests/declaration_test.cc
+++ b/tests/declaration_test.cc
@@ -100,7 +100,7 @@
   }
   document.change_id = std::string(2000, 'x');
   CHECK_FALSE(EncodeConfig(document).ok());
-  CHECK(ContentHash("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+  CHECK(Sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
 
 TEST_CASE("the example declarations parse and have the sizes of the customers") {
