Add the backend server stand-in and the program damask_standin

The node, its tests and the benchmarks need backend servers that speak docs/design.md section 4.2. One process hosts many of them on a few event loops; behaviour and faults change over HTTP while it runs.

Checked by hand with curl only: query, 409, action, health, control and log.

--- /dev/null
+++ b/standins/backend_control.cc
@@ -0,0 +1,129 @@
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "damaskroute/core/hash.h"
+#include "fmt/format.h"
+#include "standins/backend_core.h"
+
+namespace damaskroute::standins {
+namespace {
+
+// Text of a scalar as it would stand in a settings file.
+std::string ScalarText(const rapidjson::Value& value) {
+  if (value.IsString()) return value.GetString();
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  value.Accept(writer);
+  return buffer.GetString();
+}
+
+bool ReadFaultRule(const rapidjson::Value& value, FaultRule& rule) {
+  if (value.IsNumber()) {
+    rule.probability = value.GetDouble();
+  } else if (value.IsObject()) {
+    for (const auto& member : value.GetObject()) {
+      std::string_view name = member.name.GetString();
+      if (name == "probability" && member.value.IsNumber()) {
+        rule.probability = member.value.GetDouble();
+      } else if (name == "next" && member.value.IsUint64()) {
+        rule.next = member.value.GetUint64();
+      } else {
+        return false;
+      }
+    }
+  } else {
+    return false;
+  }
+  return rule.probability >= 0 && rule.probability <= 1;
+}
+
+absl::Status ReadFaults(const rapidjson::Value& value, FaultRules& faults) {
+  if (!value.IsObject()) return absl::InvalidArgumentError("faults: expected an object");
+  for (const auto& member : value.GetObject()) {
+    auto fault = ParseFault(member.name.GetString());
+    FaultRule rule;
+    if (!fault || !ReadFaultRule(member.value, rule)) {
+      return absl::InvalidArgumentError(
+          fmt::format("faults: {}: unknown fault or malformed rule", member.name.GetString()));
+    }
+    faults.Set(*fault, rule);
+  }
+  return absl::OkStatus();
+}
+
+bool ReadRanges(const rapidjson::Value& value, std::vector<KeyRange>& ranges) {
+  if (!value.IsArray()) return false;
+  for (const auto& item : value.GetArray()) {
+    auto range = item.IsString() ? ParseKeyRange(item.GetString()) : std::nullopt;
+    if (!range) return false;
+    ranges.push_back(*range);
+  }
+  return true;
+}
+
+}  // namespace
+
+absl::Status BackendCore::Control(std::string_view json) {
+  rapidjson::Document document;
+  document.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
+  if (document.HasParseError() || !document.IsObject()) {
+    return absl::InvalidArgumentError("expected a JSON object");
+  }
+  for (const auto& member : document.GetObject()) {
+    absl::Status status = ControlMember(member.name.GetString(), member.value);
+    if (!status.ok()) return status;
+  }
+  if (server_) server_->options() = {options_.connections, options_.connect_cost};
+  RunWaiting();
+  return absl::OkStatus();
+}
+
+absl::Status BackendCore::ControlMember(std::string_view name, const rapidjson::Value& value) {
+  if (name == "faults") return ReadFaults(value, faults_);
+  if (name == "publish") return ControlPublish(value);
+  if (name == "retire") {
+    if (!value.IsUint64()) return absl::InvalidArgumentError("retire: expected a version");
+    versions_.erase(value.GetUint64());
+    return absl::OkStatus();
+  }
+  bool is_command = name == "turn_cold" || name == "turn_warm" || name == "crash";
+  if (!is_command && name != "drain") {
+    absl::Status status = SetBackendOption(options_, name, ScalarText(value));
+    if (status.ok() && name == "seed") random_ = Random(Hash64(name_, options_.seed));
+    return status;
+  }
+  if (!value.IsBool() || (is_command && !value.GetBool())) {
+    return absl::InvalidArgumentError(fmt::format("{}: expected true", name));
+  }
+  if (name == "drain") {
+    draining_ = value.GetBool();
+  } else if (name == "turn_cold") {
+    TurnCold();
+  } else if (name == "turn_warm") {
+    cold_ = false;
+  } else if (!down_) {
+    Crash();
+  }
+  return absl::OkStatus();
+}
+
+absl::Status BackendCore::ControlPublish(const rapidjson::Value& value) {
+  if (value.IsObject() && value.MemberCount() == 2) {
+    auto version = value.FindMember("version");
+    auto ranges = value.FindMember("ranges");
+    std::vector<KeyRange> parsed;
+    if (version != value.MemberEnd() && version->value.IsUint64() && ranges != value.MemberEnd() &&
+        ReadRanges(ranges->value, parsed)) {
+      Publish(version->value.GetUint64(), parsed);
+      return absl::OkStatus();
+    }
+  }
+  return absl::InvalidArgumentError("publish: expected {version, ranges: [low-high, ...]}");
+}
+
+}  // namespace damaskroute::standins
--- /dev/null
+++ b/standins/http_connection.h
@@ -0,0 +1,78 @@
+#ifndef STANDINS_HTTP_CONNECTION_H_
+#define STANDINS_HTTP_CONNECTION_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+// Must come before Boost.Beast, which includes Boost.Asio.
+#include "damaskroute/core/asio.h"
+//
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace damaskroute::standins {
+
+class HttpServer;
+
+/// Request with its body read whole.
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+
+/// Value of the header `name`, empty if it is absent.
+inline std::string_view Header(const HttpRequest& request, std::string_view name) {
+  auto value = request[boost::beast::string_view(name.data(), name.size())];
+  return {value.data(), value.size()};
+}
+
+/// Target of the request.
+inline std::string_view Target(const HttpRequest& request) {
+  return {request.target().data(), request.target().size()};
+}
+
+/// Server side of a kept-alive connection. It serves one request at a time and goes on reading
+/// while a request runs, so it notices when the peer closes.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+ public:
+  using Socket = asio::basic_stream_socket<asio::ip::tcp, asio::io_context::executor_type>;
+
+  HttpConnection(std::shared_ptr<HttpServer> server, Socket socket);
+
+  /// Starts reading after `pause`.
+  void Start(std::chrono::microseconds pause);
+
+  /// Answers the request in progress. `headers` are complete lines, each ending in CRLF.
+  /// Does nothing on a closed connection.
+  void Respond(int status, std::string_view headers, std::string_view body);
+
+  /// Closes with TCP RST, without an answer.
+  void Reset();
+
+  /// Called once if the peer closes while a request is in progress; cleared by the answer.
+  void set_on_peer_closed(std::function<void()> callback) { on_peer_closed_ = std::move(callback); }
+
+ private:
+  void Read();
+  void OnRead(const boost::system::error_code& error);
+  void OnWritten(const boost::system::error_code& error);
+  void Dispatch(HttpRequest request);
+  void Close();
+
+  std::shared_ptr<HttpServer> server_;
+  Socket socket_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
+  std::optional<HttpRequest> next_;
+  std::function<void()> on_peer_closed_;
+  std::string output_;
+  bool busy_ = false;
+  bool reading_ = false;
+  bool keep_alive_ = true;
+  bool closed_ = false;
+};
+
+}  // namespace damaskroute::standins
+
+#endif  // STANDINS_HTTP_CONNECTION_H_
--- /dev/null
+++ b/standins/http_server.h
@@ -0,0 +1,72 @@
+#ifndef STANDINS_HTTP_SERVER_H_
+#define STANDINS_HTTP_SERVER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include "absl/status/status.h"
+#include "damaskroute/core/asio.h"
+#include "damaskroute/core/endpoint.h"
+#include "standins/http_connection.h"
+
+namespace damaskroute::standins {
+
+/// Small asynchronous HTTP server. All calls are made on the thread of the io_context.
+class HttpServer : public std::enable_shared_from_this<HttpServer> {
+ public:
+  /// Called with each request; the handler answers through the connection, now or later.
+  using Handler = std::function<void(const std::shared_ptr<HttpConnection>&, HttpRequest&&)>;
+
+  /// What happens to connections before the first request.
+  struct Options {
+    int connection_limit = 0;                   ///< Further connections are reset; 0 is no limit.
+    std::chrono::microseconds connect_cost{0};  ///< Pause before the first request is read.
+  };
+
+  HttpServer(asio::io_context& io, Handler handler) : io_(io), handler_(std::move(handler)) {}
+
+  /// Listens on `endpoint`; port 0 chooses a free one. Unavailable if the port is taken.
+  absl::Status Listen(const Endpoint& endpoint);
+
+  /// Stops listening; connections stay open.
+  void StopListening();
+
+  /// Resets all connections (TCP RST).
+  void ResetConnections();
+
+  /// Stops listening, resets all connections and drops the handler.
+  void Close();
+
+  Options& options() { return options_; }
+  std::uint16_t port() const { return port_; }
+  std::size_t connections() const { return connections_.size(); }
+  std::size_t max_connections() const { return max_connections_; }
+  std::uint64_t accepted() const { return accepted_; }
+  std::uint64_t refused() const { return refused_; }
+
+ private:
+  friend class HttpConnection;
+  using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type>;
+
+  void Accept();
+  void OnAccept(HttpConnection::Socket socket);
+  void Remove(HttpConnection* connection) { connections_.erase(connection); }
+
+  asio::io_context& io_;
+  Handler handler_;
+  Options options_;
+  std::shared_ptr<Acceptor> acceptor_;
+  std::uint16_t port_ = 0;
+  std::unordered_set<HttpConnection*> connections_;
+  std::size_t max_connections_ = 0;
+  std::uint64_t accepted_ = 0;
+  std::uint64_t refused_ = 0;
+};
+
+}  // namespace damaskroute::standins
+
+#endif  // STANDINS_HTTP_SERVER_H_
--- /dev/null
+++ b/standins/index_rows.cc
@@ -0,0 +1,106 @@
+#include "standins/index_rows.h"
+
+#include <rapidjson/document.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "damaskroute/core/hash.h"
+#include "fmt/format.h"
+
+namespace damaskroute::standins {
+namespace {
+
+constexpr std::array<std::string_view, 12> kGenera = {
+    "Solanum", "Phaseolus", "Zea",     "Chenopodium", "Amaranthus", "Lupinus",
+    "Oxalis",  "Ullucus",   "Manihot", "Ipomoea",     "Capsicum",   "Cucurbita"};
+
+std::uint64_t Draw(const IndexSeed& seed, std::uint64_t record, std::uint64_t field) {
+  std::array<std::uint64_t, 2> input = {record, field};
+  return Hash64({reinterpret_cast<const char*>(input.data()), sizeof(input)}, seed.seed);
+}
+
+IndexRow MakeRow(const IndexSeed& seed, IndexVersion version, std::uint64_t record) {
+  // Record i lies in the i-th of `records` equal parts of the key space.
+  std::uint64_t first = record * kKeySpaceSize / seed.records;
+  std::uint64_t last = (record + 1) * kKeySpaceSize / seed.records;
+  IndexRow row;
+  row.key = static_cast<std::uint32_t>(first + Draw(seed, record, 0) % (last - first));
+  row.genus = kGenera[Draw(seed, record, 1) % kGenera.size()];
+  // Viability changes from version to version, as seeds are tested again.
+  row.viability = static_cast<double>(Draw(seed, record, 2 + version) % 1001) / 1000;
+  row.json =
+      fmt::format(R"({{"key":{},"id":"ACC-{:08}","genus":"{}","viability":{:.3f},"index":{}}})",
+                  row.key, record, row.genus, row.viability, version);
+  return row;
+}
+
+}  // namespace
+
+absl::StatusOr<RowFilter> RowFilter::Parse(std::string_view json) {
+  RowFilter filter;
+  if (json.empty()) return filter;
+  rapidjson::Document document;
+  document.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
+  if (document.HasParseError() || !document.IsObject()) {
+    return absl::InvalidArgumentError("the query is not a JSON object");
+  }
+  auto genus = document.FindMember("genus");
+  if (genus != document.MemberEnd()) {
+    if (!genus->value.IsString()) return absl::InvalidArgumentError("genus is not a string");
+    filter.genus.assign(genus->value.GetString(), genus->value.GetStringLength());
+  }
+  auto viability = document.FindMember("min_viability");
+  if (viability != document.MemberEnd()) {
+    if (!viability->value.IsNumber()) {
+      return absl::InvalidArgumentError("min_viability is not a number");
+    }
+    filter.min_viability = viability->value.GetDouble();
+  }
+  auto limit = document.FindMember("limit");
+  if (limit != document.MemberEnd()) {
+    if (!limit->value.IsUint64()) return absl::InvalidArgumentError("limit is not a count");
+    filter.limit = limit->value.GetUint64();
+  }
+  return filter;
+}
+
+IndexRows::IndexRows(const IndexSeed& seed, IndexVersion version, const KeyRangeSet& held)
+    : held_(held) {
+  if (seed.records == 0) return;
+  for (const KeyRange& range : held.ranges()) {
+    // The first record may start before the range, and the last one is found by its key.
+    std::uint64_t record = range.low * seed.records / kKeySpaceSize;
+    for (record = record > 0 ? record - 1 : 0; record < seed.records; ++record) {
+      if (record * kKeySpaceSize / seed.records >= range.high) break;
+      IndexRow row = MakeRow(seed, version, record);
+      if (row.key >= range.low && row.key < range.high) rows_.push_back(std::move(row));
+    }
+  }
+}
+
+KeyRange IndexRows::HeldPart(const KeyRange& asked) const {
+  for (const KeyRange& range : held_.ranges()) {
+    KeyRange part = Intersect(asked, range);
+    if (!part.IsEmpty()) return part;
+  }
+  return {};
+}
+
+std::string IndexRows::Select(const RowFilter& filter, const KeyRange& range) const {
+  std::string json = "[";
+  auto row = std::lower_bound(rows_.begin(), rows_.end(), range.low,
+                              [](const IndexRow& a, std::uint64_t low) { return a.key < low; });
+  std::uint64_t count = 0;
+  for (; row != rows_.end() && row->key < range.high && count < filter.limit; ++row) {
+    if (!filter.genus.empty() && row->genus != filter.genus) continue;
+    if (row->viability < filter.min_viability) continue;
+    if (count++ > 0) json += ',';
+    json += row->json;
+  }
+  json += ']';
+  return json;
+}
+
+}  // namespace damaskroute::standins
