--- a/include/damaskroute/roster/seat.h
+++ b/include/damaskroute/roster/seat.h
@@ -12,6 +12,7 @@
   ZoneName zone;
   Endpoint peer;  ///< Address of the node's peer port, for TCP and UDP.
   Incarnation incarnation = 0;
+  bool leaving = false;  ///< Holds and coordinates nothing new; is releasing its shares.
 
   friend bool operator==(const Seat&, const Seat&) = default;
 };
--- a/src/roster/roster.cc
+++ b/src/roster/roster.cc
@@ -6,8 +6,9 @@
 
 const Seat* Roster::Find(const NodeName& node) const {
   auto it =
-      std::find_if(seats.begin(), seats.end(), [&](const Seat& seat) { return seat.node == node; });
-  return it == seats.end() ? nullptr : &*it;
+      std::lower_bound(seats.begin(), seats.end(), node,
+                       [](const Seat& seat, const NodeName& name) { return seat.node < name; });
+  return it == seats.end() || it->node != node ? nullptr : &*it;
 }
 
 }  // namespace damaskroute
