--- a/tests/scatter_fixture.h
+++ b/tests/scatter_fixture.h
@@ -174,7 +174,7 @@
             acted_after_finish = true;  // A call id was used twice.
           }
         }
-      } else if (auto* cancel = std::get_if<CancelCalls>(&action)) {
+      } else if (auto* cancel = std::get_if<CancelSentCalls>(&action)) {
         for (std::uint32_t id : cancel->call_ids) calls.at(id).open = false;
       } else if (auto* set = std::get_if<SetTimer>(&action)) {
         timer = set->at;
