--- a/tests/scatter_property_test.cc
+++ b/tests/scatter_property_test.cc
@@ -7,6 +7,7 @@
 namespace {
 
 ShardReply Mutate(ShardReply reply, int kind) {
+  reply.rows = QueryRun::Row(999, reply.range);  // Visible in the result if it is accepted.
   switch (kind) {
     case 0:
       reply.version += 1;
