Add the crash guard

The canary call goes to a shard with the most replicas: with a random shard, eight different crashing requests took all three replicas of a shard in the test, and innocent queries lost coverage.

--- a/include/damaskroute/scatter/scatter_gather.h
+++ b/include/damaskroute/scatter/scatter_gather.h
@@ -77,6 +77,7 @@
   enum class CallKind : std::uint8_t { kFirst, kCopy, kRetry };
   struct Pending;
 
+  const Segment& ChooseCanary();
   void AskAll(CallKind kind, TimePoint now, Pending& pending);
   void AskRemaining(TimePoint now, Pending& pending);
   void Ask(const KeyRange& range, CallKind kind, std::int32_t history, std::uint16_t attempts,
--- /dev/null
+++ b/src/crashguard/crash_guard.cc
@@ -0,0 +1,124 @@
+#include "damaskroute/crashguard/crash_guard.h"
+
+#include <algorithm>
+
+#include "damaskroute/core/hash.h"
+
+namespace damaskroute {
+namespace {
+
+// A canary whose end was not reported no longer holds back the others after this time, the
+// longest deadline of a caller.
+constexpr Duration kLongestCanary = std::chrono::seconds(60);
+
+}  // namespace
+
+CrashGuard::CrashGuard(const CrashGuardSettings& settings)
+    : settings_(settings), known_good_(std::max<std::size_t>(settings.known_good_slots, 1)) {}
+
+std::uint64_t CrashGuard::KeyOf(const ServiceName& service, std::uint64_t fingerprint) {
+  // 0 marks an empty slot.
+  return std::max<std::uint64_t>(Hash64(service, fingerprint), 1);
+}
+
+bool CrashGuard::IsKnownGood(std::uint64_t key) const {
+  return known_good_[key % known_good_.size()].load(std::memory_order_relaxed) == key;
+}
+
+CrashMode CrashGuard::Check(const ServiceName& service, std::uint64_t fingerprint, TimePoint now) {
+  if (IsCalm(now)) return CrashMode::kNormal;
+  std::uint64_t key = KeyOf(service, fingerprint);
+  std::lock_guard lock(mutex_);
+  if (auto it = suspects_.find(key); it != suspects_.end() && now < it->second.until) {
+    Suspect& suspect = it->second;
+    if (suspect.blocked) return CrashMode::kBlocked;
+    if (suspect.canary_runs && now - suspect.canary_since < kLongestCanary) {
+      return CrashMode::kWait;
+    }
+    suspect.canary_runs = true;
+    suspect.canary_since = now;
+    return CrashMode::kCanary;
+  }
+  auto careful = services_.find(service);
+  if (careful == services_.end() || now >= careful->second || IsKnownGood(key)) {
+    return CrashMode::kNormal;
+  }
+  return CrashMode::kCanary;
+}
+
+void CrashGuard::OnCrash(const ServiceName& service, std::uint64_t fingerprint,
+                         const BackendName& backend, BootId boot_id, TimePoint now) {
+  std::lock_guard lock(mutex_);
+  Suspect& suspect = Remember(service, KeyOf(service, fingerprint), now);
+  std::uint64_t crash = std::max<std::uint64_t>(Hash64(backend, boot_id), 1);
+  if (suspect.first_crash == 0) {
+    suspect.first_crash = crash;
+  } else if (suspect.first_crash != crash) {
+    suspect.blocked = true;
+  }
+}
+
+void CrashGuard::OnActionCrash(const ServiceName& service, std::uint64_t fingerprint,
+                               TimePoint now) {
+  std::lock_guard lock(mutex_);
+  Remember(service, KeyOf(service, fingerprint), now).blocked = true;
+}
+
+void CrashGuard::OnSuccess(const ServiceName& service, std::uint64_t fingerprint, TimePoint now) {
+  std::uint64_t key = KeyOf(service, fingerprint);
+  std::atomic<std::uint64_t>& slot = known_good_[key % known_good_.size()];
+  if (slot.load(std::memory_order_relaxed) != key) slot.store(key, std::memory_order_relaxed);
+  if (IsCalm(now)) return;
+  std::lock_guard lock(mutex_);
+  if (auto it = suspects_.find(key); it != suspects_.end() && !it->second.blocked) {
+    suspects_.erase(it);
+  }
+}
+
+void CrashGuard::OnEnd(const ServiceName& service, std::uint64_t fingerprint, TimePoint now) {
+  if (IsCalm(now)) return;
+  std::lock_guard lock(mutex_);
+  if (auto it = suspects_.find(KeyOf(service, fingerprint)); it != suspects_.end()) {
+    it->second.canary_runs = false;
+  }
+}
+
+std::size_t CrashGuard::suspects() const {
+  std::lock_guard lock(mutex_);
+  return suspects_.size();
+}
+
+CrashGuard::Suspect& CrashGuard::Remember(const ServiceName& service, std::uint64_t key,
+                                          TimePoint now) {
+  TimePoint until = now + settings_.memory;
+  services_[service] = until;
+  careful_until_.store(until.time_since_epoch().count(), std::memory_order_relaxed);
+  auto it = suspects_.find(key);
+  if (it == suspects_.end()) {
+    if (suspects_.size() >= settings_.max_suspects) MakeRoom(now);
+    it = suspects_.try_emplace(key).first;
+  } else if (now >= it->second.until) {
+    it->second = {};
+  }
+  it->second.until = until;
+  return it->second;
+}
+
+// Removes what is over, else a tenth of the rest: those that are not blocked and the oldest first.
+// A tenth at a time keeps the cost per report small.
+void CrashGuard::MakeRoom(TimePoint now) {
+  std::erase_if(suspects_, [&](const auto& entry) { return now >= entry.second.until; });
+  std::erase_if(services_, [&](const auto& entry) { return now >= entry.second; });
+  if (suspects_.size() < settings_.max_suspects) return;
+  std::vector<std::pair<std::pair<bool, TimePoint>, std::uint64_t>> order;
+  order.reserve(suspects_.size());
+  for (const auto& [key, suspect] : suspects_) {
+    order.push_back({{suspect.blocked, suspect.until}, key});
+  }
+  std::size_t surplus = std::max<std::size_t>(order.size() / 10, 1);
+  std::nth_element(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(surplus) - 1,
+                   order.end());
+  for (std::size_t i = 0; i < surplus; ++i) suspects_.erase(order[i].second);
+}
+
+}  // namespace damaskroute
--- a/src/scatter/scatter_gather.cc
+++ b/src/scatter/scatter_gather.cc
@@ -132,8 +132,7 @@
 void ScatterGather::AskAll(CallKind kind, TimePoint now, Pending& pending) {
   if (canary_pending_) {
     ++canaries_;
-    const Segment& segment = map_->segments[policies_.random.Below(map_->segments.size())];
-    Ask(segment.range, kind, -1, 0, now, pending);
+    Ask(ChooseCanary().range, kind, -1, 0, now, pending);
     return;
   }
   for (const KeyRange& range : result_.covered.MissingFrom(kWholeKeySpace)) {
@@ -141,6 +140,19 @@
   }
 }
 
+// A random one of the segments with the most replicas: a series of crashing requests must not take
+// the last replica of a shard while others have more.
+const Segment& ScatterGather::ChooseCanary() {
+  const Segment* best = nullptr;
+  std::uint64_t equals = 0;
+  for (const Segment& segment : map_->segments) {
+    if (best != nullptr && segment.replicas.size() < best->replicas.size()) continue;
+    equals = best == nullptr || segment.replicas.size() > best->replicas.size() ? 1 : equals + 1;
+    if (policies_.random.Below(equals) == 0) best = &segment;
+  }
+  return *best;
+}
+
 void ScatterGather::Ask(const KeyRange& range, CallKind kind, std::int32_t history,
                         std::uint16_t attempts, TimePoint now, Pending& pending) {
   if (map_ == nullptr) return;
