--- /dev/null
+++ b/include/damaskroute/intent/service_consequence.h
@@ -0,0 +1,34 @@
+#ifndef DAMASKROUTE_INTENT_SERVICE_CONSEQUENCE_H_
+#define DAMASKROUTE_INTENT_SERVICE_CONSEQUENCE_H_
+
+#include <vector>
+
+#include "damaskroute/core/ids.h"
+
+namespace damaskroute {
+
+/// Slots of a service in one zone that accept work, before and after a plan.
+struct ZoneCapacity {
+  ZoneName zone;
+  int slots_before = 0;
+  int slots_after = 0;
+
+  friend bool operator==(const ZoneCapacity&, const ZoneCapacity&) = default;
+};
+
+/// What a plan does to one service.
+struct ServiceConsequence {
+  ServiceName service;
+  int slots_before = 0;
+  int slots_after = 0;
+  int connections_to_open = 0;  ///< Configured connections of backend servers that start to serve.
+  double busy_slots = 0;        ///< Slots in use on average.
+  bool busy_measured = false;   ///< False: assumed as a fraction of `slots_before`.
+  std::vector<ZoneCapacity> zones;
+
+  friend bool operator==(const ServiceConsequence&, const ServiceConsequence&) = default;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_INTENT_SERVICE_CONSEQUENCE_H_
