--- /dev/null
+++ b/include/damaskroute/peer/members_pull.h
@@ -0,0 +1,15 @@
+#ifndef DAMASKROUTE_PEER_MEMBERS_PULL_H_
+#define DAMASKROUTE_PEER_MEMBERS_PULL_H_
+
+#include "damaskroute/membership/member.h"
+
+namespace damaskroute {
+
+/// Asks for the receiver's member table and introduces the sender.
+struct MembersPull {
+  Member sender;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_PEER_MEMBERS_PULL_H_
--- a/include/damaskroute/peer/message.h
+++ b/include/damaskroute/peer/message.h
@@ -14,6 +14,8 @@
 #include "damaskroute/peer/forward_action.h"
 #include "damaskroute/peer/forward_query.h"
 #include "damaskroute/peer/forward_reply.h"
+#include "damaskroute/peer/members_data.h"
+#include "damaskroute/peer/members_pull.h"
 #include "damaskroute/peer/roster_announce.h"
 #include "damaskroute/peer/roster_data.h"
 #include "damaskroute/peer/roster_pull.h"
@@ -27,10 +29,11 @@
 
 /// Message between two nodes. The position in the list is the type number on the wire: append
 /// only.
-using Message = std::variant<ShardBatch, ShardReply, CancelCalls, BackendReport, WarmGrant,
-                             ShareRelease, ForwardQuery, ForwardReply, ForwardAction, ActionReply,
-                             RunAction, ActionResult, CrashReport, ConfigAnnounce, ConfigPull,
-                             ConfigData, RosterAnnounce, RosterPull, RosterData>;
+using Message =
+    std::variant<ShardBatch, ShardReply, CancelCalls, BackendReport, WarmGrant, ShareRelease,
+                 ForwardQuery, ForwardReply, ForwardAction, ActionReply, RunAction, ActionResult,
+                 CrashReport, ConfigAnnounce, ConfigPull, ConfigData, RosterAnnounce, RosterPull,
+                 RosterData, MembersPull, MembersData>;
 
 }  // namespace damaskroute
 
--- /dev/null
+++ b/include/damaskroute/peer/peer_datagram.h
@@ -0,0 +1,36 @@
+#ifndef DAMASKROUTE_PEER_PEER_DATAGRAM_H_
+#define DAMASKROUTE_PEER_PEER_DATAGRAM_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "damaskroute/core/endpoint.h"
+#include "damaskroute/core/ids.h"
+#include "damaskroute/membership/member.h"
+
+namespace damaskroute {
+
+/// Purpose of a datagram.
+enum class DatagramKind : std::uint8_t {
+  kProbe,          ///< Asks the receiver for an `kAck` with the same number.
+  kAck,            ///< Answers a probe, directly or on behalf of the probed member.
+  kIndirectProbe,  ///< Asks the receiver to probe `target` and to pass its ack on.
+};
+
+/// Message of the membership protocol. Each one also carries news.
+struct PeerDatagram {
+  DatagramKind kind = DatagramKind::kProbe;
+  std::uint64_t sequence = 0;  ///< Counted up by the sender with each datagram.
+  std::uint64_t number = 0;    ///< Names the probe.
+  Member sender;               ///< The sender as it knows itself.
+  Endpoint target;             ///< Set in an indirect probe only.
+  Revision config_revision = 0;
+  Revision roster_revision = 0;
+  std::vector<Member> updates;
+
+  friend bool operator==(const PeerDatagram&, const PeerDatagram&) = default;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_PEER_PEER_DATAGRAM_H_
--- /dev/null
+++ b/src/peer/datagram_codec.cc
@@ -0,0 +1,146 @@
+#include "damaskroute/peer/datagram_codec.h"
+
+#include <cereal/types/common.hpp>
+#include <cstdint>
+#include <ostream>
+#include <utility>
+
+#include "damaskroute/peer/bounded_input_archive.h"
+#include "string_streambuf.h"
+
+namespace damaskroute {
+namespace {
+
+// Cereal writes 8 bytes for the size of a string; names are short and datagrams small, so theirs
+// take one byte.
+struct ShortText {
+  std::string& text;
+};
+
+template <typename Archive>
+void CEREAL_SAVE_FUNCTION_NAME(Archive& archive, const ShortText& value) {
+  archive(static_cast<std::uint8_t>(value.text.size()),
+          cereal::binary_data(value.text.data(), value.text.size()));
+}
+
+template <typename Archive>
+void CEREAL_LOAD_FUNCTION_NAME(Archive& archive, ShortText& value) {
+  std::uint8_t size = 0;
+  archive(size);
+  if (size > kMaxMemberNameSize) throw cereal::Exception("text is too long");
+  value.text.resize(size);
+  archive(cereal::binary_data(value.text.data(), value.text.size()));
+}
+
+template <typename Archive>
+void Text(Archive& archive, std::string& text) {
+  ShortText value{text};
+  archive(value);
+}
+
+template <typename Archive>
+void Fields(Archive& archive, Endpoint& endpoint) {
+  Text(archive, endpoint.address);
+  archive(endpoint.port);
+}
+
+template <typename Archive>
+void Fields(Archive& archive, Member& member) {
+  Text(archive, member.node);
+  Text(archive, member.zone);
+  Fields(archive, member.endpoint);
+  archive(member.incarnation, member.refutation, member.state);
+}
+
+template <typename Archive>
+void HeaderFields(Archive& archive, PeerDatagram& datagram) {
+  archive(datagram.kind, datagram.sequence, datagram.number);
+  Fields(archive, datagram.sender);
+  Fields(archive, datagram.target);
+  archive(datagram.config_revision, datagram.roster_revision);
+}
+
+bool Fits(const Member& member) {
+  return member.node.size() <= kMaxMemberNameSize && member.zone.size() <= kMaxMemberNameSize &&
+         member.endpoint.address.size() <= kMaxMemberNameSize;
+}
+
+bool Valid(const Member& member) { return member.state <= MemberState::kLeft; }
+
+constexpr std::size_t kKeyIdSize = 1;
+constexpr std::size_t kEndiannessSize = 1;
+constexpr std::size_t kUpdateCountSize = 1;
+
+std::size_t EndpointSize(const Endpoint& endpoint) { return 1 + endpoint.address.size() + 2; }
+
+}  // namespace
+
+std::size_t UpdateSize(const Member& update) {
+  return 1 + update.node.size() + 1 + update.zone.size() + EndpointSize(update.endpoint) + 8 + 4 +
+         1;
+}
+
+std::size_t DatagramSize(const PeerDatagram& datagram) {
+  std::size_t size = kKeyIdSize + kEndiannessSize + 1 + 8 + 8 + UpdateSize(datagram.sender) +
+                     EndpointSize(datagram.target) + 8 + 8 + kUpdateCountSize + kMacSize;
+  for (const Member& update : datagram.updates) size += UpdateSize(update);
+  return size;
+}
+
+DatagramCodec::DatagramCodec(const PeerKeys& keys) {
+  keys_.emplace_back(static_cast<char>(keys.current.id), MacKey(keys.current.secret));
+  if (keys.other.has_value()) {
+    keys_.emplace_back(static_cast<char>(keys.other->id), MacKey(keys.other->secret));
+  }
+}
+
+absl::StatusOr<std::string> DatagramCodec::Encode(const PeerDatagram& datagram) {
+  bool fits = Fits(datagram.sender) && datagram.target.address.size() <= kMaxMemberNameSize &&
+              datagram.updates.size() <= 255 && DatagramSize(datagram) <= kMaxDatagramSize;
+  for (const Member& update : datagram.updates) fits = fits && Fits(update);
+  if (!fits) return absl::InvalidArgumentError("datagram is too long");
+  PeerDatagram copy = datagram;  // The field lists are shared with decoding.
+  std::string bytes(1, keys_.front().first);
+  bytes.reserve(kMaxDatagramSize);
+  {
+    internal::StringStreambuf buffer(bytes);
+    std::ostream stream(&buffer);
+    cereal::PortableBinaryOutputArchive archive(
+        stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
+    HeaderFields(archive, copy);
+    archive(static_cast<std::uint8_t>(copy.updates.size()));
+    for (Member& update : copy.updates) Fields(archive, update);
+  }
+  MacTag tag = keys_.front().second.Compute({bytes});
+  return bytes.append(tag.data(), tag.size());
+}
+
+absl::StatusOr<PeerDatagram> DatagramCodec::Decode(std::string_view bytes) {
+  if (bytes.size() < kKeyIdSize + kMacSize || bytes.size() > kMaxDatagramSize) {
+    return absl::InvalidArgumentError("datagram has a wrong size");
+  }
+  std::string_view fields = bytes.substr(0, bytes.size() - kMacSize);
+  bool authentic = false;
+  for (auto& [id, key] : keys_) {
+    if (id == bytes[0]) authentic = key.Verify({fields}, bytes.substr(fields.size()));
+  }
+  if (!authentic) return absl::PermissionDeniedError("datagram is not signed by a known key");
+  PeerDatagram datagram;
+  try {
+    internal::BoundedInputArchive archive(fields.substr(kKeyIdSize));
+    HeaderFields(archive, datagram);
+    std::uint8_t count = 0;
+    archive(count);
+    bool valid = Valid(datagram.sender) && datagram.kind <= DatagramKind::kIndirectProbe;
+    for (; valid && count > 0; --count) {
+      Fields(archive, datagram.updates.emplace_back());
+      valid = Valid(datagram.updates.back());
+    }
+    if (valid && archive.bytes_left() == 0) return datagram;
+  } catch (const cereal::Exception&) {
+    return absl::InvalidArgumentError("datagram is cut short");
+  }
+  return absl::InvalidArgumentError("datagram has a field outside its limits");
+}
+
+}  // namespace damaskroute
--- a/src/peer/mac_key.cc
+++ b/src/peer/mac_key.cc
@@ -23,9 +23,9 @@
 }  // namespace
 
 MacKey::MacKey(std::string_view secret) {
-  static EVP_MAC* const kHmac = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
-  Require(kHmac != nullptr);
-  context_.reset(EVP_MAC_CTX_new(kHmac));
+  static EVP_MAC* const hmac = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+  Require(hmac != nullptr);
+  context_.reset(EVP_MAC_CTX_new(hmac));
   char digest[] = "SHA256";
   OSSL_PARAM params[] = {OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digest, 0),
                          OSSL_PARAM_construct_end()};
--- a/src/peer/message_codec.cc
+++ b/src/peer/message_codec.cc
@@ -1,5 +1,6 @@
 #include "damaskroute/peer/message_codec.h"
 
+#include <algorithm>
 #include <array>
 #include <cereal/archives/portable_binary.hpp>
 #include <cstdint>
@@ -76,6 +77,15 @@
 bool Valid(const RosterAnnounce& m) { return ValidName(m.zone); }
 bool Valid(const RosterPull& m) { return ValidName(m.zone); }
 bool Valid(const RosterData& m) { return ValidName(m.zone) && Valid(m.data); }
+bool Valid(const Member& m) {
+  return ValidName(m.node) && ValidName(m.zone) && ValidName(m.endpoint.address) &&
+         InEnum(m.state, MemberState::kLeft);
+}
+bool Valid(const MembersPull& m) { return Valid(m.sender); }
+bool Valid(const MembersData& m) {
+  return std::all_of(m.members.begin(), m.members.end(),
+                     [](const Member& member) { return Valid(member); });
+}
 
 template <typename T>
 std::optional<Message> DecodeAs(std::string_view fields) {
--- a/src/peer/message_fields.h
+++ b/src/peer/message_fields.h
@@ -127,6 +127,26 @@
   archive(value.zone, value.data);
 }
 
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, Endpoint& value) {
+  archive(value.address, value.port);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, Member& value) {
+  archive(value.node, value.zone, value.endpoint, value.incarnation, value.refutation, value.state);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, MembersPull& value) {
+  archive(value.sender);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, MembersData& value) {
+  archive(value.members);
+}
+
 }  // namespace damaskroute
 
 #endif  // DAMASKROUTE_SRC_PEER_MESSAGE_FIELDS_H_
