Wire the entry node: holders, coordinators, forwarding and the control plane

Cause: the decisions need a process that carries them out. The peer messages use the types of the shares module. All present tests pass; the node has not served a request yet.

--- /dev/null
+++ b/include/damaskroute/node/backend_channel.h
@@ -0,0 +1,111 @@
+#ifndef DAMASKROUTE_NODE_BACKEND_CHANNEL_H_
+#define DAMASKROUTE_NODE_BACKEND_CHANNEL_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "damaskroute/admission/call_queue.h"
+#include "damaskroute/config/backend_server.h"
+#include "damaskroute/http/backend_client.h"
+#include "damaskroute/node/event_loop.h"
+#include "damaskroute/node/holder_call.h"
+#include "damaskroute/peer/backend_report.h"
+#include "damaskroute/peer/message.h"
+#include "damaskroute/shares/warmth_tracker.h"
+
+namespace damaskroute {
+
+/// What a `BackendChannel` needs from its node. All functions are called on the channel's loop.
+struct BackendChannelHooks {
+  std::function<void(const Endpoint&, Message)> reply;
+  std::function<void(const NodeName&, Message)> to_node;
+  std::function<void(BackendReport)> report;  ///< Without holder and sequence.
+  std::function<void(const BackendName&, std::uint64_t sequence)> within_limit;
+};
+
+/// A holder's side of one backend server: queue, connections, cold start and health. Belongs to
+/// one event loop.
+class BackendChannel {
+ public:
+  BackendChannel(EventLoop& loop, const ServiceName& service, BackendServer backend,
+                 WarmthOptions warmth, LatencyQuantiles& latency, BackendChannelHooks hooks);
+  ~BackendChannel();
+  BackendChannel(const BackendChannel&) = delete;
+  BackendChannel& operator=(const BackendChannel&) = delete;
+
+  /// Changes what this node may use; `sequence` is passed to `within_limit` once calls and
+  /// connections fit. `accepts_work` is false for a leaving backend server or a zone that is out.
+  void SetLimit(const Share& share, std::uint64_t sequence, bool accepts_work,
+                NodeName first_holder);
+
+  /// Takes in a call; its reply follows in any case, unless it is cancelled.
+  void Submit(HolderCall call);
+
+  /// Cancels the call if it is here.
+  void Cancel(const Endpoint& from, std::uint64_t query_id, std::uint32_t call_id);
+
+  void OnWarmQuery(const NodeName& from, const WarmQuery& query);
+  void OnWarmGrant(const WarmGrant& grant);
+
+  const BackendServer& backend() const { return backend_; }
+
+  /// Calls that wait or run.
+  std::size_t load() const { return calls_.size(); }
+
+ private:
+  using CallKey = std::tuple<Endpoint, std::uint64_t, std::uint32_t>;
+  struct Entry {
+    HolderCall call;
+    std::uint64_t exchange = 0;  // 0 while it waits.
+    TimePoint started;
+  };
+
+  void Apply(std::vector<QueueAction> actions);
+  void Start(std::uint64_t token);
+  void Finish(std::uint64_t token, const ExchangeResult& result);
+  void Refuse(std::uint64_t token, ShardOutcome outcome);
+  void Reply(const HolderCall& call, ShardOutcome outcome, const ExchangeResult& result,
+             std::string rows);
+  void RequestCancel(std::uint64_t token);
+  void Learn(const Entry& entry, const ExchangeResult& result);
+  void UpdateLimit();
+  void CheckWithinLimit();
+  void ArmTick();
+  void Tick();
+  void PollHealth();
+  void OnHealth(const ExchangeResult& result);
+  void Report();
+
+  EventLoop& loop_;
+  const ServiceName service_;
+  const BackendServer backend_;
+  BackendChannelHooks hooks_;
+  WarmthTracker warmth_;
+  CallQueue queue_;
+  BackendClient client_;
+  asio::steady_timer queue_timer_;
+  asio::steady_timer tick_timer_;
+  Share share_;
+  bool accepts_work_ = false;
+  NodeName first_holder_;
+  std::uint64_t limit_sequence_ = 0;
+  std::uint64_t confirmed_sequence_ = 0;
+  std::uint64_t next_token_ = 1;
+  std::unordered_map<std::uint64_t, Entry> calls_;
+  std::map<CallKey, std::uint64_t> tokens_;
+  bool health_running_ = false;
+  TimePoint next_health_;
+  int failed_polls_ = 0;
+  bool draining_ = false;
+  std::vector<HeldRange> held_;
+  BackendReport last_report_;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_NODE_BACKEND_CHANNEL_H_
--- /dev/null
+++ b/include/damaskroute/node/control_plane.h
@@ -0,0 +1,101 @@
+#ifndef DAMASKROUTE_NODE_CONTROL_PLANE_H
+#define DAMASKROUTE_NODE_CONTROL_PLANE_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "damaskroute/config/config_document.h"
+#include "damaskroute/core/snapshot.h"
+#include "damaskroute/node/event_loop.h"
+#include "damaskroute/node/holder_loop.h"
+#include "damaskroute/node/node_view.h"
+#include "damaskroute/peer/message.h"
+#include "damaskroute/scatter/load_table.h"
+#include "damaskroute/scatter/partition_view.h"
+#include "damaskroute/shares/share_table.h"
+
+namespace damaskroute {
+
+/// What a `ControlPlane` needs from its node.
+struct ControlHooks {
+  std::function<void(const HolderLoop::Limit&)> set_limit;
+  std::function<void(const ServiceName&)> view_changed;  ///< New replicas were published.
+  std::function<void(const NodeName&, Message)> to_node;
+};
+
+/// Identity and parameters of the node that a `ControlPlane` works for.
+struct ControlIdentity {
+  NodeName node;
+  ZoneName zone;
+  Incarnation incarnation = 0;
+  double backends_per_node = Placement::kDefaultBackendsPerNode;
+};
+
+/// Turns configuration, roster and backend reports into the snapshots that the request path reads
+/// and into the limits of the backend channels. Belongs to the control loop; used on its thread
+/// only.
+class ControlPlane {
+ public:
+  ControlPlane(EventLoop& loop, ControlIdentity identity, Snapshot<NodeView>& view,
+               ControlHooks hooks);
+
+  /// Installs a configuration. Ignored if its revision is not greater than the present one.
+  void InstallConfig(ConfigDocument config);
+
+  /// Installs a roster. Ignored if its revision is not greater than the present one.
+  void InstallRoster(Roster roster);
+
+  /// Report of an own backend channel: numbered, applied and sent to the coordinators.
+  void OnLocalReport(BackendReport report);
+
+  /// Report of another holder.
+  void OnPeerReport(const BackendReport& report);
+
+  /// A node left, failed or restarted: its reports no longer count.
+  void OnNodeLost(const NodeName& node);
+
+  void OnShareMessage(const NodeName& from, const ShareMessage& message);
+  void OnWithinLimit(const BackendName& backend, std::uint64_t sequence);
+
+  Revision config_revision() const { return config_.revision; }
+  Revision roster_revision() const { return roster_.revision; }
+
+ private:
+  void Rebuild();
+  void Publish();
+  void EnsureShareTable();
+  void Apply(const ShareTable::Actions& actions);
+  void ApplyLimit(const SetLimit& limit);
+  void RefreshIntents();
+  void MarkDirty(const ServiceName& service);
+  void FlushViews();
+  void SendReport(const BackendReport& report);
+  void ArmReportTimer();
+
+  EventLoop& loop_;
+  const ControlIdentity identity_;
+  Snapshot<NodeView>& view_;
+  ControlHooks hooks_;
+  TokenBudget node_copies_;
+  LoadTable loads_;
+  ConfigDocument config_;
+  Roster roster_;
+  std::shared_ptr<const Placement> placement_;
+  std::optional<ShareTable> shares_;
+  PartitionView reports_;
+  std::map<ServiceName, std::shared_ptr<ServiceRuntime>> services_;
+  std::map<BackendName, SetLimit> limits_;
+  std::map<BackendName, BackendReport> own_reports_;
+  std::uint64_t report_sequence_;
+  std::set<ServiceName> dirty_;
+  asio::steady_timer flush_timer_;
+  asio::steady_timer report_timer_;
+  asio::steady_timer share_timer_;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_NODE_CONTROL_PLANE_H
--- /dev/null
+++ b/include/damaskroute/node/entry_node.h
@@ -0,0 +1,73 @@
+#ifndef DAMASKROUTE_NODE_ENTRY_NODE_H_
+#define DAMASKROUTE_NODE_ENTRY_NODE_H_
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "damaskroute/core/snapshot.h"
+#include "damaskroute/http/http_server.h"
+#include "damaskroute/node/control_plane.h"
+#include "damaskroute/node/event_loop.h"
+#include "damaskroute/node/holder_loop.h"
+#include "damaskroute/node/node_view.h"
+#include "damaskroute/node/query_coordinator.h"
+#include "damaskroute/node/query_id.h"
+#include "damaskroute/node/query_service.h"
+#include "damaskroute/peer/peer_transport.h"
+#include "damaskroute/scatter/replica_selector.h"
+#include "damaskroute/settings/node_settings.h"
+
+namespace damaskroute {
+
+/// An entry node: event loops, servers and peers, wired together.
+class EntryNode {
+ public:
+  EntryNode(NodeSettings settings, Incarnation incarnation);
+  ~EntryNode();
+  EntryNode(const EntryNode&) = delete;
+  EntryNode& operator=(const EntryNode&) = delete;
+
+  /// Opens all ports and starts the threads. Unavailable if a port is taken.
+  absl::Status Start();
+
+  /// Graceful shutdown: readiness fails first, running work ends, then the threads stop. Blocks.
+  void Drain();
+
+  /// Installs documents, from the store or from peers. Thread-safe.
+  void InstallConfig(ConfigDocument config);
+  void InstallRoster(Roster roster);
+
+ private:
+  struct Worker;
+
+  void MakeWorkers();
+  void HandleCaller(HttpRequest request, HttpResponder respond);
+  HttpResponse AnswerReadiness() const;
+  void SendToNode(const NodeName& node, Message message);
+  void SendTo(const Endpoint& endpoint, Message message);
+  void Deliver(const NodeName& from_node, const Endpoint& from, Message message);
+  void OnPeerLost(const Endpoint& endpoint);
+  void DeliverBatch(const Endpoint& from, ShardBatch batch);
+  void DeliverAction(const Endpoint& from, RunAction action);
+  Worker& WorkerOf(const BackendName& backend);
+  BackendChannelHooks MakeChannelHooks();
+
+  const NodeSettings settings_;
+  const Incarnation incarnation_;
+  QueryIds ids_;
+  Snapshot<NodeView> view_;
+  ReplicaSelector selector_;
+  EventLoop control_loop_;
+  std::vector<std::unique_ptr<Worker>> workers_;
+  std::unique_ptr<ControlPlane> control_;
+  std::unique_ptr<PeerTransport> transport_;
+  std::unique_ptr<HttpServer> callers_;
+  std::atomic<std::size_t> next_worker_{0};
+  std::atomic<bool> draining_{false};
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_NODE_ENTRY_NODE_H_
--- a/include/damaskroute/peer/message.h
+++ b/include/damaskroute/peer/message.h
@@ -22,18 +22,18 @@
 #include "damaskroute/peer/run_action.h"
 #include "damaskroute/peer/shard_batch.h"
 #include "damaskroute/peer/shard_reply.h"
-#include "damaskroute/peer/share_release.h"
-#include "damaskroute/peer/warm_grant.h"
+#include "damaskroute/shares/share_message.h"
+#include "damaskroute/shares/warm_grant.h"
 
 namespace damaskroute {
 
 /// Message between two nodes. The position in the list is the type number on the wire: append
 /// only.
-using Message =
-    std::variant<ShardBatch, ShardReply, CancelCalls, BackendReport, WarmGrant, ShareRelease,
-                 ForwardQuery, ForwardReply, ForwardAction, ActionReply, RunAction, ActionResult,
-                 CrashReport, ConfigAnnounce, ConfigPull, ConfigData, RosterAnnounce, RosterPull,
-                 RosterData, MembersPull, MembersData>;
+using Message = std::variant<ShardBatch, ShardReply, CancelCalls, BackendReport, WarmGrant,
+                             ShareRelease, ForwardQuery, ForwardReply, ForwardAction, ActionReply,
+                             RunAction, ActionResult, CrashReport, ConfigAnnounce, ConfigPull,
+                             ConfigData, RosterAnnounce, RosterPull, RosterData, MembersPull,
+                             MembersData, ShareReleaseAck, ShareClaim, ShareClaimReply, WarmQuery>;
 
 }  // namespace damaskroute
 
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -228,21 +228,22 @@
 };
 
 asio::awaitable<void> RunSession(std::shared_ptr<Shared> shared, Tcp::socket socket,
-                                  std::size_t loop) {
+                                 std::size_t loop) {
   Session session(std::move(shared), std::move(socket), loop);
   co_await session.Run();
 }
 
 void Spawn(const std::shared_ptr<Shared>& shared, Tcp::socket socket, std::size_t loop) {
   auto executor = socket.get_executor();
-  asio::co_spawn(executor, RunSession(shared, std::move(socket), loop), [](std::exception_ptr failure) {
-    if (!failure) return;
-    try {
-      std::rethrow_exception(failure);
-    } catch (const std::exception& e) {
-      LogLine(LogLevel::kError, "HTTP session ended by an exception").Field("error", e.what());
-    }
-  });
+  asio::co_spawn(
+      executor, RunSession(shared, std::move(socket), loop), [](std::exception_ptr failure) {
+        if (!failure) return;
+        try {
+          std::rethrow_exception(failure);
+        } catch (const std::exception& e) {
+          LogLine(LogLevel::kError, "HTTP session ended by an exception").Field("error", e.what());
+        }
+      });
 }
 
 asio::awaitable<void> AcceptLoop(std::shared_ptr<Shared> shared) {
--- a/src/intent/planner.cc
+++ b/src/intent/planner.cc
@@ -151,7 +151,7 @@
   plan.document.change_id.clear();
   absl::StatusOr<std::string> bytes = EncodeConfig(plan.document);
   if (!bytes.ok()) return bytes.status();
-  plan.id = ContentHash(fmt::format("{}\n{}", base.revision, *bytes)).substr(0, kPlanIdDigits);
+  plan.id = Sha256Hex(fmt::format("{}\n{}", base.revision, *bytes)).substr(0, kPlanIdDigits);
   plan.differences = Difference(base, plan.document);
   PlanBuilder(settings_, base, busy, plan).Build();
   return plan;
--- /dev/null
+++ b/src/node/control_plane.cc
@@ -0,0 +1,194 @@
+#include "damaskroute/node/control_plane.h"
+
+#include <utility>
+
+#include "damaskroute/log/log_line.h"
+
+namespace damaskroute {
+namespace {
+
+// Reports that arrive together lead to one new view of a service.
+constexpr std::chrono::milliseconds kFlushDelay{2};
+
+// Repeats all reports, so that a coordinator that missed one learns it in the end.
+constexpr std::chrono::seconds kReportPeriod{10};
+
+// Copies per first call and copies at once, over all services of the node.
+constexpr double kNodeCopyRatio = 0.05;
+constexpr std::uint32_t kNodeCopyBurst = 100;
+
+TimePoint Now() { return SteadyClock().Now(); }
+
+}  // namespace
+
+ControlPlane::ControlPlane(EventLoop& loop, ControlIdentity identity, Snapshot<NodeView>& view,
+                           ControlHooks hooks)
+    : loop_(loop),
+      identity_(std::move(identity)),
+      view_(view),
+      hooks_(std::move(hooks)),
+      node_copies_(kNodeCopyRatio, kNodeCopyBurst),
+      placement_(std::make_shared<const Placement>()),
+      report_sequence_(identity_.incarnation),
+      flush_timer_(loop.context()),
+      report_timer_(loop.context()),
+      share_timer_(loop.context()) {
+  ArmReportTimer();
+}
+
+void ControlPlane::InstallConfig(ConfigDocument config) {
+  if (config.revision <= config_.revision) return;
+  config_ = std::move(config);
+  LogLine(LogLevel::kInfo, "configuration installed")
+      .Field("revision", config_.revision)
+      .Field("change_id", config_.change_id);
+  Rebuild();
+}
+
+void ControlPlane::InstallRoster(Roster roster) {
+  if (roster.revision <= roster_.revision) return;
+  roster_ = std::move(roster);
+  LogLine(LogLevel::kInfo, "roster installed")
+      .Field("revision", roster_.revision)
+      .Field("seats", roster_.seats.size());
+  Rebuild();
+}
+
+void ControlPlane::Rebuild() {
+  placement_ = std::make_shared<const Placement>(placement_->Next(config_, roster_));
+  for (const Service& service : config_.services) {
+    auto& runtime = services_[service.name];
+    if (!runtime) runtime = std::make_shared<ServiceRuntime>(service.name, node_copies_);
+    MarkDirty(service.name);
+  }
+  std::erase_if(services_,
+                [&](const auto& entry) { return config_.FindService(entry.first) == nullptr; });
+  Publish();
+  EnsureShareTable();
+  if (shares_) {
+    Apply(shares_->OnPlacement(placement_, std::make_shared<const Roster>(roster_), Now()));
+  }
+  RefreshIntents();
+  for (const auto& [name, report] : own_reports_) SendReport(report);
+}
+
+void ControlPlane::Publish() {
+  NodeView view;
+  view.config = config_;
+  view.roster = roster_;
+  view.placement = *placement_;
+  view.services = services_;
+  view_.Publish(std::move(view));
+}
+
+void ControlPlane::EnsureShareTable() {
+  if (shares_ || roster_.revision == 0 || config_.revision == 0) return;
+  ShareTableOptions options;
+  options.self = identity_.node;
+  options.incarnation = identity_.incarnation;
+  options.started = Now();
+  options.had_predecessor = false;
+  shares_.emplace(options);
+}
+
+void ControlPlane::Apply(const ShareTable::Actions& actions) {
+  for (const ShareAction& action : actions) {
+    if (const auto* limit = std::get_if<SetLimit>(&action)) {
+      limits_[limit->backend] = *limit;
+      ApplyLimit(*limit);
+    } else if (const auto* send = std::get_if<SendShareMessage>(&action)) {
+      std::visit([&](const auto& message) { hooks_.to_node(send->to, message); }, send->message);
+    } else if (const auto* timer = std::get_if<SetShareTimer>(&action)) {
+      share_timer_.expires_at(timer->at);
+      share_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) Apply(shares_->OnTimer(Now()));
+      });
+    }
+  }
+}
+
+void ControlPlane::ApplyLimit(const SetLimit& limit) {
+  const BackendServer* backend = placement_->FindBackend(limit.backend);
+  const Service* service = placement_->ServiceOf(limit.backend);
+  HolderLoop::Limit change;
+  if (backend != nullptr && service != nullptr) {
+    change.service = service->name;
+    change.backend = *backend;
+    change.warm_up = service->warm_up;
+    change.accepts_work = AcceptsWork(config_, *backend);
+  } else {
+    change.backend.name = limit.backend;
+  }
+  change.share = limit.limit;
+  change.sequence = limit.sequence;
+  auto holders = placement_->HoldersOf(limit.backend);
+  if (holders && holders->first != identity_.node) change.first_holder = holders->first;
+  hooks_.set_limit(change);
+}
+
+// A zone that is taken out, or a backend server that leaves, changes no share but stops the work.
+void ControlPlane::RefreshIntents() {
+  for (const auto& [name, limit] : limits_) ApplyLimit(limit);
+}
+
+void ControlPlane::OnLocalReport(BackendReport report) {
+  report.holder = identity_.node;
+  report.sequence = ++report_sequence_;
+  own_reports_[report.backend] = report;
+  if (reports_.Apply(report)) MarkDirty(report.service);
+  SendReport(report);
+}
+
+void ControlPlane::SendReport(const BackendReport& report) {
+  for (const NodeName& node : placement_->CoordinatorsOf(report.service)) {
+    if (node != identity_.node) hooks_.to_node(node, report);
+  }
+}
+
+void ControlPlane::OnPeerReport(const BackendReport& report) {
+  if (reports_.Apply(report)) MarkDirty(report.service);
+}
+
+void ControlPlane::OnNodeLost(const NodeName& node) {
+  if (!reports_.RemoveHolder(node)) return;
+  for (const auto& [name, runtime] : services_) MarkDirty(name);
+}
+
+void ControlPlane::OnShareMessage(const NodeName& from, const ShareMessage& message) {
+  if (shares_) Apply(shares_->OnMessage(from, message, Now()));
+}
+
+void ControlPlane::OnWithinLimit(const BackendName& backend, std::uint64_t sequence) {
+  if (shares_) Apply(shares_->OnWithinLimit(backend, sequence, Now()));
+}
+
+void ControlPlane::MarkDirty(const ServiceName& service) {
+  bool armed = !dirty_.empty();
+  dirty_.insert(service);
+  if (armed) return;
+  flush_timer_.expires_after(kFlushDelay);
+  flush_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) FlushViews();
+  });
+}
+
+void ControlPlane::FlushViews() {
+  for (const ServiceName& name : std::exchange(dirty_, {})) {
+    auto it = services_.find(name);
+    if (it == services_.end()) continue;
+    it->second->view.Publish(reports_.MakeServiceView(name, config_, loads_));
+    hooks_.view_changed(name);
+  }
+}
+
+void ControlPlane::ArmReportTimer() {
+  report_timer_.expires_after(kReportPeriod);
+  report_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    for (const auto& [name, report] : own_reports_) SendReport(report);
+    loads_.Prune();
+    ArmReportTimer();
+  });
+}
+
+}  // namespace damaskroute
--- /dev/null
+++ b/src/node/entry_node.cc
@@ -0,0 +1,319 @@
+#include "damaskroute/node/entry_node.h"
+
+#include <map>
+#include <thread>
+#include <utility>
+
+#include "damaskroute/api/front_target.h"
+#include "damaskroute/core/hash.h"
+#include "damaskroute/http/problem.h"
+#include "damaskroute/log/log_line.h"
+
+namespace damaskroute {
+namespace {
+
+// Requests that the balancer sent before it saw the failing readiness check are still accepted.
+constexpr std::chrono::milliseconds kDrainPoll{20};
+constexpr std::chrono::seconds kLongestDrain{65};
+
+TimePoint Now() { return SteadyClock().Now(); }
+
+// Calls the handler for the alternative that a message holds.
+template <typename... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+
+HttpResponse SimpleProblem(int status, std::string type, std::string detail) {
+  Problem problem;
+  problem.status = status;
+  problem.type = std::move(type);
+  problem.detail = std::move(detail);
+  return MakeProblemResponse(problem);
+}
+
+}  // namespace
+
+struct EntryNode::Worker {
+  Worker(EntryNode& node, std::size_t index);
+
+  EventLoop loop;
+  QueryCoordinator coordinator;
+  HolderLoop holder;
+  QueryService queries;
+};
+
+EntryNode::Worker::Worker(EntryNode& node, std::size_t index)
+    : loop(Hash64(node.settings_.node, node.incarnation_ + index)),
+      coordinator(
+          loop, node.selector_,
+          [&node](const NodeName& to, Message message) { node.SendToNode(to, std::move(message)); },
+          [](const QuerySpec& spec, const BackendName& backend, BootId) {
+            LogLine(LogLevel::kWarning, "backend server lost its connection during a query")
+                .Field("request_id", spec.request_id)
+                .Field("backend", backend);
+          }),
+      holder(loop, node.MakeChannelHooks(), node.incarnation_),
+      queries(
+          loop, coordinator,
+          {node.settings_.node, node.settings_.zone, index, &node.ids_, &node.view_,
+           [&node](const Endpoint& to, Message message) { node.SendTo(to, std::move(message)); }}) {
+}
+
+EntryNode::EntryNode(NodeSettings settings, Incarnation incarnation)
+    : settings_(std::move(settings)),
+      incarnation_(incarnation),
+      ids_(incarnation),
+      selector_(settings_.zone),
+      control_loop_(incarnation) {
+  MakeWorkers();
+}
+
+EntryNode::~EntryNode() {
+  control_loop_.Stop();
+  for (auto& worker : workers_) worker->loop.Stop();
+}
+
+void EntryNode::MakeWorkers() {
+  for (int i = 0; i < settings_.loops; ++i) {
+    workers_.push_back(std::make_unique<Worker>(*this, static_cast<std::size_t>(i)));
+  }
+  ControlHooks hooks;
+  hooks.set_limit = [this](const HolderLoop::Limit& limit) {
+    Worker& worker = WorkerOf(limit.backend.name);
+    worker.loop.Post([&worker, limit] { worker.holder.SetLimit(limit); });
+  };
+  hooks.view_changed = [this](const ServiceName& service) {
+    for (auto& worker : workers_) {
+      worker->loop.Post(
+          [&coordinator = worker->coordinator, service] { coordinator.OnViewChanged(service); });
+    }
+  };
+  hooks.to_node = [this](const NodeName& node, Message message) {
+    SendToNode(node, std::move(message));
+  };
+  control_ = std::make_unique<ControlPlane>(
+      control_loop_,
+      ControlIdentity{settings_.node, settings_.zone, incarnation_, settings_.backends_per_node},
+      view_, std::move(hooks));
+}
+
+BackendChannelHooks EntryNode::MakeChannelHooks() {
+  BackendChannelHooks hooks;
+  hooks.reply = [this](const Endpoint& to, Message message) { SendTo(to, std::move(message)); };
+  hooks.to_node = [this](const NodeName& to, Message message) {
+    SendToNode(to, std::move(message));
+  };
+  hooks.report = [this](BackendReport report) {
+    control_loop_.Post([this, report = std::move(report)] { control_->OnLocalReport(report); });
+  };
+  hooks.within_limit = [this](const BackendName& backend, std::uint64_t sequence) {
+    control_loop_.Post([this, backend, sequence] { control_->OnWithinLimit(backend, sequence); });
+  };
+  return hooks;
+}
+
+absl::Status EntryNode::Start() {
+  PeerHandlers handlers;
+  handlers.on_message = [this](const PeerContext& from, Message message) {
+    Deliver(from.node, from.endpoint, std::move(message));
+  };
+  handlers.on_peer_lost = [this](const Endpoint& endpoint) { OnPeerLost(endpoint); };
+  transport_ = std::make_unique<PeerTransport>(
+      control_loop_.context(), PeerIdentity{settings_.node, incarnation_, settings_.peers},
+      settings_.peer_keys, std::move(handlers));
+  absl::Status status = transport_->Listen();
+  if (!status.ok()) return status;
+
+  HttpServerOptions options;
+  options.listen = settings_.callers;
+  options.max_connections = settings_.max_caller_connections;
+  std::vector<asio::io_context*> loops;
+  for (auto& worker : workers_) loops.push_back(&worker->loop.context());
+  callers_ = std::make_unique<HttpServer>(loops, options,
+                                          [this](HttpRequest request, HttpResponder respond) {
+                                            HandleCaller(std::move(request), std::move(respond));
+                                          });
+  status = callers_->Start();
+  if (!status.ok()) return status;
+  for (auto& worker : workers_) worker->loop.Start();
+  control_loop_.Start();
+  LogLine(LogLevel::kInfo, "entry node started")
+      .Field("node", settings_.node)
+      .Field("zone", settings_.zone)
+      .Field("callers", FormatEndpoint(settings_.callers))
+      .Field("peers", FormatEndpoint(settings_.peers));
+  return absl::OkStatus();
+}
+
+void EntryNode::Drain() {
+  draining_ = true;
+  LogLine(LogLevel::kInfo, "draining");
+  std::this_thread::sleep_for(settings_.drain_time);
+  callers_->BeginDrain();
+  TimePoint limit = Now() + kLongestDrain;
+  while (callers_->active_requests() > 0 && Now() < limit) std::this_thread::sleep_for(kDrainPoll);
+  LogLine(LogLevel::kInfo, "drained").Field("unfinished", callers_->active_requests());
+}
+
+void EntryNode::InstallConfig(ConfigDocument config) {
+  control_loop_.Post(
+      [this, config = std::move(config)]() mutable { control_->InstallConfig(std::move(config)); });
+}
+
+void EntryNode::InstallRoster(Roster roster) {
+  control_loop_.Post(
+      [this, roster = std::move(roster)]() mutable { control_->InstallRoster(std::move(roster)); });
+}
+
+HttpResponse EntryNode::AnswerReadiness() const {
+  if (draining_) return SimpleProblem(503, "draining", "the node is shutting down");
+  if (view_.Load()->config.revision == 0) {
+    return SimpleProblem(503, "not_ready", "no configuration is known yet");
+  }
+  return {200, "application/json", "{\"ready\":true}\n"};
+}
+
+void EntryNode::HandleCaller(HttpRequest request, HttpResponder respond) {
+  if (request.method == "GET" && request.target == "/healthz") {
+    respond({200, "application/json", "{\"healthy\":true}\n"});
+    return;
+  }
+  if (request.method == "GET" && request.target == "/readyz") {
+    respond(AnswerReadiness());
+    return;
+  }
+  auto target = ParseFrontTarget(request.target);
+  if (!target) {
+    respond(SimpleProblem(404, "unknown_path", "expected /v1/fronts/FRONT/query"));
+    return;
+  }
+  if (request.method != "POST") {
+    respond(SimpleProblem(405, "method_not_allowed", "expected POST"));
+    return;
+  }
+  if (target->operation != "query") {
+    respond(SimpleProblem(404, "unknown_path", "expected the operation query"));
+    return;
+  }
+  auto query = ParseQueryRequest(request.body);
+  if (!query.ok()) {
+    respond(SimpleProblem(400, "invalid_request", std::string(query.status().message())));
+    return;
+  }
+  workers_[request.loop]->queries.Handle(target->front, *std::move(query), request.received,
+                                         std::move(respond));
+}
+
+EntryNode::Worker& EntryNode::WorkerOf(const BackendName& backend) {
+  return *workers_[Hash64(backend) % workers_.size()];
+}
+
+void EntryNode::SendToNode(const NodeName& node, Message message) {
+  if (node == settings_.node) {
+    Deliver(node, settings_.peers, std::move(message));
+    return;
+  }
+  const Seat* seat = nullptr;
+  auto view = view_.Load();
+  seat = view->roster.Find(node);
+  // An unknown node cannot answer; its calls end by their deadline.
+  if (seat != nullptr) transport_->Send(seat->peer, message);
+}
+
+void EntryNode::SendTo(const Endpoint& endpoint, Message message) {
+  if (endpoint == settings_.peers) {
+    Deliver(settings_.node, endpoint, std::move(message));
+  } else {
+    transport_->Send(endpoint, message);
+  }
+}
+
+void EntryNode::DeliverBatch(const Endpoint& from, ShardBatch batch) {
+  TimePoint deadline = Now() + batch.time_left;
+  auto shared = std::make_shared<const ShardBatch>(std::move(batch));
+  std::map<Worker*, std::vector<const ShardCall*>> by_worker;
+  for (const ShardCall& call : shared->calls) by_worker[&WorkerOf(call.backend)].push_back(&call);
+  for (auto& [worker, calls] : by_worker) {
+    worker->loop.Post([worker = worker, from, shared, deadline, calls = std::move(calls)] {
+      for (const ShardCall* call : calls) {
+        worker->holder.Submit(call->backend, HolderCall{from, shared, *call, nullptr, deadline});
+      }
+    });
+  }
+}
+
+void EntryNode::DeliverAction(const Endpoint& from, RunAction action) {
+  TimePoint deadline = Now() + action.time_left;
+  Worker& worker = WorkerOf(action.backend);
+  auto shared = std::make_shared<const RunAction>(std::move(action));
+  worker.loop.Post([&worker, from, shared, deadline] {
+    worker.holder.Submit(shared->backend, HolderCall{from, nullptr, {}, shared, deadline});
+  });
+}
+
+void EntryNode::Deliver(const NodeName& from_node, const Endpoint& from, Message message) {
+  auto to_worker = [this](std::uint64_t query_id) -> Worker& {
+    return *workers_[QueryIds::LoopOf(query_id) % workers_.size()];
+  };
+  auto to_control = [this, &from_node](auto m) {
+    control_loop_.Post(
+        [this, from_node, m = std::move(m)] { control_->OnShareMessage(from_node, m); });
+  };
+  std::visit(
+      Overloaded{
+          [&](ShardBatch& m) { DeliverBatch(from, std::move(m)); },
+          [&](ShardReply& m) {
+            Worker& worker = to_worker(m.query_id);
+            worker.loop.Post([&worker, m = std::move(m)] { worker.coordinator.OnReply(m); });
+          },
+          [&](CancelCalls& m) {
+            for (auto& worker : workers_) {
+              worker->loop.Post([&holder = worker->holder, from, m] { holder.Cancel(from, m); });
+            }
+          },
+          [&](BackendReport& m) {
+            control_loop_.Post([this, m = std::move(m)] { control_->OnPeerReport(m); });
+          },
+          [&](WarmQuery& m) {
+            Worker& worker = WorkerOf(m.backend);
+            worker.loop.Post([&worker, from_node, m] { worker.holder.OnWarmQuery(from_node, m); });
+          },
+          [&](WarmGrant& m) {
+            Worker& worker = WorkerOf(m.backend);
+            worker.loop.Post([&worker, m] { worker.holder.OnWarmGrant(m); });
+          },
+          [&](ForwardQuery& m) {
+            Worker& worker = *workers_[next_worker_++ % workers_.size()];
+            worker.loop.Post(
+                [&worker, from, m = std::move(m)] { worker.queries.OnForwardQuery(from, m); });
+          },
+          [&](ForwardReply& m) {
+            Worker& worker = to_worker(m.query_id);
+            worker.loop.Post([&worker, m = std::move(m)] { worker.queries.OnForwardReply(m); });
+          },
+          [&](RunAction& m) { DeliverAction(from, std::move(m)); },
+          [&](ShareRelease& m) { to_control(std::move(m)); },
+          [&](ShareReleaseAck& m) { to_control(std::move(m)); },
+          [&](ShareClaim& m) { to_control(std::move(m)); },
+          [&](ShareClaimReply& m) { to_control(std::move(m)); },
+          [&](auto&) {},
+      },
+      message);
+}
+
+void EntryNode::OnPeerLost(const Endpoint& endpoint) {
+  auto view = view_.Load();
+  NodeName lost;
+  for (const Seat& seat : view->roster.seats) {
+    if (seat.peer == endpoint) lost = seat.node;
+  }
+  for (auto& worker : workers_) {
+    worker->loop.Post([&worker = *worker, lost, endpoint] {
+      if (!lost.empty()) worker.coordinator.OnHolderLost(lost);
+      worker.queries.OnPeerLost(endpoint);
+    });
+  }
+}
+
+}  // namespace damaskroute
--- /dev/null
+++ b/src/node/query_service.cc
@@ -0,0 +1,229 @@
+#include "damaskroute/node/query_service.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "damaskroute/api/query_answer.h"
+#include "damaskroute/core/hash.h"
+#include "damaskroute/http/problem.h"
+#include "damaskroute/log/log_line.h"
+#include "fmt/format.h"
+
+namespace damaskroute {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRetryWithoutConfiguration{1000};
+constexpr milliseconds kRetryAfterLostPeer{100};
+
+// A forwarded query is tried at this many coordinators, as a peer may be lost without notice.
+constexpr std::size_t kMaxForwardTargets = 2;
+
+TimePoint Now() { return SteadyClock().Now(); }
+
+std::uint64_t Fingerprint(const FrontName& front, const std::string& body) {
+  return Hash64(body, Hash64(front));
+}
+
+HttpResponse UnknownFront(const FrontName& front, const std::string& request_id) {
+  Problem problem;
+  problem.status = 404;
+  problem.type = "unknown_front";
+  problem.detail = fmt::format("no search front is named \"{}\"", front.substr(0, 64));
+  problem.request_id = request_id;
+  return MakeProblemResponse(problem);
+}
+
+HttpResponse NotReady(const std::string& request_id) {
+  Problem problem;
+  problem.status = 503;
+  problem.type = "not_ready";
+  problem.detail = "this node knows no coordinator of the service yet";
+  problem.retry_after = kRetryWithoutConfiguration;
+  problem.request_id = request_id;
+  return MakeProblemResponse(problem);
+}
+
+}  // namespace
+
+struct QueryService::Forwarded {
+  explicit Forwarded(asio::io_context& context) : timer(context) {}
+
+  FrontName front;
+  QueryRequest request;
+  TimePoint deadline;
+  Respond respond;
+  std::vector<Endpoint> targets;  // The one in use is the last.
+  asio::steady_timer timer;
+};
+
+QueryService::QueryService(EventLoop& loop, QueryCoordinator& coordinator, Context context)
+    : loop_(loop), coordinator_(coordinator), context_(std::move(context)) {}
+
+QueryService::~QueryService() = default;
+
+void QueryService::Handle(const FrontName& front, QueryRequest request, TimePoint received,
+                          Respond respond) {
+  auto view = context_.view->Load();
+  if (request.request_id.empty()) {
+    request.request_id = fmt::format("{}-{:x}", context_.node, context_.ids->Next(0));
+  }
+  const SearchFront* declared = view->config.FindFront(front);
+  if (declared == nullptr) {
+    respond(view->config.revision == 0 ? NotReady(request.request_id)
+                                       : UnknownFront(front, request.request_id));
+    return;
+  }
+  TimePoint deadline = received + request.deadline.value_or(declared->default_deadline);
+  if (view->placement.IsCoordinator(context_.node, declared->service)) {
+    Coordinate(*view, front, std::move(request), deadline, std::move(respond));
+    return;
+  }
+  if (!Forward(*view, front, request, deadline, respond)) respond(NotReady(request.request_id));
+}
+
+void QueryService::Coordinate(const NodeView& view, const FrontName& front, QueryRequest request,
+                              TimePoint deadline, Respond respond) {
+  const SearchFront* declared = view.config.FindFront(front);
+  auto service = declared == nullptr ? nullptr : view.FindService(declared->service);
+  if (!service) {
+    respond(UnknownFront(front, request.request_id));
+    return;
+  }
+  QuerySpec spec;
+  spec.query_id = context_.ids->Next(context_.loop_index);
+  spec.request_id = request.request_id;
+  spec.service = declared->service;
+  spec.priority = request.priority;
+  spec.deadline = deadline;
+  spec.fingerprint = Fingerprint(front, request.query);
+  spec.body = std::move(request.query);
+  coordinator_.Start(
+      std::move(spec), std::move(service),
+      [respond = std::move(respond), request_id = request.request_id](const QueryResult& result) {
+        respond(MakeQueryAnswer(result, request_id));
+      });
+}
+
+std::vector<const Seat*> QueryService::ForwardTargets(const NodeView& view,
+                                                      const ServiceName& service) {
+  std::vector<const Seat*> near;
+  std::vector<const Seat*> far;
+  for (const NodeName& node : view.placement.CoordinatorsOf(service)) {
+    const Seat* seat = view.roster.Find(node);
+    if (seat == nullptr || node == context_.node) continue;
+    (seat->zone == context_.zone ? near : far).push_back(seat);
+  }
+  auto shuffle = [&](std::vector<const Seat*>& seats) {
+    for (std::size_t i = seats.size(); i > 1; --i) {
+      std::swap(seats[i - 1], seats[loop_.random().Below(i)]);
+    }
+  };
+  shuffle(near);
+  shuffle(far);
+  near.insert(near.end(), far.begin(), far.end());
+  if (near.size() > kMaxForwardTargets) near.resize(kMaxForwardTargets);
+  return near;
+}
+
+bool QueryService::Forward(const NodeView& view, const FrontName& front,
+                           const QueryRequest& request, TimePoint deadline, Respond respond) {
+  auto seats = ForwardTargets(view, view.config.FindFront(front)->service);
+  if (seats.empty()) return false;
+  auto forwarded = std::make_unique<Forwarded>(loop_.context());
+  forwarded->front = front;
+  forwarded->request = request;
+  forwarded->deadline = deadline;
+  forwarded->respond = std::move(respond);
+  for (auto it = seats.rbegin(); it != seats.rend(); ++it) {
+    forwarded->targets.push_back((*it)->peer);
+  }
+  std::uint64_t id = context_.ids->Next(context_.loop_index);
+  forwarded->timer.expires_at(deadline);
+  forwarded->timer.async_wait([this, id](const boost::system::error_code& error) {
+    if (error) return;
+    QueryResult late;
+    late.verdict = Verdict::kMayHaveRun;
+    late.version = 1;
+    auto it = forwarded_.find(id);
+    if (it != forwarded_.end()) {
+      EndForward(id, MakeQueryAnswer(late, it->second->request.request_id));
+    }
+  });
+  forwarded_.emplace(id, std::move(forwarded));
+  SendForward(id);
+  return true;
+}
+
+void QueryService::SendForward(std::uint64_t id) {
+  Forwarded& forwarded = *forwarded_.at(id);
+  ForwardQuery message;
+  message.query_id = id;
+  message.front = forwarded.front;
+  message.request_id = forwarded.request.request_id;
+  message.time_left = std::max(std::chrono::duration_cast<microseconds>(forwarded.deadline - Now()),
+                               microseconds(0));
+  message.priority = forwarded.request.priority;
+  message.body = forwarded.request.query;
+  context_.send(forwarded.targets.back(), std::move(message));
+}
+
+void QueryService::EndForward(std::uint64_t id, HttpResponse response) {
+  auto it = forwarded_.find(id);
+  if (it == forwarded_.end()) return;
+  Respond respond = std::move(it->second->respond);
+  forwarded_.erase(it);
+  respond(std::move(response));
+}
+
+void QueryService::OnForwardQuery(const Endpoint& from, const ForwardQuery& message) {
+  auto view = context_.view->Load();
+  QueryRequest request;
+  request.query = message.body;
+  request.priority = message.priority;
+  request.request_id = message.request_id;
+  Coordinate(*view, message.front, std::move(request), Now() + message.time_left,
+             [this, from, id = message.query_id](HttpResponse response) {
+               ForwardReply reply;
+               reply.query_id = id;
+               reply.status = response.status;
+               reply.body = std::move(response.body);
+               context_.send(from, std::move(reply));
+             });
+}
+
+void QueryService::OnForwardReply(const ForwardReply& message) {
+  HttpResponse response;
+  response.status = message.status;
+  if (message.status >= 400) response.content_type = "application/problem+json";
+  response.body = message.body;
+  EndForward(message.query_id, std::move(response));
+}
+
+void QueryService::OnPeerLost(const Endpoint& peer) {
+  std::vector<std::uint64_t> lost;
+  for (const auto& [id, forwarded] : forwarded_) {
+    if (forwarded->targets.back() == peer) lost.push_back(id);
+  }
+  for (std::uint64_t id : lost) {
+    Forwarded& forwarded = *forwarded_.at(id);
+    forwarded.targets.pop_back();
+    if (!forwarded.targets.empty()) {
+      SendForward(id);  // A query is idempotent, so a second run does no harm.
+      continue;
+    }
+    Problem problem;
+    problem.status = 503;
+    problem.type = "peer_lost";
+    problem.detail = "the coordinator of the service was lost";
+    problem.verdict = Verdict::kMayHaveRun;
+    problem.retry_after = kRetryAfterLostPeer;
+    problem.request_id = forwarded.request.request_id;
+    EndForward(id, MakeProblemResponse(problem));
+  }
+}
+
+}  // namespace damaskroute
--- /dev/null
+++ b/src/node/shard_exchange.cc
@@ -0,0 +1,121 @@
+#include "damaskroute/node/shard_exchange.h"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+
+#include "damaskroute/api/rows.h"
+#include "fmt/format.h"
+
+namespace damaskroute {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kHealthTimeout{1000};
+constexpr milliseconds kCancelTimeout{1000};
+
+microseconds TimeLeft(const HolderCall& call, TimePoint now) {
+  return std::max(std::chrono::duration_cast<microseconds>(call.deadline - now), microseconds(1));
+}
+
+// Rounded up, so that the backend server does not give up before the holder does.
+std::int64_t DeadlineHeader(microseconds time_left) {
+  return std::chrono::ceil<milliseconds>(time_left).count();
+}
+
+ShardOutcome OutcomeOfEnd(ExchangeEnd end) {
+  switch (end) {
+    case ExchangeEnd::kConnectFailed:
+      return ShardOutcome::kConnectFailed;
+    case ExchangeEnd::kConnectionLost:
+      return ShardOutcome::kConnectionLost;
+    case ExchangeEnd::kTimedOut:
+      return ShardOutcome::kTimedOut;
+    case ExchangeEnd::kCancelled:
+      return ShardOutcome::kCancelled;
+    case ExchangeEnd::kAnswered:
+    case ExchangeEnd::kBadAnswer:
+      return ShardOutcome::kBadAnswer;
+  }
+  return ShardOutcome::kBadAnswer;
+}
+
+// Outcome that a status other than 200 states; nullopt if it states none.
+std::optional<ShardOutcome> OutcomeOfStatus(int status) {
+  switch (status) {
+    case 409:
+      return ShardOutcome::kVersionGone;
+    case 503:
+      return ShardOutcome::kShed;
+    case 499:
+      return ShardOutcome::kCancelled;
+    case 504:
+      return ShardOutcome::kTimedOut;
+    default:
+      return std::nullopt;
+  }
+}
+
+}  // namespace
+
+std::string WireRequestId(const HolderCall& call) {
+  if (call.action) return call.action->action_id;
+  return fmt::format("{}.{:x}", call.batch->request_id, call.batch->query_id);
+}
+
+ExchangeRequest MakeExchangeRequest(const HolderCall& call, const Endpoint& backend,
+                                    TimePoint now) {
+  ExchangeRequest request;
+  request.time_left = TimeLeft(call, now);
+  const std::string& body = call.action ? call.action->body : call.batch->body;
+  fmt::format_to(std::back_inserter(request.bytes),
+                 "POST /shard/{} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n"
+                 "Content-Length: {}\r\nDamask-Request-Id: {}\r\nDamask-Attempt: {}\r\n"
+                 "Damask-Deadline-Ms: {}\r\n",
+                 call.action ? "action" : "query", FormatEndpoint(backend), body.size(),
+                 WireRequestId(call), call.call.call_id, DeadlineHeader(request.time_left));
+  if (call.action) {
+    fmt::format_to(std::back_inserter(request.bytes), "Damask-Action-Id: {}\r\n\r\n",
+                   call.action->action_id);
+  } else {
+    fmt::format_to(std::back_inserter(request.bytes),
+                   "Damask-Index-Version: {}\r\nDamask-Range: {}\r\n\r\n", call.batch->version,
+                   FormatKeyRange(call.call.range));
+  }
+  request.bytes += body;
+  return request;
+}
+
+ExchangeRequest MakeCancelRequest(const HolderCall& call, const Endpoint& backend) {
+  return {fmt::format("DELETE /shard/calls/{}/{} HTTP/1.1\r\nHost: {}\r\n\r\n", WireRequestId(call),
+                      call.call.call_id, FormatEndpoint(backend)),
+          kCancelTimeout};
+}
+
+ExchangeRequest MakeHealthRequest(const Endpoint& backend) {
+  return {fmt::format("GET /health HTTP/1.1\r\nHost: {}\r\n\r\n", FormatEndpoint(backend)),
+          kHealthTimeout};
+}
+
+ShardOutcome JudgeExchange(const HolderCall& call, const ExchangeResult& result,
+                           std::string& rows) {
+  if (result.end != ExchangeEnd::kAnswered) return OutcomeOfEnd(result.end);
+  if (auto outcome = OutcomeOfStatus(result.status)) return *outcome;
+  if (result.status != 200 || result.request_id != WireRequestId(call) ||
+      result.attempt != call.call.call_id) {
+    return ShardOutcome::kBadAnswer;
+  }
+  if (call.action) return ShardOutcome::kRows;
+  if (result.version != call.batch->version || result.range.IsEmpty() ||
+      !call.call.range.Contains(result.range)) {
+    return ShardOutcome::kBadAnswer;
+  }
+  auto extracted = ExtractRows(result.body);
+  if (!extracted) return ShardOutcome::kBadAnswer;
+  rows = *std::move(extracted);
+  return ShardOutcome::kRows;
+}
+
+}  // namespace damaskroute
--- a/src/peer/message_codec.cc
+++ b/src/peer/message_codec.cc
@@ -51,7 +51,16 @@
          InEnum(m.state, BackendState::kDown);
 }
 bool Valid(const WarmGrant& m) { return ValidName(m.backend) && ValidTime(m.validity); }
-bool Valid(const ShareRelease& m) { return ValidName(m.backend); }
+bool Valid(const ShareKey& m) { return ValidName(m.backend) && InEnum(m.half, ShareHalf::kSecond); }
+bool Valid(const ShareEpoch& m) { return ValidName(m.node); }
+bool Valid(const ShareRelease& m) { return Valid(m.share) && Valid(m.epoch); }
+bool Valid(const ShareReleaseAck& m) { return Valid(m.share) && Valid(m.epoch); }
+bool Valid(const ShareClaim& m) { return Valid(m.share) && Valid(m.epoch); }
+bool Valid(const ShareClaimReply& m) {
+  return Valid(m.share) && Valid(m.epoch) && Valid(m.highest) &&
+         InEnum(m.standing, ClaimStanding::kOutdated);
+}
+bool Valid(const WarmQuery& m) { return ValidName(m.backend); }
 bool Valid(const ForwardQuery& m) {
   return ValidName(m.front) && ValidName(m.request_id) && ValidTime(m.time_left) &&
          InEnum(m.priority, Priority::kBulk);
--- a/src/peer/message_fields.h
+++ b/src/peer/message_fields.h
@@ -50,14 +50,45 @@
           value.share, value.held);
 }
 
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ShareKey& value) {
+  archive(value.backend, value.half);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ShareEpoch& value) {
+  archive(value.roster, value.counter, value.node);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, WarmQuery& value) {
+  archive(value.backend, value.nonce, value.contrary);
+}
+
 template <typename Archive>
 void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, WarmGrant& value) {
-  archive(value.backend, value.boot_id, value.validity);
+  archive(value.backend, value.nonce, value.boot_id, value.validity);
 }
 
 template <typename Archive>
 void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ShareRelease& value) {
-  archive(value.backend, value.revision);
+  archive(value.share, value.epoch, value.from, value.to, value.config, value.roster);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ShareReleaseAck& value) {
+  archive(value.share, value.epoch, value.to);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ShareClaim& value) {
+  archive(value.share, value.epoch, value.from);
+}
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, ShareClaimReply& value) {
+  archive(value.share, value.epoch, value.from, value.to, value.standing, value.roster,
+          value.highest);
 }
 
 template <typename Archive>
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -34,13 +34,15 @@
   Member member{"node-1", "zone-a", {"127.0.0.1", 7000}, 5, 1, MemberState::kLeft};
   ConfigData data{5, 6, 4, "", {"delta"}};
   std::chrono::milliseconds left(50);
+  ShareKey share{"b", ShareHalf::kSecond};
+  ShareEpoch epoch{1, 2, "n"};
   std::vector<Message> messages{
       SampleBatch(),
       ShardReply{1, 2, 0, "b", ShardOutcome::kRows, 3, {0, 5}, "1", 4, 5},
       CancelCalls{1, {2, 3}},
       BackendReport{"n", 1, "s", "b", 2, BackendState::kWarm, 3, {{}, {}}},
-      WarmGrant{"b", 2, left},
-      ShareRelease{"b", 3},
+      WarmGrant{"b", 7, 2, left},
+      ShareRelease{share, epoch, 1, 2, 3, 4},
       ForwardQuery{1, "f", "r", left, Priority::kBulk, "{}"},
       ForwardReply{1, 200, "{}"},
       ForwardAction{1, "f", "a", left, "{}"},
@@ -55,7 +57,11 @@
       RosterPull{"z", {1, 2}},
       RosterData{"z", data},
       MembersPull{member},
-      MembersData{{member, member}}};
+      MembersData{{member, member}},
+      ShareReleaseAck{share, epoch, 2},
+      ShareClaim{share, epoch, 1},
+      ShareClaimReply{share, epoch, 1, 2, ClaimStanding::kHeld, 3, epoch},
+      WarmQuery{"b", 1, 2}};
   REQUIRE(messages.size() == std::variant_size_v<Message>);
   for (const Message& message : messages) {
     CAPTURE(message.index());
