--- a/include/damaskroute/peer/peer_datagram.h
+++ b/include/damaskroute/peer/peer_datagram.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKROUTE_PEER_PEER_DATAGRAM_H_
 #define DAMASKROUTE_PEER_PEER_DATAGRAM_H_
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -17,6 +18,9 @@
   kIndirectProbe,  ///< Asks the receiver to probe `target` and to pass its ack on.
 };
 
+/// Greatest store age that is told; also stands for none known.
+inline constexpr std::chrono::milliseconds kMaxStoreAge = std::chrono::hours(24);
+
 /// Message of the membership protocol. Each one also carries news.
 struct PeerDatagram {
   DatagramKind kind = DatagramKind::kProbe;
@@ -26,6 +30,7 @@
   Endpoint target;             ///< Set in an indirect probe only.
   Revision config_revision = 0;
   Revision roster_revision = 0;
+  std::chrono::milliseconds store_age = kMaxStoreAge;  ///< Since the last contact with the store.
   std::vector<Member> updates;
 
   friend bool operator==(const PeerDatagram&, const PeerDatagram&) = default;
--- a/src/peer/datagram_codec.cc
+++ b/src/peer/datagram_codec.cc
@@ -82,7 +82,7 @@
 
 std::size_t DatagramSize(const PeerDatagram& datagram) {
   std::size_t size = kKeyIdSize + kEndiannessSize + 1 + 8 + 8 + UpdateSize(datagram.sender) +
-                     EndpointSize(datagram.target) + 8 + 8 + kUpdateCountSize + kMacSize;
+                     EndpointSize(datagram.target) + 8 + 8 + 4 + kUpdateCountSize + kMacSize;
   for (const Member& update : datagram.updates) size += UpdateSize(update);
   return size;
 }
@@ -108,6 +108,7 @@
     cereal::PortableBinaryOutputArchive archive(
         stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
     HeaderFields(archive, copy);
+    archive(static_cast<std::uint32_t>(copy.store_age.count()));
     archive(static_cast<std::uint8_t>(copy.updates.size()));
     for (Member& update : copy.updates) Fields(archive, update);
   }
@@ -129,9 +130,12 @@
   try {
     internal::BoundedInputArchive archive(fields.substr(kKeyIdSize));
     HeaderFields(archive, datagram);
+    std::uint32_t store_age = 0;
     std::uint8_t count = 0;
-    archive(count);
-    bool valid = Valid(datagram.sender) && datagram.kind <= DatagramKind::kIndirectProbe;
+    archive(store_age, count);
+    datagram.store_age = std::chrono::milliseconds(store_age);
+    bool valid = datagram.store_age <= kMaxStoreAge && Valid(datagram.sender) &&
+                 datagram.kind <= DatagramKind::kIndirectProbe;
     for (; valid && count > 0; --count) {
       Fields(archive, datagram.updates.emplace_back());
       valid = Valid(datagram.updates.back());
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -15,7 +15,15 @@
 
 PeerDatagram SampleDatagram() {
   Member member{"node-1", "zone-a", {"127.0.0.1", 7000}, 5, 1, MemberState::kSuspect};
-  return {DatagramKind::kIndirectProbe, 9, 8, member, {"127.0.0.2", 7001}, 3, 4, {member, member}};
+  return {DatagramKind::kIndirectProbe,
+          9,
+          8,
+          member,
+          {"127.0.0.2", 7001},
+          3,
+          4,
+          std::chrono::seconds(1),
+          {member, member}};
 }
 
 ShardBatch SampleBatch() {
