Test the HTTP server against hostile and stalled clients, mend a double free

Cause: GCC 12 destroys braced temporaries inside a co_await expression twice; the 503 for too many buffered bodies crashed the process (free(): invalid pointer). Change: the problem is a named object; tests for endless headers, announced and chunked oversize bodies, duplicate headers, timeouts, connection and buffer limits, drain. Conclusion: no braced temporaries in co_await expressions.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -144,9 +144,10 @@
     }
     Counted buffered(shared_->buffered_bytes, length);
     if (shared_->buffered_bytes > options.max_buffered_bytes) {
-      co_return co_await Reject({503, "overloaded", "too many request bodies at once",
-                                 Verdict::kNotRun, std::chrono::seconds(1)},
-                                error);
+      // A named object: GCC 12 destroys braced temporaries in co_await expressions twice.
+      Problem problem{503, "overloaded", "too many request bodies at once", Verdict::kNotRun,
+                      std::chrono::seconds(1)};
+      co_return co_await Reject(problem, error);
     }
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       http::response<http::empty_body> go_on(http::status::continue_, 11);
@@ -184,8 +185,9 @@
     error_code error;
     co_await pending->ready.async_wait(Redirect(error));
     if (pending->response) co_return std::move(*pending->response);
-    co_return MakeProblemResponse(
-        {504, "handler_timeout", "no response was produced in time", Verdict::kMayHaveRun});
+    Problem problem{504, "handler_timeout", "no response was produced in time",
+                    Verdict::kMayHaveRun};
+    co_return MakeProblemResponse(problem);
   }
 
   asio::awaitable<bool> Write(HttpResponse response, bool keep_alive) {
--- /dev/null
+++ b/tests/http_server_test.cc
@@ -0,0 +1,186 @@
+#include "damaskroute/http/http_server.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <string>
+
+#include "damaskroute/node/event_loop.h"
+#include "tests/support/http_call.h"
+
+namespace damaskroute {
+namespace {
+
+using Tcp = asio::ip::tcp;
+using std::chrono::milliseconds;
+
+// A server on one loop that answers each request with its body.
+class Fixture {
+ public:
+  explicit Fixture(const std::function<void(HttpServerOptions&)>& change = {}) : loop_(1) {
+    options_.listen = testing::FreeEndpoint();
+    if (change) change(options_);
+    server_ =
+        std::make_unique<HttpServer>(std::vector<asio::io_context*>{&loop_.context()}, options_,
+                                     [this](HttpRequest request, const HttpResponder& respond) {
+                                       ++handled_;
+                                       respond({200, "application/json", request.body});
+                                     });
+    REQUIRE(server_->Start().ok());
+    loop_.Start();
+  }
+  ~Fixture() { loop_.Stop(); }
+
+  Tcp::socket Connect() {
+    Tcp::socket socket(client_);
+    socket.connect({asio::ip::make_address("127.0.0.1"), options_.listen.port});
+    return socket;
+  }
+
+  // Sends `text` as far as the server reads it, then returns all that it answers until it closes.
+  std::string Exchange(const std::string& text) {
+    Tcp::socket socket = Connect();
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(text), error);
+    return ReadAll(socket);
+  }
+
+  static std::string ReadAll(Tcp::socket& socket) {
+    std::string answer;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+
+  HttpServer& server() { return *server_; }
+  int handled() const { return handled_; }
+  const Endpoint& endpoint() const { return options_.listen; }
+
+ private:
+  asio::io_context client_;
+  HttpServerOptions options_;
+  EventLoop loop_;
+  std::unique_ptr<HttpServer> server_;
+  std::atomic<int> handled_{0};
+};
+
+std::string Post(const std::string& headers, const std::string& body) {
+  return "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + headers + "\r\n" + body;
+}
+
+bool HasStatus(const std::string& answer, int status) {
+  return answer.rfind("HTTP/1.1 " + std::to_string(status), 0) == 0;
+}
+
+TEST_CASE("a request is answered, and the connection is kept for the next one") {
+  Fixture fixture;
+  CHECK(testing::HttpCall(fixture.endpoint(), "POST", "/x", "{}").body == "{}");
+  Tcp::socket socket = fixture.Connect();
+  std::string one = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na";
+  asio::write(socket, asio::buffer(one + one + Post("Content-Length: 1\r\n", "b")));
+  std::string answer = Fixture::ReadAll(socket);
+  CHECK(answer.substr(answer.size() - 1) == "b");
+  CHECK(fixture.handled() == 4);
+}
+
+TEST_CASE("hostile requests are refused without reaching the handler") {
+  struct Case {
+    std::string name;
+    std::string request;
+    int status;
+  };
+  const Case cases[] = {
+      {"endless headers", Post(std::string(1 << 20, 'h') + ": 1\r\n", ""), 431},
+      {"many headers",
+       Post(
+           [] {
+             std::string headers;
+             for (int i = 0; i < 10'000; ++i) headers += "X-" + std::to_string(i) + ": 1\r\n";
+             return headers;
+           }(),
+           ""),
+       431},
+      {"announced 300 MB", Post("Content-Length: 314572800\r\n", ""), 413},
+      {"chunks above the limit",
+       Post("Transfer-Encoding: chunked\r\n", "200000\r\n" + std::string(0x200000, 'b') + "\r\n"),
+       413},
+      {"two lengths", Post("Content-Length: 1\r\nContent-Length: 2\r\n", "ab"), 400},
+      {"two hosts", Post("Host: other\r\n", ""), 400},
+      {"negative length", Post("Content-Length: -1\r\n", ""), 400},
+      {"not HTTP", "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    Fixture fixture;
+    CHECK(HasStatus(fixture.Exchange(c.request), c.status));
+    CHECK(fixture.handled() == 0);
+  }
+}
+
+TEST_CASE("idle, half-sent and stalled requests are closed by their timeouts") {
+  Fixture fixture([](HttpServerOptions& options) {
+    options.idle_timeout = milliseconds(20);
+    options.header_timeout = milliseconds(20);
+    options.body_timeout = milliseconds(20);
+  });
+  for (const char* sent : {"", "POST /x HTTP/1.1\r\nHost:",
+                           "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab"}) {
+    CAPTURE(sent);
+    CHECK(fixture.Exchange(sent).empty());  // Returns only because the server closes.
+  }
+  CHECK(fixture.handled() == 0);
+}
+
+TEST_CASE("connections above the limit are closed and free their place when others end") {
+  Fixture fixture([](HttpServerOptions& options) { options.max_connections = 2; });
+  Tcp::socket first = fixture.Connect();
+  Tcp::socket second = fixture.Connect();
+  while (fixture.server().open_connections() < 2) std::this_thread::yield();
+  CHECK(fixture.Exchange("").empty());
+  first.close();
+  while (fixture.server().open_connections() == 2) std::this_thread::yield();
+  CHECK(HasStatus(fixture.Exchange(Post("Content-Length: 0\r\n", "")), 200));
+}
+
+TEST_CASE("the bodies of all connections together are bounded") {
+  Fixture fixture([](HttpServerOptions& options) { options.max_buffered_bytes = 100; });
+  Tcp::socket first = fixture.Connect();
+  asio::write(first, asio::buffer(std::string("POST /x HTTP/1.1\r\nHost: h\r\n"
+                                              "Content-Length: 90\r\n\r\n")));
+  std::string answer;
+  do {
+    answer = fixture.Exchange(Post("Content-Length: 20\r\n", std::string(20, 'b')));
+  } while (HasStatus(answer, 200));  // Until the server has read the first header.
+  CHECK(HasStatus(answer, 503));
+  CHECK(answer.find("\"verdict\":\"not_run\"") != std::string::npos);
+}
+
+TEST_CASE("a drain answers the running request and closes the connection") {
+  HttpResponder held;
+  std::atomic<bool> arrived{false};
+  EventLoop loop(1);
+  HttpServerOptions options;
+  options.listen = testing::FreeEndpoint();
+  HttpServer server({&loop.context()}, options, [&](HttpRequest, HttpResponder respond) {
+    held = std::move(respond);
+    arrived = true;
+  });
+  REQUIRE(server.Start().ok());
+  loop.Start();
+  asio::io_context client;
+  Tcp::socket socket(client);
+  socket.connect({asio::ip::make_address("127.0.0.1"), options.listen.port});
+  asio::write(socket, asio::buffer(std::string("POST /x HTTP/1.1\r\nHost: h\r\n"
+                                               "Content-Length: 0\r\n\r\n")));
+  while (!arrived) std::this_thread::yield();
+  server.BeginDrain();
+  CHECK(server.active_requests() == 1);
+  held({200, "text/plain", "done"});
+  std::string answer = Fixture::ReadAll(socket);
+  CHECK(HasStatus(answer, 200));
+  CHECK(answer.find("Connection: close") != std::string::npos);
+  loop.Stop();
+}
+
+}  // namespace
+}  // namespace damaskroute
