--- a/daemons/damask_standin.cc
+++ b/daemons/damask_standin.cc
@@ -1,5 +1,6 @@
 #include <csignal>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "standins/backend_standin.h"
 #include "standins/control_standin.h"
 #include "standins/loop.h"
+#include "standins/platform_standin.h"
 #include "standins/standin_settings.h"
 
 ABSL_FLAG(std::string, settings, "", "YAML settings file");
@@ -29,40 +31,35 @@
   io.run();
 }
 
+int Fail(const absl::Status& status) {
+  fmt::print(stderr, "{{\"level\":\"error\",\"message\":\"{}\"}}\n", std::string{status.message()});
+  return 1;
+}
+
 int Serve(const StandinSettings& settings) {
   std::vector<std::unique_ptr<Loop>> loops;
+  loops.reserve(static_cast<std::size_t>(settings.threads));
   for (int i = 0; i < settings.threads; ++i) loops.push_back(std::make_unique<Loop>());
   Loop control_loop;
   std::vector<std::unique_ptr<BackendStandin>> backends;
   std::vector<BackendStandin*> pointers;
   for (const BackendSettings& backend : settings.backends) {
-    backends.push_back(std::make_unique<BackendStandin>(*loops[backends.size() % loops.size()],
-                                                        backend.name, backend.endpoint,
+    Loop& loop = *loops[backends.size() % loops.size()];
+    backends.push_back(std::make_unique<BackendStandin>(loop, backend.name, backend.endpoint,
                                                         backend.options, backend.versions));
     pointers.push_back(backends.back().get());
-    absl::Status status = backends.back()->Start();
-    if (!status.ok()) {
-      fmt::print(stderr,
-                 R"({{"level":"error","message":"{}"}})"
-                 "\n",
-                 std::string(status.message()));
-      return 1;
-    }
+    if (absl::Status status = backends.back()->Start(); !status.ok()) return Fail(status);
   }
   ControlStandin control(control_loop, pointers);
   if (settings.control) {
-    absl::Status status = control.Start(*settings.control);
-    if (!status.ok()) {
-      fmt::print(stderr,
-                 R"({{"level":"error","message":"{}"}})"
-                 "\n",
-                 std::string(status.message()));
-      return 1;
-    }
+    if (absl::Status status = control.Start(*settings.control); !status.ok()) return Fail(status);
+  }
+  std::optional<PlatformStandin> platform;
+  if (settings.platform) {
+    platform.emplace(*loops[0], settings.platform->endpoint, settings.platform->options);
+    if (absl::Status status = platform->Start(); !status.ok()) return Fail(status);
   }
-  fmt::print(stderr,
-             R"({{"level":"info","message":"serving","backends":{}}})"
-             "\n",
+  fmt::print(stderr, "{{\"level\":\"info\",\"message\":\"serving\",\"backends\":{}}}\n",
              backends.size());
   WaitForSignal();
   return 0;
@@ -71,7 +68,7 @@
 int Main() {
   auto settings = LoadStandinSettings(absl::GetFlag(FLAGS_settings));
   if (!settings.ok()) {
-    fmt::print(stderr, "{}\n", std::string(settings.status().message()));
+    fmt::print(stderr, "{}\n", std::string{settings.status().message()});
     return kExitSettings;
   }
   return absl::GetFlag(FLAGS_check) ? 0 : Serve(*settings);
--- /dev/null
+++ b/include/damaskroute/core/json_member.h
@@ -0,0 +1,33 @@
+#ifndef DAMASKROUTE_CORE_JSON_MEMBER_H_
+#define DAMASKROUTE_CORE_JSON_MEMBER_H_
+
+#include <rapidjson/document.h>
+
+#include <string>
+#include <string_view>
+
+namespace damaskroute {
+
+// RapidJSON's member iterators cannot be compared outside its headers under C++20: clang reports
+// their operator== as ambiguous. These functions do without.
+
+/// Member of the JSON object called `name`, null if there is none or `value` is no object.
+inline const rapidjson::Value* FindJsonMember(const rapidjson::Value& value, const char* name) {
+  return value.IsObject() && value.HasMember(name) ? &value[name] : nullptr;
+}
+
+/// Calls `visit(name, value)` for each member of the JSON object in order, until it returns false.
+/// Returns whether all were visited.
+template <typename Visit>
+bool VisitJsonMembers(const rapidjson::Value& object, Visit visit) {
+  for (rapidjson::SizeType i = 0; i < object.MemberCount(); ++i) {
+    const auto& member = *(object.MemberBegin() + i);
+    std::string_view name(member.name.GetString(), member.name.GetStringLength());
+    if (!visit(name, member.value)) return false;
+  }
+  return true;
+}
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_CORE_JSON_MEMBER_H_
--- a/standins/backend_control.cc
+++ b/standins/backend_control.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "damaskroute/core/hash.h"
+#include "damaskroute/core/json_member.h"
 #include "fmt/format.h"
 #include "standins/backend_core.h"
 
@@ -25,35 +26,35 @@
 bool ReadFaultRule(const rapidjson::Value& value, FaultRule& rule) {
   if (value.IsNumber()) {
     rule.probability = value.GetDouble();
-  } else if (value.IsObject()) {
-    for (const auto& member : value.GetObject()) {
-      std::string_view name = member.name.GetString();
-      if (name == "probability" && member.value.IsNumber()) {
-        rule.probability = member.value.GetDouble();
-      } else if (name == "next" && member.value.IsUint64()) {
-        rule.next = member.value.GetUint64();
-      } else {
-        return false;
-      }
-    }
-  } else {
-    return false;
+    return rule.probability >= 0 && rule.probability <= 1;
   }
-  return rule.probability >= 0 && rule.probability <= 1;
+  return value.IsObject() &&
+         VisitJsonMembers(value, [&](std::string_view name, const rapidjson::Value& member) {
+           if (name == "next" && member.IsUint64()) {
+             rule.next = member.GetUint64();
+             return true;
+           }
+           if (name != "probability" || !member.IsNumber()) return false;
+           rule.probability = member.GetDouble();
+           return rule.probability >= 0 && rule.probability <= 1;
+         });
 }
 
 absl::Status ReadFaults(const rapidjson::Value& value, FaultRules& faults) {
   if (!value.IsObject()) return absl::InvalidArgumentError("faults: expected an object");
-  for (const auto& member : value.GetObject()) {
-    auto fault = ParseFault(member.name.GetString());
+  absl::Status status;
+  VisitJsonMembers(value, [&](std::string_view name, const rapidjson::Value& member) {
+    auto fault = ParseFault(name);
     FaultRule rule;
-    if (!fault || !ReadFaultRule(member.value, rule)) {
-      return absl::InvalidArgumentError(
-          fmt::format("faults: {}: unknown fault or malformed rule", member.name.GetString()));
+    if (!fault || !ReadFaultRule(member, rule)) {
+      status = absl::InvalidArgumentError(
+          fmt::format("faults: {}: unknown fault or malformed rule", name));
+      return false;
     }
     faults.Set(*fault, rule);
-  }
-  return absl::OkStatus();
+    return true;
+  });
+  return status;
 }
 
 bool ReadRanges(const rapidjson::Value& value, std::vector<KeyRange>& ranges) {
@@ -74,10 +75,12 @@
   if (document.HasParseError() || !document.IsObject()) {
     return absl::InvalidArgumentError("expected a JSON object");
   }
-  for (const auto& member : document.GetObject()) {
-    absl::Status status = ControlMember(member.name.GetString(), member.value);
-    if (!status.ok()) return status;
-  }
+  absl::Status status;
+  VisitJsonMembers(document, [&](std::string_view name, const rapidjson::Value& value) {
+    status = ControlMember(name, value);
+    return status.ok();
+  });
+  if (!status.ok()) return status;
   if (server_) server_->options() = {options_.connections, options_.connect_cost};
   RunWaiting();
   return absl::OkStatus();
@@ -113,15 +116,13 @@
 }
 
 absl::Status BackendCore::ControlPublish(const rapidjson::Value& value) {
-  if (value.IsObject() && value.MemberCount() == 2) {
-    auto version = value.FindMember("version");
-    auto ranges = value.FindMember("ranges");
-    std::vector<KeyRange> parsed;
-    if (version != value.MemberEnd() && version->value.IsUint64() && ranges != value.MemberEnd() &&
-        ReadRanges(ranges->value, parsed)) {
-      Publish(version->value.GetUint64(), parsed);
-      return absl::OkStatus();
-    }
+  const rapidjson::Value* version = FindJsonMember(value, "version");
+  const rapidjson::Value* ranges = FindJsonMember(value, "ranges");
+  std::vector<KeyRange> parsed;
+  if (version != nullptr && version->IsUint64() && ranges != nullptr &&
+      ReadRanges(*ranges, parsed) && value.MemberCount() == 2) {
+    Publish(version->GetUint64(), parsed);
+    return absl::OkStatus();
   }
   return absl::InvalidArgumentError("publish: expected {version, ranges: [low-high, ...]}");
 }
--- a/standins/backend_core.cc
+++ b/standins/backend_core.cc
@@ -104,7 +104,7 @@
     if (status.ok()) {
       connection->Respond(200, kJsonType, "{}");
     } else {
-      connection->Respond(400, kJsonType, ErrorBody(std::string(status.message())));
+      connection->Respond(400, kJsonType, ErrorBody(std::string{status.message()}));
     }
   } else if (request.method() == verb::get && path == "/control/stats") {
     connection->Respond(200, kJsonType, StatsJson());
--- a/standins/control_standin.cc
+++ b/standins/control_standin.cc
@@ -20,9 +20,14 @@
 }
 
 absl::Status ControlStandin::Start(const Endpoint& endpoint) {
+  endpoint_ = endpoint;
   return loop_.Run([&] { return server_->Listen(endpoint); });
 }
 
+Endpoint ControlStandin::endpoint() const {
+  return {endpoint_.address, loop_.Run([this] { return server_->port(); })};
+}
+
 void ControlStandin::Handle(HttpConnection& connection, const HttpRequest& request) {
   std::string_view path = Target(request);
   bool is_get = request.method() == boost::beast::http::verb::get;
@@ -39,15 +44,14 @@
   std::string_view resource = slash == std::string_view::npos ? "" : path.substr(slash);
   auto backend = std::find_if(backends_.begin(), backends_.end(),
                               [&](const BackendStandin* each) { return each->name() == name; });
-  if (backend == backends_.end()) {
-    connection.Respond(404, "", "");
-  } else if (is_get && resource == "/control/stats") {
+  bool found = backend != backends_.end();
+  if (found && is_get && resource == "/control/stats") {
     connection.Respond(200, "", (*backend)->StatsJson());
-  } else if (is_get && resource == "/control/log") {
+  } else if (found && is_get && resource == "/control/log") {
     connection.Respond(200, "", (*backend)->LogJson());
-  } else if (!is_get && resource == "/control") {
+  } else if (found && !is_get && resource == "/control") {
     absl::Status status = (*backend)->Control(request.body());
-    connection.Respond(status.ok() ? 200 : 400, "", std::string(status.message()));
+    connection.Respond(status.ok() ? 200 : 400, "", std::string{status.message()});
   } else {
     connection.Respond(404, "", "");
   }
--- a/standins/control_standin.h
+++ b/standins/control_standin.h
@@ -29,11 +29,15 @@
   /// Listens. Unavailable if the port is taken.
   absl::Status Start(const Endpoint& endpoint);
 
+  /// Address with the port in use; valid after `Start`.
+  Endpoint endpoint() const;
+
  private:
   void Handle(HttpConnection& connection, const HttpRequest& request);
 
   Loop& loop_;
   std::vector<BackendStandin*> backends_;
+  Endpoint endpoint_;
   std::shared_ptr<HttpServer> server_;
 };
 
--- a/standins/http_connection.cc
+++ b/standins/http_connection.cc
@@ -11,7 +11,7 @@
 
 constexpr std::uint32_t kHeaderLimit = 16 * 1024;
 // Values of the platform's store are up to 1 MB; larger ones are refused by the handler.
-constexpr std::uint64_t kBodyLimit = 4 * 1024 * 1024;
+constexpr std::uint64_t kBodyLimit = 4'000'000;
 
 std::string_view ReasonOf(int status) {
   if (status == 499) return "Client Closed Request";
--- a/standins/index_rows.cc
+++ b/standins/index_rows.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "damaskroute/core/hash.h"
+#include "damaskroute/core/json_member.h"
 #include "fmt/format.h"
 
 namespace damaskroute::standins {
@@ -46,22 +47,19 @@
   if (document.HasParseError() || !document.IsObject()) {
     return absl::InvalidArgumentError("the query is not a JSON object");
   }
-  auto genus = document.FindMember("genus");
-  if (genus != document.MemberEnd()) {
-    if (!genus->value.IsString()) return absl::InvalidArgumentError("genus is not a string");
-    filter.genus.assign(genus->value.GetString(), genus->value.GetStringLength());
+  if (const auto* genus = FindJsonMember(document, "genus")) {
+    if (!genus->IsString()) return absl::InvalidArgumentError("genus is not a string");
+    filter.genus.assign(genus->GetString(), genus->GetStringLength());
   }
-  auto viability = document.FindMember("min_viability");
-  if (viability != document.MemberEnd()) {
-    if (!viability->value.IsNumber()) {
+  if (const auto* viability = FindJsonMember(document, "min_viability")) {
+    if (!viability->IsNumber()) {
       return absl::InvalidArgumentError("min_viability is not a number");
     }
-    filter.min_viability = viability->value.GetDouble();
+    filter.min_viability = viability->GetDouble();
   }
-  auto limit = document.FindMember("limit");
-  if (limit != document.MemberEnd()) {
-    if (!limit->value.IsUint64()) return absl::InvalidArgumentError("limit is not a count");
-    filter.limit = limit->value.GetUint64();
+  if (const auto* limit = FindJsonMember(document, "limit")) {
+    if (!limit->IsUint64()) return absl::InvalidArgumentError("limit is not a count");
+    filter.limit = limit->GetUint64();
   }
   return filter;
 }
--- a/standins/option_text.cc
+++ b/standins/option_text.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // More than any experiment needs; keeps sums of time points within their range.
-constexpr std::int64_t kLongestMicros = std::int64_t{24} * 3600 * 1000 * 1000;
+constexpr std::int64_t kLongestMicros = 86'400'000'000;
 
 template <typename Number>
 bool ParseNumber(std::string_view text, Number& value) {
@@ -26,13 +26,13 @@
   if (text.ends_with("us")) {
     factor = 1;
   } else if (text.ends_with("ms")) {
-    factor = 1000;
+    factor = 1'000;
   } else if (text.ends_with("s")) {
-    factor = 1000 * 1000;
+    factor = 1'000'000;
   } else {
     return false;
   }
-  text.remove_suffix(factor == 1000 * 1000 ? 1 : 2);
+  text.remove_suffix(factor == 1'000'000 ? 1 : 2);
   std::int64_t count = 0;
   if (!ParseNumber(text, count) || count < 0 || count > kLongestMicros / factor) return false;
   value = std::chrono::microseconds(count * factor);
--- a/standins/standin_settings.cc
+++ b/standins/standin_settings.cc
@@ -30,7 +30,7 @@
 
 Endpoint ReadEndpoint(const YAML::Node& node) {
   auto endpoint = ParseEndpoint(Scalar(node, "address:port"));
-  if (!endpoint.ok()) Fail(node, std::string(endpoint.status().message()));
+  if (!endpoint.ok()) Fail(node, std::string{endpoint.status().message()});
   if (!endpoint->address.starts_with("127.")) Fail(node, "expected an address in 127.0.0.0/8");
   return *std::move(endpoint);
 }
@@ -56,11 +56,12 @@
   return versions;
 }
 
-void ReadOption(const YAML::Node& key, const YAML::Node& value, BackendOptions& options) {
-  absl::Status status =
-      SetBackendOption(options, Scalar(key, "an option name"), Scalar(value, "a single value"));
-  if (absl::IsNotFound(status)) Fail(key, std::string(status.message()));
-  if (!status.ok()) Fail(value, std::string(status.message()));
+template <typename Options>
+void ReadOption(const YAML::Node& key, const YAML::Node& value, Options& options,
+                absl::Status (*set)(Options&, std::string_view, std::string_view)) {
+  absl::Status status = set(options, Scalar(key, "an option name"), Scalar(value, "a value"));
+  if (absl::IsNotFound(status)) Fail(key, std::string{status.message()});
+  if (!status.ok()) Fail(value, std::string{status.message()});
 }
 
 BackendSettings ReadBackend(const YAML::Node& node, const BackendOptions& defaults) {
@@ -76,22 +77,25 @@
     } else if (key == "versions") {
       backend.versions = ReadVersions(entry.second);
     } else {
-      ReadOption(entry.first, entry.second, backend.options);
+      ReadOption(entry.first, entry.second, backend.options, SetBackendOption);
     }
   }
   if (backend.name.empty() || backend.endpoint.port == 0) Fail(node, "expected name and endpoint");
   return backend;
 }
 
-Endpoint ReadPlatform(const YAML::Node& node) {
-  if (!node.IsMap()) Fail(node, "expected a map with endpoint");
-  Endpoint endpoint;
+PlatformSettings ReadPlatform(const YAML::Node& node) {
+  if (!node.IsMap()) Fail(node, "expected a map with endpoint and options");
+  PlatformSettings platform;
   for (const auto& entry : node) {
-    if (Scalar(entry.first, "a key") != "endpoint") Fail(entry.first, "expected endpoint");
-    endpoint = ReadEndpoint(entry.second);
+    if (Scalar(entry.first, "a key") == "endpoint") {
+      platform.endpoint = ReadEndpoint(entry.second);
+    } else {
+      ReadOption(entry.first, entry.second, platform.options, SetPlatformOption);
+    }
   }
-  if (endpoint.port == 0) Fail(node, "expected endpoint");
-  return endpoint;
+  if (platform.endpoint.port == 0) Fail(node, "expected endpoint");
+  return platform;
 }
 
 StandinSettings Read(const YAML::Node& root) {
@@ -102,7 +106,9 @@
   if (root["defaults"]) {
     const YAML::Node node = root["defaults"];
     if (!node.IsMap()) Fail(node, "expected a map of options");
-    for (const auto& entry : node) ReadOption(entry.first, entry.second, defaults);
+    for (const auto& entry : node) {
+      ReadOption(entry.first, entry.second, defaults, SetBackendOption);
+    }
   }
   std::set<std::string> names;
   for (const auto& entry : root) {
--- a/standins/standin_settings.h
+++ b/standins/standin_settings.h
@@ -9,6 +9,7 @@
 #include "damaskroute/core/endpoint.h"
 #include "standins/backend_options.h"
 #include "standins/backend_standin.h"
+#include "standins/platform_options.h"
 
 namespace damaskroute::standins {
 
@@ -20,6 +21,12 @@
   HeldVersions versions;
 };
 
+/// The platform in the settings file.
+struct PlatformSettings {
+  Endpoint endpoint;
+  PlatformOptions options;
+};
+
 /// Settings of `damask_standin`. Example:
 ///
 ///     threads: 2
@@ -35,7 +42,7 @@
   int threads = 1;                  ///< Event loops; backend servers are spread over them.
   std::optional<Endpoint> control;  ///< Serves `/NAME/control...` of each backend server.
   std::vector<BackendSettings> backends;
-  std::optional<Endpoint> platform;
+  std::optional<PlatformSettings> platform;
 };
 
 /// Reads and checks the file. InvalidArgument with `FILE:LINE:COLUMN: what was expected` for the
