--- a/include/damaskroute/scatter/hedge_policy.h
+++ b/include/damaskroute/scatter/hedge_policy.h
@@ -15,13 +15,15 @@
 /// Settings of `HedgePolicy`.
 struct HedgeSettings {
   /// A call older than this quantile of the service's calls is late.
-  double quantile = 0.95;
+  double quantile = 0.97;
+  /// A copy that is older than this many medians is late.
+  double copy_late_medians = 1.3;
   /// Lower bound of the age at which a call is late; copies of very fast calls save no time.
   std::chrono::microseconds min_delay{2000};
   /// Copies per first call of the service.
   double copy_ratio = 0.05;
   /// Copies that may be sent at once.
-  std::uint32_t copy_burst = 10;
+  std::uint32_t copy_burst = 60;
   /// While more than this fraction of the calls is late, no copies are sent.
   double max_late_ratio = 0.2;
   /// Up to this number of late calls the fraction is not looked at: with a fan-out of two, one
@@ -29,6 +31,10 @@
   std::uint32_t min_late = 4;
 };
 
+/// Copies per first call and copies at once over all services of a node.
+inline constexpr double kNodeCopyRatio = 0.05;
+inline constexpr std::uint32_t kNodeCopyBurst = 200;
+
 /// Decides when a shard call of a service gets a copy at another replica. One per service; safe
 /// for use by several threads. Dean and Barroso, "The Tail at Scale", 2013.
 class HedgePolicy {
@@ -48,6 +54,9 @@
   /// Age at which a call is late; nullopt while too few calls are known to tell.
   std::optional<Duration> LateAfter() const;
 
+  /// The same for a copy or a repeated call.
+  std::optional<Duration> CopyLateAfter() const;
+
   /// Whether a copy may be sent now; takes its tokens.
   bool TryCopy();
 
--- a/include/damaskroute/scatter/scatter_gather.h
+++ b/include/damaskroute/scatter/scatter_gather.h
@@ -79,6 +79,7 @@
 
   const Segment& ChooseCanary();
   void AskAll(CallKind kind, TimePoint now, Pending& pending);
+  KeyRangeSet Covered();
   void AskRemaining(TimePoint now, Pending& pending);
   void Ask(const KeyRange& range, CallKind kind, std::int32_t history, std::uint16_t attempts,
            TimePoint now, Pending& pending);
@@ -94,9 +95,11 @@
   bool Retry(std::uint32_t part_index, TimePoint now, Pending& pending);
   void ResumeParts(PartState state, TimePoint now, Pending& pending);
   bool TryRestart(TimePoint now, Pending& pending);
+  void RecordLatency(const Call& call, TimePoint now);
   void CancelCall(std::uint32_t call_id, bool record, TimePoint now, Pending& pending);
   void Hedge(TimePoint now, Pending& pending);
   void CollectExclusions(const Part& part);
+  bool HasPart(PartState state) const;
   bool IsSuspect() const { return lost_connections_ > 0 && !has_rows_; }
   std::vector<ScatterAction> Complete(TimePoint now, Pending& pending);
   void FinishNow(TimePoint now, Pending& pending);
@@ -111,7 +114,8 @@
   TimePoint finish_at_;
   TimePoint timer_at_ = TimePoint::max();
   std::vector<Part> parts_;
-  std::vector<Call> calls_;  // Position is the call id.
+  std::vector<Call> calls_;         // Position is the call id.
+  std::vector<KeyRange> accepted_;  // Disjoint, of the version in use.
   std::vector<NodeName> lost_holders_;
   std::vector<Exclusion> excluded_;
   std::uint32_t active_parts_ = 0;  // Neither done nor failed.
@@ -120,6 +124,7 @@
   std::uint32_t lost_connections_ = 0;
   std::uint32_t late_ = 0;
   std::uint32_t restarts_ = 0;
+  bool version_gone_ = false;
   bool canary_pending_ = false;
   bool has_rows_ = false;
   bool may_have_run_ = false;
--- a/src/scatter/hedge_policy.cc
+++ b/src/scatter/hedge_policy.cc
@@ -27,6 +27,14 @@
   return std::max<Duration>(*quantile, settings_.min_delay);
 }
 
+std::optional<Duration> HedgePolicy::CopyLateAfter() const {
+  std::optional<Duration> late_after = LateAfter();
+  std::optional<Duration> median = latency_.median();
+  if (!late_after.has_value() || !median.has_value()) return late_after;
+  auto medians = std::chrono::duration_cast<Duration>(*median * settings_.copy_late_medians);
+  return std::clamp<Duration>(medians, settings_.min_delay, *late_after);
+}
+
 bool HedgePolicy::TryCopy() {
   auto late = late_.load(std::memory_order_relaxed);
   auto calls = calls_.load(std::memory_order_relaxed);
--- a/src/scatter/latency_quantiles.cc
+++ b/src/scatter/latency_quantiles.cc
@@ -12,8 +12,11 @@
 constexpr int kBins = 800;
 constexpr double kLowest = 1e-5;
 constexpr double kHighest = 100;
-constexpr std::uint64_t kMinSamples = 100;
-constexpr std::uint64_t kKeptSamples = 1000;
+// A sample counts this much, so that the loss of weight does not remove it from its bin at once:
+// the bins of the slowest calls hold few samples.
+constexpr std::uint64_t kWeight = 64;
+constexpr std::uint64_t kMinTotal = 100 * kWeight;
+constexpr std::uint64_t kKeptTotal = 1000 * kWeight;
 constexpr Duration kRefreshInterval = milliseconds(50);
 // A tenth of the weight is lost at each 4th refresh, that is, every 200 ms.
 constexpr std::uint32_t kRefreshesPerDecay = 4;
@@ -31,7 +34,7 @@
                                                     Axis(kBins, kLowest, kHighest))) {}
 
 void LatencyQuantiles::Record(Duration latency, TimePoint now) {
-  counts_(std::chrono::duration<double>(latency).count());
+  counts_(std::chrono::duration<double>(latency).count(), boost::histogram::weight(kWeight));
   Duration::rep due = next_refresh_.load(std::memory_order_relaxed);
   Duration::rep ticks = now.time_since_epoch().count();
   if (ticks < due) return;
@@ -53,7 +56,7 @@
 void LatencyQuantiles::Refresh() {
   std::uint64_t total = 0;
   for (const Counter& count : counts_) total += count.load(std::memory_order_relaxed);
-  if (total < kMinSamples) return;
+  if (total < kMinTotal) return;
   median_.store(QuantileOf(0.5, total), std::memory_order_relaxed);
   hedge_.store(QuantileOf(hedge_quantile_, total), std::memory_order_relaxed);
 }
@@ -72,7 +75,7 @@
 void LatencyQuantiles::Decay() {
   std::uint64_t total = 0;
   for (const Counter& count : counts_) total += count.load(std::memory_order_relaxed);
-  if (total <= kKeptSamples) return;
+  if (total <= kKeptTotal) return;
   for (Counter& count : counts_) {
     // Rounding up lets single old samples vanish as well.
     std::uint64_t value = count.load(std::memory_order_relaxed);
--- a/src/scatter/scatter_gather.cc
+++ b/src/scatter/scatter_gather.cc
@@ -135,9 +135,7 @@
     Ask(ChooseCanary().range, kind, -1, 0, now, pending);
     return;
   }
-  for (const KeyRange& range : result_.covered.MissingFrom(kWholeKeySpace)) {
-    Ask(range, kind, -1, 0, now, pending);
-  }
+  Ask(kWholeKeySpace, kind, -1, 0, now, pending);
 }
 
 // A random one of the segments with the most replicas: a series of crashing requests must not take
@@ -184,6 +182,11 @@
   const ServiceView& view = *views_.back();
   std::optional<ReplicaChoice> choice =
       policies_.selector.Choose(view, segment, excluded_, now, policies_.random);
+  if (!choice.has_value() && kind == CallKind::kCopy && part.attempts == part.open_calls) {
+    // All replicas are tried and none has failed: a copy of a late copy goes to the first again.
+    excluded_.resize(excluded_.size() - part.attempts + 1);
+    choice = policies_.selector.Choose(view, segment, excluded_, now, policies_.random);
+  }
   if (!choice.has_value()) return false;
   ReplicaSelector::OnSent(*choice);
   auto call_id = static_cast<std::uint32_t>(calls_.size());
@@ -212,7 +215,8 @@
   part.last_call = static_cast<std::int32_t>(call_id);
   if (kind == CallKind::kCopy) ++result_.copies;
   if (kind == CallKind::kRetry) ++result_.retries;
-  std::optional<Duration> late_after = policies_.hedge.LateAfter();
+  std::optional<Duration> late_after =
+      kind == CallKind::kFirst ? policies_.hedge.LateAfter() : policies_.hedge.CopyLateAfter();
   part.next_hedge = late_after.has_value() ? now + *late_after : TimePoint::max();
   return true;
 }
@@ -241,7 +245,7 @@
                            Pending& pending) {
   const Call& call = calls_[call_id];
   ReplicaSelector::OnOutcome(call.target, ShardOutcome::kRows, now);
-  policies_.hedge.latency().Record(now - call.sent, now);
+  RecordLatency(call, now);
   CloseCall(call_id);
   Part& part = parts_[call.part];
   if (part.open_calls > 0) {
@@ -253,7 +257,7 @@
   }
   part.state = PartState::kDone;
   --active_parts_;
-  result_.covered.Add(reply.range);
+  accepted_.push_back(reply.range);
   if (!reply.rows.empty()) result_.rows.push_back(reply.rows);
   bool first_rows = !has_rows_;
   has_rows_ = true;
@@ -271,8 +275,16 @@
   if (first_rows && lost_connections_ > 0) ResumeParts(PartState::kWaitingRows, now, pending);
 }
 
+KeyRangeSet ScatterGather::Covered() {
+  // In ascending order each range joins the one before, so that the set stays short.
+  std::sort(accepted_.begin(), accepted_.end());
+  KeyRangeSet covered;
+  for (const KeyRange& range : accepted_) covered.Add(range);
+  return covered;
+}
+
 void ScatterGather::AskRemaining(TimePoint now, Pending& pending) {
-  KeyRangeSet asked = result_.covered;
+  KeyRangeSet asked = Covered();
   for (const Part& part : parts_) {
     if (part.state != PartState::kDone) asked.Add(part.range);
   }
@@ -303,6 +315,7 @@
   if (!IsFreeRetry(outcome)) policies_.retries.GiveBack();
   if (outcome == ShardOutcome::kVersionGone) {
     parts_[part_index].state = PartState::kWaitingView;
+    version_gone_ = true;
   } else {
     Fail(part_index);
   }
@@ -362,7 +375,7 @@
   const ServiceView& view = *views_.back();
   std::optional<IndexVersion> newer = ChooseVersion(view);
   if (!newer.has_value() || *newer <= version_) return false;
-  std::uint64_t attainable = result_.covered.Size();
+  std::uint64_t attainable = Covered().Size();
   for (const Part& part : parts_) {
     if (part.state == PartState::kOpen) attainable += part.range.Size();
   }
@@ -372,7 +385,7 @@
     if (calls_[id].open) CancelCall(id, /*record=*/false, now, pending);
   }
   ++restarts_;
-  result_.covered = {};
+  accepted_.clear();
   result_.rows.clear();
   parts_.clear();
   active_parts_ = 0;
@@ -382,12 +395,17 @@
   return true;
 }
 
+// Copies are left out: most of them are cancelled young, which would make the others look late.
+void ScatterGather::RecordLatency(const Call& call, TimePoint now) {
+  if (call.attempt == 0) policies_.hedge.latency().Record(now - call.sent, now);
+}
+
 void ScatterGather::CancelCall(std::uint32_t call_id, bool record, TimePoint now,
                                Pending& pending) {
   const Call& call = calls_[call_id];
   ReplicaSelector::OnEnded(call.target);
   may_have_run_ = true;
-  if (record) policies_.hedge.latency().Record(now - call.sent, now);
+  if (record) RecordLatency(call, now);
   CloseCall(call_id);
   const NodeName& holder = call.target.holder->node;
   auto it = std::find_if(pending.cancels.begin(), pending.cancels.end(),
@@ -430,9 +448,7 @@
 }
 
 std::vector<ScatterAction> ScatterGather::Complete(TimePoint now, Pending& pending) {
-  bool waiting_view = std::any_of(parts_.begin(), parts_.end(), [](const Part& part) {
-    return part.state == PartState::kWaitingView;
-  });
+  bool waiting_view = version_gone_ && HasPart(PartState::kWaitingView);
   if (waiting_view && now < finish_at_) waiting_view = !TryRestart(now, pending);
   if (canary_pending_ && open_calls_ == 0 && !may_have_run_ && canaries_ < kMaxCanaries &&
       map_ != nullptr && HasTimeForCall(now)) {
@@ -459,17 +475,20 @@
   return actions;
 }
 
+bool ScatterGather::HasPart(PartState state) const {
+  return std::any_of(parts_.begin(), parts_.end(),
+                     [&](const Part& part) { return part.state == state; });
+}
+
 void ScatterGather::FinishNow(TimePoint now, Pending& pending) {
-  bool waiting_rows = std::any_of(parts_.begin(), parts_.end(), [](const Part& part) {
-    return part.state == PartState::kWaitingRows;
-  });
   for (std::uint32_t id = 0; id < calls_.size(); ++id) {
     if (calls_[id].open) CancelCall(id, /*record=*/true, now, pending);
   }
   finished_ = true;
   ReleasePolicies();
   result_.version = version_;
-  result_.blocked = IsSuspect() && (waiting_rows || spec_.canary);
+  result_.covered = Covered();
+  result_.blocked = IsSuspect() && (HasPart(PartState::kWaitingRows) || spec_.canary);
   if (result_.covered.Size() > 0) {
     result_.verdict = Verdict::kRan;
   } else {
