--- a/benchmark/scatter_cost.cc
+++ b/benchmark/scatter_cost.cc
@@ -394,7 +394,7 @@
               .started = {}};
           Schedule(kOneWay, EventKind::kArrive, id, call.call_id);
         }
-      } else if (const auto* cancel = std::get_if<CancelCalls>(&action)) {
+      } else if (const auto* cancel = std::get_if<CancelSentCalls>(&action)) {
         for (std::uint32_t call : cancel->call_ids) {
           Schedule(kOneWay, EventKind::kCancel, id, call);
         }
--- a/include/damaskroute/intent/config_log.h
+++ b/include/damaskroute/intent/config_log.h
@@ -42,7 +42,7 @@
     return absl::DataLossError("a chunk of the configuration is missing: " + hash);
   }
   if (!stored.ok()) return stored.status();
-  if (ContentHash(stored->value) != hash) {
+  if (Sha256Hex(stored->value) != hash) {
     return absl::DataLossError("a chunk of the configuration does not match its hash: " + hash);
   }
   return std::move(stored->value);
--- a/include/damaskroute/node/control_plane.h
+++ b/include/damaskroute/node/control_plane.h
@@ -48,6 +48,10 @@
   /// Installs a roster. Ignored if its revision is not greater than the present one.
   void InstallRoster(Roster roster);
 
+  /// The own seat is in the roster, so this node may hold shares. See
+  /// `ShareTableOptions::had_predecessor`.
+  void OnSeat(bool had_predecessor);
+
   /// Report of an own backend channel: numbered, applied and sent to the coordinators.
   void OnLocalReport(BackendReport report);
 
@@ -84,6 +88,8 @@
   ConfigDocument config_;
   Roster roster_;
   std::shared_ptr<const Placement> placement_;
+  std::optional<bool> had_predecessor_;  // Set once the seat is in the roster.
+  const TimePoint started_ = SteadyClock().Now();
   std::optional<ShareTable> shares_;
   PartitionView reports_;
   std::map<ServiceName, std::shared_ptr<ServiceRuntime>> services_;
--- a/include/damaskroute/node/entry_node.h
+++ b/include/damaskroute/node/entry_node.h
@@ -15,9 +15,12 @@
 #include "damaskroute/node/query_coordinator.h"
 #include "damaskroute/node/query_id.h"
 #include "damaskroute/node/query_service.h"
+#include "damaskroute/node/replication.h"
+#include "damaskroute/node/store_agent.h"
 #include "damaskroute/peer/peer_transport.h"
 #include "damaskroute/scatter/replica_selector.h"
 #include "damaskroute/settings/node_settings.h"
+#include "damaskroute/store/http_store.h"
 
 namespace damaskroute {
 
@@ -35,7 +38,8 @@
   /// Graceful shutdown: readiness fails first, running work ends, then the threads stop. Blocks.
   void Drain();
 
-  /// Installs documents, from the store or from peers. Thread-safe.
+  /// Installs documents without a store, for tests. Thread-safe. The node then has a seat that had
+  /// no predecessor.
   void InstallConfig(ConfigDocument config);
   void InstallRoster(Roster roster);
 
@@ -43,6 +47,8 @@
   struct Worker;
 
   void MakeWorkers();
+  void MakeReplication();
+  void MakeStoreAgent();
   void HandleCaller(HttpRequest request, HttpResponder respond);
   HttpResponse AnswerReadiness() const;
   void SendToNode(const NodeName& node, Message message);
@@ -62,7 +68,9 @@
   EventLoop control_loop_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::unique_ptr<ControlPlane> control_;
+  std::unique_ptr<Replication> replication_;
   std::unique_ptr<PeerTransport> transport_;
+  std::unique_ptr<StoreAgent<HttpStore>> store_agent_;
   std::unique_ptr<HttpServer> callers_;
   std::atomic<std::size_t> next_worker_{0};
   std::atomic<bool> draining_{false};
--- a/src/intent/chunks.cc
+++ b/src/intent/chunks.cc
@@ -55,7 +55,7 @@
 
 std::string EncodeManifest(const std::vector<std::string>& chunks) {
   std::string text;
-  for (const std::string& chunk : chunks) text += ContentHash(chunk) + "\n";
+  for (const std::string& chunk : chunks) text += Sha256Hex(chunk) + "\n";
   return text;
 }
 
--- a/src/intent/commit_resolver.cc
+++ b/src/intent/commit_resolver.cc
@@ -94,7 +94,7 @@
   std::set<std::string> present(known.begin(), known.end());
   if (!base_.head.entries.empty()) present.insert(base_.head.entries.back().manifest);
   auto add = [&](const std::string& value) {
-    std::string hash = ContentHash(value);
+    std::string hash = Sha256Hex(value);
     if (present.insert(hash).second) writes_.emplace_back(kConfigChunkPrefix + hash, value);
   };
   // Taken from the back: the chunks first, the list that names them last.
@@ -116,7 +116,7 @@
   phase_ = Phase::kSwapHead;
   ConfigHead next = base_.head;
   if (next.entries.size() >= kMaxHeadEntries) next.entries.erase(next.entries.begin());
-  next.entries.push_back({request_.base_revision + 1, request_.change_id, ContentHash(manifest_),
+  next.entries.push_back({request_.base_revision + 1, request_.change_id, Sha256Hex(manifest_),
                           request_.committed_at, request_.summary});
   step_ = SwapValue{kConfigHeadKey, base_.version, EncodeHead(next)};
 }
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -13,10 +13,6 @@
 // Repeats all reports, so that a coordinator that missed one learns it in the end.
 constexpr std::chrono::seconds kReportPeriod{10};
 
-// Copies per first call and copies at once, over all services of the node.
-constexpr double kNodeCopyRatio = 0.05;
-constexpr std::uint32_t kNodeCopyBurst = 100;
-
 TimePoint Now() { return SteadyClock().Now(); }
 
 }  // namespace
@@ -54,6 +50,11 @@
   Rebuild();
 }
 
+void ControlPlane::OnSeat(bool had_predecessor) {
+  had_predecessor_ = had_predecessor;
+  Rebuild();
+}
+
 void ControlPlane::Rebuild() {
   placement_ = std::make_shared<const Placement>(placement_->Next(config_, roster_));
   for (const Service& service : config_.services) {
@@ -82,12 +83,12 @@
 }
 
 void ControlPlane::EnsureShareTable() {
-  if (shares_ || roster_.revision == 0 || config_.revision == 0) return;
+  if (shares_ || !had_predecessor_ || roster_.revision == 0 || config_.revision == 0) return;
   ShareTableOptions options;
   options.self = identity_.node;
   options.incarnation = identity_.incarnation;
-  options.started = Now();
-  options.had_predecessor = false;
+  options.started = started_;
+  options.had_predecessor = *had_predecessor_;
   shares_.emplace(options);
 }
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -5,9 +5,11 @@
 #include <utility>
 
 #include "damaskroute/api/front_target.h"
+#include "damaskroute/core/error_text.h"
 #include "damaskroute/core/hash.h"
 #include "damaskroute/http/problem.h"
 #include "damaskroute/log/log_line.h"
+#include "damaskroute/store/http_threads.h"
 
 namespace damaskroute {
 namespace {
@@ -15,6 +17,7 @@
 // Requests that the balancer sent before it saw the failing readiness check are still accepted.
 constexpr std::chrono::milliseconds kDrainPoll{20};
 constexpr std::chrono::seconds kLongestDrain{65};
+constexpr std::chrono::milliseconds kStoreCallDeadline{2000};
 
 TimePoint Now() { return SteadyClock().Now(); }
 
@@ -67,9 +70,12 @@
       selector_(settings_.zone),
       control_loop_(incarnation) {
   MakeWorkers();
+  MakeReplication();
+  if (settings_.store.port != 0) MakeStoreAgent();
 }
 
 EntryNode::~EntryNode() {
+  if (store_agent_) store_agent_->Stop();
   control_loop_.Stop();
   for (auto& worker : workers_) worker->loop.Stop();
 }
@@ -98,6 +104,55 @@
       view_, std::move(hooks));
 }
 
+void EntryNode::MakeReplication() {
+  ReplicationHooks hooks;
+  hooks.send = [this](const Endpoint& to, Message message) { SendTo(to, std::move(message)); };
+  hooks.install_config = [this](ConfigDocument config) {
+    control_->InstallConfig(std::move(config));
+  };
+  hooks.install_roster = [this](Roster roster) { control_->InstallRoster(std::move(roster)); };
+  hooks.member_changed = [this](const Member& member) {
+    if (member.IsLive()) return;
+    LogLine(LogLevel::kWarning, "peer is gone").Field("node", member.node);
+    control_->OnNodeLost(member.node);
+    transport_->Disconnect(member.endpoint);
+  };
+  hooks.superseded = [this] {
+    LogLine(LogLevel::kError, "another process runs under the name of this node")
+        .Field("node", settings_.node);
+  };
+  Member self;
+  self.node = settings_.node;
+  self.zone = settings_.zone;
+  self.endpoint = settings_.peers;
+  self.incarnation = incarnation_;
+  replication_ =
+      std::make_unique<Replication>(control_loop_, self, settings_.peer_keys, std::move(hooks));
+}
+
+void EntryNode::MakeStoreAgent() {
+  InitializeHttpThreads();
+  StoreAgentHooks hooks;
+  hooks.is_reader = [this] { return replication_->is_reader(); };
+  hooks.on_config = [this](Revision revision, std::string document) {
+    control_loop_.Post([this, revision, document = std::move(document)]() mutable {
+      replication_->OnStoreConfig(revision, std::move(document));
+    });
+  };
+  hooks.on_roster = [this](Revision revision, std::string document) {
+    control_loop_.Post([this, revision, document = std::move(document)]() mutable {
+      replication_->OnStoreRoster(revision, std::move(document));
+    });
+  };
+  hooks.on_contact = [this] { control_loop_.Post([this] { replication_->OnStoreContact(); }); };
+  hooks.on_seat = [this](bool had_predecessor) {
+    control_loop_.Post([this, had_predecessor] { control_->OnSeat(had_predecessor); });
+  };
+  store_agent_ = std::make_unique<StoreAgent<HttpStore>>(
+      HttpStore(settings_.store, kStoreCallDeadline),
+      Seat{settings_.node, settings_.zone, settings_.peers, incarnation_}, std::move(hooks));
+}
+
 BackendChannelHooks EntryNode::MakeChannelHooks() {
   BackendChannelHooks hooks;
   hooks.reply = [this](const Endpoint& to, Message message) { SendTo(to, std::move(message)); };
@@ -124,6 +179,8 @@
       settings_.peer_keys, std::move(handlers));
   absl::Status status = transport_->Listen();
   if (!status.ok()) return status;
+  status = replication_->Open();
+  if (!status.ok()) return status;
 
   HttpServerOptions options;
   options.listen = settings_.callers;
@@ -137,7 +194,9 @@
   status = callers_->Start();
   if (!status.ok()) return status;
   for (auto& worker : workers_) worker->loop.Start();
+  control_loop_.Post([this] { replication_->Start(settings_.seeds); });
   control_loop_.Start();
+  if (store_agent_) store_agent_->Start();
   LogLine(LogLevel::kInfo, "entry node started")
       .Field("node", settings_.node)
       .Field("zone", settings_.zone)
@@ -153,6 +212,14 @@
   callers_->BeginDrain();
   TimePoint limit = Now() + kLongestDrain;
   while (callers_->active_requests() > 0 && Now() < limit) std::this_thread::sleep_for(kDrainPoll);
+  if (store_agent_) {
+    store_agent_->Stop();
+    absl::Status left = store_agent_->LeaveSeat();
+    if (!left.ok()) {
+      LogLine(LogLevel::kWarning, "cannot remove the seat").Field("error", ErrorText(left));
+    }
+  }
+  control_loop_.Post([this] { replication_->Leave(); });
   LogLine(LogLevel::kInfo, "drained").Field("unfinished", callers_->active_requests());
 }
 
@@ -162,8 +229,10 @@
 }
 
 void EntryNode::InstallRoster(Roster roster) {
-  control_loop_.Post(
-      [this, roster = std::move(roster)]() mutable { control_->InstallRoster(std::move(roster)); });
+  control_loop_.Post([this, roster = std::move(roster)]() mutable {
+    control_->OnSeat(false);
+    control_->InstallRoster(std::move(roster));
+  });
 }
 
 HttpResponse EntryNode::AnswerReadiness() const {
@@ -297,12 +366,16 @@
           [&](ShareReleaseAck& m) { to_control(std::move(m)); },
           [&](ShareClaim& m) { to_control(std::move(m)); },
           [&](ShareClaimReply& m) { to_control(std::move(m)); },
-          [&](auto&) {},
+          [&](auto& m) {
+            control_loop_.Post(
+                [this, from, m = Message(std::move(m))] { replication_->OnMessage(from, m); });
+          },
       },
       message);
 }
 
 void EntryNode::OnPeerLost(const Endpoint& endpoint) {
+  replication_->OnPeerLost(endpoint);
   auto view = view_.Load();
   NodeName lost;
   for (const Seat& seat : view->roster.seats) {
--- a/tests/commit_resolver_test.cc
+++ b/tests/commit_resolver_test.cc
@@ -132,7 +132,7 @@
   bool IsNew(const FakeLogStore& store, const std::vector<Operator>& operators, int faults) {
     std::string state = fmt::format("{}\n{}", faults, store.State());
     for (const Operator& each : operators) state += each.answers;
-    return seen_.insert(ContentHash(state)).second;
+    return seen_.insert(Sha256Hex(state)).second;
   }
 
   void Step(const FakeLogStore& store, const std::vector<Operator>& operators, std::size_t index,
