Serve the operators' HTTP interface for plans, confirmations and history

Plans and confirmations run one at a time on a thread of their own, because they block on the store, whose client needs the threads of the pool. A stale plan is refused with 409 and the revisions that came first; a node that did not make a plan rebuilds it from the request that comes with the confirmation.

--- /dev/null
+++ b/include/damaskroute/intent/intent_server.h
@@ -0,0 +1,79 @@
+#ifndef DAMASKROUTE_INTENT_INTENT_SERVER_H_
+#define DAMASKROUTE_INTENT_INTENT_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "damaskroute/core/endpoint.h"
+#include "damaskroute/intent/http_reply.h"
+
+namespace damaskroute {
+
+/// Settings of the operators' interface.
+struct IntentServerSettings {
+  Endpoint address;   ///< Own address, for operators only.
+  std::string token;  ///< Bearer token, at least 16 bytes. Never logged.
+  /// Threads of cpprestsdk's pool. The default of the library is 40; 4 cost far less and suffice
+  /// for operators.
+  int threads = 4;
+};
+
+/// What the server answers with. The first four run one at a time on a thread of the server and
+/// may block; the others run on the pool and must not.
+struct IntentOperations {
+  std::function<HttpReply(const std::string& body, bool is_yaml)> make_plan;
+  std::function<HttpReply(const std::string& plan_id, const std::string& body)> confirm;
+  std::function<HttpReply()> history;
+  std::function<HttpReply()> config;
+  std::function<std::string()> status;     ///< JSON.
+  std::function<std::string()> burn;       ///< JSON.
+  std::function<std::string()> burn_html;  ///< HTML page.
+  std::function<std::string()> metrics;    ///< Text exposition format.
+};
+
+/// HTTP server of the operators' interface, with cpprestsdk's listener.
+///
+/// The listener reads a body whole before the handler can refuse it, and it bounds neither headers
+/// nor idle connections. The address must therefore be reachable for operators only; callers use
+/// another port with another server. Requests without `Content-Length` or with more than 4 MB are
+/// refused.
+class IntentServer {
+ public:
+  /// Starts to listen. InvalidArgument for a token that is too short; Unavailable if the address
+  /// cannot be bound.
+  static absl::StatusOr<std::unique_ptr<IntentServer>> Start(IntentServerSettings settings,
+                                                             IntentOperations operations);
+
+  /// Stops listening, answers the requests that wait and joins the thread.
+  ~IntentServer();
+
+  IntentServer(const IntentServer&) = delete;
+  IntentServer& operator=(const IntentServer&) = delete;
+
+ private:
+  class Impl;
+  explicit IntentServer(std::unique_ptr<Impl> impl);
+
+  std::unique_ptr<Impl> impl_;
+};
+
+/// Operations of an `IntentService`, which must outlive them. The other functions stay empty.
+template <typename Service>
+IntentOperations OperationsOf(Service* service) {
+  IntentOperations operations;
+  operations.make_plan = [service](const std::string& body, bool is_yaml) {
+    return service->MakePlan(body, is_yaml);
+  };
+  operations.confirm = [service](const std::string& plan_id, const std::string& body) {
+    return service->Confirm(plan_id, body);
+  };
+  operations.history = [service] { return service->History(); };
+  operations.config = [service] { return service->Config(); };
+  return operations;
+}
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_INTENT_INTENT_SERVER_H_
--- /dev/null
+++ b/include/damaskroute/intent/intent_service.h
@@ -0,0 +1,179 @@
+#ifndef DAMASKROUTE_INTENT_INTENT_SERVICE_H_
+#define DAMASKROUTE_INTENT_INTENT_SERVICE_H_
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "absl/status/statusor.h"
+#include "damaskroute/intent/config_log.h"
+#include "damaskroute/intent/intent_replies.h"
+#include "damaskroute/intent/plan_cache.h"
+#include "damaskroute/intent/plan_request.h"
+#include "damaskroute/intent/planner.h"
+
+namespace damaskroute {
+
+/// What `IntentService` needs from the node. Each function may be empty except `current`.
+struct IntentHooks {
+  /// Configuration in force on this node, never null.
+  std::function<std::shared_ptr<const ConfigDocument>()> current;
+  /// Measured load for the planner.
+  std::function<BusySlots()> busy_slots;
+  /// Called after a commit, so that the node can install and announce it without delay.
+  std::function<void(const ConfigDocument&)> on_committed;
+  /// Pause after the n-th failure of the store during a commit; by default 50 ms doubled each
+  /// time up to 1 s.
+  std::function<void(int)> pause;
+  /// Wall-clock time for the history; by default the system clock.
+  std::function<std::chrono::system_clock::time_point()> wall_time;
+};
+
+/// Plans and commits for the operators' interface. Blocks while the store answers. Not
+/// thread-safe: `IntentServer` calls it from one thread.
+template <typename Store>
+class IntentService {
+ public:
+  /// `store` must outlive the service.
+  IntentService(Store* store, Planner planner, IntentHooks hooks)
+      : store_(store), planner_(planner), hooks_(std::move(hooks)) {
+    if (!hooks_.pause) {
+      hooks_.pause = [](int failures) {
+        auto wait = std::chrono::milliseconds(50) * (1 << std::min(failures - 1, 5));
+        std::this_thread::sleep_for(
+            std::min<std::chrono::milliseconds>(wait, std::chrono::milliseconds(1000)));
+      };
+    }
+    if (!hooks_.wall_time) hooks_.wall_time = [] { return std::chrono::system_clock::now(); };
+  }
+
+  /// `POST /v1/plans`. `body` is YAML if `is_yaml`, else JSON.
+  HttpReply MakePlan(const std::string& body, bool is_yaml) {
+    absl::StatusOr<PlanRequest> request =
+        is_yaml ? absl::StatusOr<PlanRequest>(
+                      PlanRequest(std::vector<DeclarationFile>{{"declaration", body}}))
+                : ParsePlanRequest(body);
+    if (!request.ok()) return StatusReply(request.status());
+    absl::StatusOr<VersionedHead> head = ReadHead(*store_);
+    if (!head.ok()) return StatusReply(head.status());
+    absl::StatusOr<Plan> plan = BuildPlan(*request, head->head);
+    if (!plan.ok()) return StatusReply(plan.status());
+    return {200, "application/json", PlanJson(*plan)};
+  }
+
+  /// `POST /v1/plans/ID/confirm`.
+  HttpReply Confirm(const std::string& plan_id, const std::string& body) {
+    absl::StatusOr<ConfirmRequest> confirm = ParseConfirmRequest(body);
+    if (!confirm.ok()) return StatusReply(confirm.status());
+    absl::StatusOr<VersionedHead> head = ReadHead(*store_);
+    if (!head.ok()) return StatusReply(head.status());
+    // A repeated confirmation, perhaps through another node, gets the same answer.
+    for (const HeadEntry& entry : head->head.entries) {
+      if (entry.change_id == plan_id) {
+        return CommitReply({CommitResult::kCommitted, entry.revision, ""}, plan_id);
+      }
+    }
+    if (plans_.Find(plan_id) == nullptr && confirm->has_request) {
+      absl::StatusOr<Plan> plan = BuildPlan(confirm->request, head->head);
+      if (!plan.ok()) return StatusReply(plan.status());
+      // The same request gives another id if the base revision or an earlier one moved.
+      if (plan->id != plan_id) return StalePlanReply(head->head, head->head.revision());
+    }
+    const CachedPlan* plan = plans_.Find(plan_id);
+    if (plan == nullptr) return UnknownPlanReply(plan_id);
+    if (plan->base_revision != head->head.revision()) {
+      return StalePlanReply(head->head, plan->base_revision);
+    }
+    if (!plan->changes_something) return UnchangedReply(plan->base_revision, plan_id);
+    if (plan->needs_override && !confirm->override_warnings) return OverrideReply(*plan);
+    return Commit(*plan);
+  }
+
+  /// `GET /v1/history`.
+  HttpReply History() {
+    absl::StatusOr<VersionedHead> head = ReadHead(*store_);
+    return head.ok() ? HistoryReply(head->head) : StatusReply(head.status());
+  }
+
+  /// `GET /v1/config`: the configuration in force on this node; works without the store.
+  HttpReply Config() { return ConfigReply(*hooks_.current()); }
+
+ private:
+  // The document in force. The node's own copy spares reading the chunks.
+  absl::StatusOr<ConfigDocument> ReadBase(const ConfigHead& head) {
+    if (head.entries.empty()) return ConfigDocument{};
+    const HeadEntry& latest = head.entries.back();
+    std::shared_ptr<const ConfigDocument> own = hooks_.current();
+    if (own->revision == latest.revision && own->change_id == latest.change_id) return *own;
+    return ReadDocument(*store_, latest);
+  }
+
+  absl::StatusOr<ConfigDocument> ReadOld(const ConfigHead& head, Revision revision) {
+    const HeadEntry* entry = head.Find(revision);
+    if (entry == nullptr) {
+      return absl::NotFoundError("the history does not hold revision " + std::to_string(revision));
+    }
+    return ReadDocument(*store_, *entry);
+  }
+
+  absl::StatusOr<ConfigDocument> Declared(const PlanRequest& request, const ConfigDocument& base,
+                                          const ConfigHead& head) {
+    if (const auto* files = std::get_if<std::vector<DeclarationFile>>(&request)) {
+      return ParseDeclaration(*files);
+    }
+    if (const auto* zone = std::get_if<ZoneRequest>(&request)) {
+      return WithZoneState(base, zone->zone, zone->state);
+    }
+    if (const auto* backend = std::get_if<BackendRequest>(&request)) {
+      return WithBackendIntent(base, backend->backend, backend->intent);
+    }
+    return ReadOld(head, std::get<RollbackRequest>(request).revision);
+  }
+
+  absl::StatusOr<Plan> BuildPlan(const PlanRequest& request, const ConfigHead& head) {
+    absl::StatusOr<ConfigDocument> base = ReadBase(head);
+    if (!base.ok()) return base.status();
+    absl::StatusOr<ConfigDocument> declared = Declared(request, *base, head);
+    if (!declared.ok()) return declared.status();
+    absl::StatusOr<Plan> plan = planner_.MakePlan(
+        *base, *std::move(declared), hooks_.busy_slots ? hooks_.busy_slots() : BusySlots{});
+    if (!plan.ok()) return plan.status();
+    absl::StatusOr<std::string> bytes = EncodeConfig(plan->document);
+    if (!bytes.ok()) return bytes.status();
+    plans_.Add({plan->id, plan->base_revision, !plan->differences.empty(), plan->needs_override,
+                PlanSummary(*plan), plan->warnings, *std::move(bytes)});
+    return plan;
+  }
+
+  HttpReply Commit(const CachedPlan& plan) {
+    CommitRequest request{plan.base_revision, plan.id, plan.summary, hooks_.wall_time(),
+                          SplitChunks(plan.bytes)};
+    CommitOutcome outcome = RunCommit(*store_, CommitResolver(std::move(request)), hooks_.pause);
+    if (outcome.result == CommitResult::kConflict) {
+      absl::StatusOr<VersionedHead> head = ReadHead(*store_);
+      if (head.ok()) return StalePlanReply(head->head, plan.base_revision);
+    }
+    if (outcome.result == CommitResult::kCommitted && hooks_.on_committed) {
+      absl::StatusOr<ConfigDocument> document = DecodeConfig(plan.bytes);
+      if (document.ok()) {
+        document->revision = outcome.revision;
+        document->change_id = plan.id;
+        hooks_.on_committed(*document);
+      }
+    }
+    return CommitReply(outcome, plan.id);
+  }
+
+  Store* store_;
+  Planner planner_;
+  IntentHooks hooks_;
+  PlanCache plans_;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_INTENT_INTENT_SERVICE_H_
--- a/tests/commit_resolver_test.cc
+++ b/tests/commit_resolver_test.cc
@@ -39,7 +39,7 @@
 
 // Like REQUIRE, which is too slow for the millions of states that the explorer visits.
 void Ensure(bool condition, const char* what) {
-  if (!condition) FAIL(what);
+  if (!condition) FAIL(std::string(what));
 }
 
 void Commit(FakeLogStore& store, const CommitRequest& request) {
