--- a/src/shares/share_table.cc
+++ b/src/shares/share_table.cc
@@ -161,6 +161,12 @@
 void ShareTable::StartClaim(const ShareKey& share, HalfState& half, TimePoint now,
                             Actions& actions) {
   half.claim_at.reset();
+  if (half.highest.roster > roster_->revision) {
+    // It has answered the claim of a node that may not be in this roster, and that node may get
+    // the share without a further question to this one.
+    ScheduleClaim(half, options_.claim_delay, now, actions);
+    return;
+  }
   half.highest = NextEpoch(half);
   Claim claim;
   claim.epoch = half.highest;
@@ -341,8 +347,9 @@
 }
 
 std::string ShareTable::DebugString() const {
-  std::string text = fmt::format("{}/{}{}", placement_ ? placement_->config_revision() : 0,
-                                 roster_ ? roster_->revision : 0, active_ ? "" : " inactive");
+  std::string text = fmt::format("{}/{}{}{} {}", placement_ ? placement_->config_revision() : 0,
+                                 roster_ ? roster_->revision : 0, active_ ? "" : " inactive",
+                                 expelled_ ? " expelled" : "", Text(dropped_));
   for (const auto& [backend, state] : states_) {
     text += fmt::format(" {}[{} {} {}", backend, state.limit.slots,
                         state.limit.first ? "first" : "second",
@@ -351,7 +358,9 @@
       text += fmt::format("; {} {} {} {}.{}", half.held ? "held" : "-", Text(half.floor),
                           Text(half.highest), half.config, half.roster);
       if (half.outgoing) {
-        text += fmt::format(" out {} {}", half.outgoing->to, Text(half.outgoing->release.epoch));
+        const ShareRelease& release = half.outgoing->release;
+        text += fmt::format(" out {} {} {} {}.{}", half.outgoing->to, release.to,
+                            Text(release.epoch), release.config, release.roster);
       }
       if (half.claim) {
         text += " claim " + Text(half.claim->epoch) + " ";
