--- /dev/null
+++ b/src/actions/action_id.cc
@@ -0,0 +1,44 @@
+#include "damaskroute/actions/action_id.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+#include "fmt/format.h"
+
+namespace damaskroute {
+namespace {
+
+// Number before the next dot, which is removed with it.
+std::optional<std::uint64_t> TakeNumber(std::string_view& text) {
+  std::uint64_t number = 0;
+  auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+  auto length = static_cast<std::size_t>(parsed.ptr - text.data());
+  if (parsed.ec != std::errc() || length >= text.size() || *parsed.ptr != '.') return std::nullopt;
+  // A leading zero would give one id two texts.
+  if (text.front() == '0') return std::nullopt;
+  text.remove_prefix(length + 1);
+  return number;
+}
+
+bool IsNameCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' ||
+         c == '_' || c == '-';
+}
+
+}  // namespace
+
+std::string FormatActionId(const ActionId& id) {
+  return fmt::format("{}.{}.{}", id.counter, id.incarnation, id.issuer);
+}
+
+absl::StatusOr<ActionId> ParseActionId(std::string_view text) {
+  std::optional<std::uint64_t> counter = TakeNumber(text);
+  std::optional<std::uint64_t> incarnation = counter ? TakeNumber(text) : std::nullopt;
+  bool valid = incarnation && !text.empty() && text.size() <= kMaxIssuerLength &&
+               std::all_of(text.begin(), text.end(), IsNameCharacter);
+  if (!valid) return absl::InvalidArgumentError("expected an action id COUNTER.INCARNATION.ISSUER");
+  return ActionId{std::string(text), *incarnation, *counter};
+}
+
+}  // namespace damaskroute
--- a/tests/share_handover_test.cc
+++ b/tests/share_handover_test.cc
@@ -60,8 +60,9 @@
       if (!is_new(next)) continue;
       result.violation = next.Violation();
       if (!result.violation.empty()) {
-        result.violation += fmt::format(" after event {} of node {}\n{}before it:\n{}", static_cast<int>(event.kind),
-                                        event.node, next.Describe(), world.Describe());
+        result.violation += fmt::format(" after event {} of node {}\n{}before it:\n{}",
+                                        static_cast<int>(event.kind), event.node, next.Describe(),
+                                        world.Describe());
         result.states = seen.size();
         return result;
       }
@@ -110,9 +111,11 @@
     world.ResetBudget(c.limits);
     Exploration result = Explore(world, 4000000);
     CHECK(result.violation == "");
-    fmt::print("{} backend servers, {} slots (later {}), {} changes, {} claims{}: {} states, {} transitions\n",
-               c.backends, c.slots, c.later_slots, c.limits.changes, c.limits.claims,
-               c.limits.both_halves ? "" : ", first halves", result.states, result.transitions);
+    fmt::print(
+        "{} backend servers, {} slots (later {}), {} changes, {} claims{}: {} states, {} "
+        "transitions\n",
+        c.backends, c.slots, c.later_slots, c.limits.changes, c.limits.claims,
+        c.limits.both_halves ? "" : ", first halves", result.states, result.transitions);
     std::fflush(stdout);
     states += result.states;
     transitions += result.transitions;
--- a/tests/share_world.cc
+++ b/tests/share_world.cc
@@ -86,10 +86,10 @@
   std::unordered_map<std::string, int> message_numbers;
 
   int Intern(Node state) {
-    std::string text = fmt::format("{} {} {} {} {} {} {} ", state.node, state.roster,
-                                   state.roster_number, state.config,
-                                   state.incarnation, state.had_predecessor, state.late) +
-                       state.table.DebugString();
+    std::string text =
+        fmt::format("{} {} {} {} {} {} {} ", state.node, state.roster, state.roster_number,
+                    state.config, state.incarnation, state.had_predecessor, state.late) +
+        state.table.DebugString();
     for (int calls : state.calls) text += fmt::format(" {}", calls);
     auto [it, is_new] = node_numbers.try_emplace(text, static_cast<int>(nodes.size()));
     if (is_new) {
@@ -176,8 +176,7 @@
   }
 }
 
-const ShareWorld::Outcome& ShareWorld::Compute(int id, std::uint64_t code,
-                                               const Step& step) const {
+const ShareWorld::Outcome& ShareWorld::Compute(int id, std::uint64_t code, const Step& step) const {
   auto it = tables_->steps[id].find(code);
   if (it != tables_->steps[id].end()) return it->second;
   Node state = tables_->nodes[id];
@@ -371,8 +370,7 @@
       });
       break;
     case Kind::kTick:
-      Run(node, Code(event.kind, 0),
-          [](Node& state) { return state.table.OnTimer(state.Now()); });
+      Run(node, Code(event.kind, 0), [](Node& state) { return state.table.OnTimer(state.Now()); });
       break;
     case Kind::kStart:
       Run(node, Code(event.kind, event.value), [&](Node& state) {
@@ -422,7 +420,8 @@
     }
   }
   const std::vector<Seat>& seats = tables_->rosters[rosters_.back()]->seats;
-  bool any = std::any_of(seats.begin(), seats.end(), [](const Seat& seat) { return !seat.leaving; });
+  bool any =
+      std::any_of(seats.begin(), seats.end(), [](const Seat& seat) { return !seat.leaving; });
   return any ? tables_->configs[config_]->services[0].backends[0].slots : -1;
 }
 
--- a/tests/share_world.h
+++ b/tests/share_world.h
@@ -28,8 +28,20 @@
     bool may_configure = false;
   };
   enum class Kind : std::uint8_t {
-    kJoin, kCrash, kRemove, kLeave, kLeft, kOrphansEnd, kConfigure, kLearn, kLearnConfig, kLate,
-    kTick, kStart, kEnd, kDeliver
+    kJoin,
+    kCrash,
+    kRemove,
+    kLeave,
+    kLeft,
+    kOrphansEnd,
+    kConfigure,
+    kLearn,
+    kLearnConfig,
+    kLate,
+    kTick,
+    kStart,
+    kEnd,
+    kDeliver
   };
   struct Event {
     Kind kind;
