--- a/include/damaskroute/roster/roster_codec.h
+++ b/include/damaskroute/roster/roster_codec.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKROUTE_ROSTER_ROSTER_CODEC_H
-#define DAMASKROUTE_ROSTER_ROSTER_CODEC_H
+#ifndef DAMASKROUTE_ROSTER_ROSTER_CODEC_H_
+#define DAMASKROUTE_ROSTER_ROSTER_CODEC_H_
 
 #include <string>
 #include <string_view>
@@ -9,14 +9,18 @@
 
 namespace damaskroute {
 
-/// Encodes a roster for the store and for peers. Equal rosters give equal bytes. About 60 bytes
-/// per seat, so 7,600 seats fit into one value of the store (1 MB).
+/// Bounds for encoded rosters; a value of the store has at most 1 MB, a message 16 MB.
+inline constexpr std::size_t kMaxRosterBytes = std::size_t{8} << 20;
+inline constexpr std::size_t kMaxSeats = 50'000;
+inline constexpr std::size_t kMaxSeatNameLength = 64;
+
+/// JSON text of a roster, or of the seats of one zone.
 std::string EncodeRoster(const Roster& roster);
 
-/// Reverse of `EncodeRoster`. Safe for untrusted bytes. InvalidArgument for anything that
-/// `EncodeRoster` does not produce, seats out of order included.
-absl::StatusOr<Roster> DecodeRoster(std::string_view bytes);
+/// Reverse of `EncodeRoster`. InvalidArgument if the text is not JSON of that form, breaks a
+/// bound, has an invalid address, or its seats are not sorted by unique node names.
+absl::StatusOr<Roster> DecodeRoster(std::string_view text);
 
 }  // namespace damaskroute
 
-#endif  // DAMASKROUTE_ROSTER_ROSTER_CODEC_H
+#endif  // DAMASKROUTE_ROSTER_ROSTER_CODEC_H_
--- a/src/roster/roster_codec.cc
+++ b/src/roster/roster_codec.cc
@@ -1,68 +1,83 @@
 #include "damaskroute/roster/roster_codec.h"
 
-#include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
-#include <cstdint>
-#include <sstream>
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
 
-#include "damaskroute/peer/bounded_input_archive.h"
+#include <optional>
+
+#include "fmt/format.h"
 
 namespace damaskroute {
+namespace {
 
-template <typename Archive>
-void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, Seat& value) {
-  archive(value.node, value.zone, value.peer.address, value.peer.port, value.incarnation,
-          value.leaving);
-}
+using Value = rapidjson::Value;
 
-namespace {
+void WriteText(rapidjson::Writer<rapidjson::StringBuffer>& writer, const std::string& text) {
+  writer.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
+}
 
-constexpr std::uint8_t kFormat = 1;
-constexpr std::size_t kMaxNameBytes = 256;
+std::string TextOf(const Value& value) { return {value.GetString(), value.GetStringLength()}; }
 
-bool IsSortedByNode(const Roster& roster) {
-  return std::is_sorted(roster.seats.begin(), roster.seats.end(),
-                        [](const Seat& a, const Seat& b) { return a.node < b.node; }) &&
-         std::adjacent_find(roster.seats.begin(), roster.seats.end(),
-                            [](const Seat& a, const Seat& b) { return a.node == b.node; }) ==
-             roster.seats.end();
+bool IsName(const Value& value) {
+  return value.IsString() && value.GetStringLength() > 0 &&
+         value.GetStringLength() <= kMaxSeatNameLength;
 }
 
-bool HasValidNames(const Roster& roster) {
-  return std::all_of(roster.seats.begin(), roster.seats.end(), [](const Seat& seat) {
-    return !seat.node.empty() && seat.node.size() <= kMaxNameBytes &&
-           seat.zone.size() <= kMaxNameBytes && seat.peer.address.size() <= kMaxNameBytes;
-  });
+std::optional<Seat> ParseSeat(const Value& value) {
+  if (!value.IsArray() || value.Size() != 5) return std::nullopt;
+  bool typed = IsName(value[0]) && IsName(value[1]) && IsName(value[2]) && value[3].IsUint64() &&
+               value[4].IsBool();
+  if (!typed) return std::nullopt;
+  absl::StatusOr<Endpoint> peer = ParseEndpoint(TextOf(value[2]));
+  if (!peer.ok()) return std::nullopt;
+  return Seat{TextOf(value[0]), TextOf(value[1]), *std::move(peer), value[3].GetUint64(),
+              value[4].GetBool()};
 }
 
 }  // namespace
 
 std::string EncodeRoster(const Roster& roster) {
-  std::ostringstream stream;
-  {
-    cereal::PortableBinaryOutputArchive archive(
-        stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
-    archive(kFormat, roster.revision, roster.seats);
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  writer.StartObject();
+  writer.Key("revision");
+  writer.Uint64(roster.revision);
+  writer.Key("seats");
+  writer.StartArray();
+  for (const Seat& seat : roster.seats) {
+    writer.StartArray();
+    WriteText(writer, seat.node);
+    WriteText(writer, seat.zone);
+    WriteText(writer, FormatEndpoint(seat.peer));
+    writer.Uint64(seat.incarnation);
+    writer.Bool(seat.leaving);
+    writer.EndArray();
   }
-  return stream.str();
+  writer.EndArray();
+  writer.EndObject();
+  return {buffer.GetString(), buffer.GetSize()};
 }
 
-absl::StatusOr<Roster> DecodeRoster(std::string_view bytes) {
-  Roster roster;
-  try {
-    std::uint8_t format = 0;
-    internal::BoundedInputArchive archive(bytes);
-    archive(format, roster.revision, roster.seats);
-    if (format != kFormat || archive.bytes_left() != 0) {
-      return absl::InvalidArgumentError("the roster has an unknown format");
+absl::StatusOr<Roster> DecodeRoster(std::string_view text) {
+  if (text.size() > kMaxRosterBytes) return absl::InvalidArgumentError("roster is too long");
+  rapidjson::Document document;
+  // The iterative parser does not use the stack for nested values.
+  document.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
+  bool valid = !document.HasParseError() && document.IsObject() && document.MemberCount() == 2 &&
+               document.HasMember("revision") && document["revision"].IsUint64() &&
+               document.HasMember("seats") && document["seats"].IsArray() &&
+               document["seats"].Size() <= kMaxSeats;
+  if (!valid) return absl::InvalidArgumentError("expected a roster with revision and seats");
+  Roster roster{document["revision"].GetUint64(), {}};
+  roster.seats.reserve(document["seats"].Size());
+  for (const Value& value : document["seats"].GetArray()) {
+    std::optional<Seat> seat = ParseSeat(value);
+    if (!seat || (!roster.seats.empty() && !(roster.seats.back().node < seat->node))) {
+      return absl::InvalidArgumentError(
+          fmt::format("invalid or unsorted seat number {}", roster.seats.size()));
     }
-  } catch (const cereal::Exception&) {
-    return absl::InvalidArgumentError("the roster is cut short or has a wrong size");
-  }
-  if (!IsSortedByNode(roster) || !HasValidNames(roster)) {
-    return absl::InvalidArgumentError("the roster has invalid seats");
+    roster.seats.push_back(*std::move(seat));
   }
   return roster;
 }
