--- a/standins/backend_core.cc
+++ b/standins/backend_core.cc
@@ -7,6 +7,7 @@
 
 #include "damaskroute/core/hash.h"
 #include "fmt/format.h"
+#include "standins/service_time.h"
 
 namespace damaskroute::standins {
 namespace {
@@ -227,7 +228,7 @@
     Crash();
     return;
   }
-  Duration time = ServiceTime();
+  Duration time = DrawServiceTime(options_, cold_, calls_.size(), random_);
   if (time.count() == 0) {
     Finish(call);
     return;
@@ -242,22 +243,6 @@
   });
 }
 
-Duration BackendCore::ServiceTime() {
-  auto time = std::chrono::duration<double, std::micro>(options_.service_time);
-  if (options_.service_jitter.count() > 0) time += options_.service_jitter * random_.Unit();
-  if (options_.straggler_probability > 0 && random_.Unit() < options_.straggler_probability) {
-    time *= options_.straggler_factor;
-  }
-  if (cold_) {
-    time *= options_.cold_factor;
-    for (auto n = static_cast<std::size_t>(options_.cold_slots); n < calls_.size(); ++n) {
-      time *= options_.cold_collapse;
-    }
-  }
-  auto longest = std::chrono::duration<double, std::micro>(std::chrono::hours(1));
-  return std::chrono::duration_cast<Duration>(std::min(time, longest));
-}
-
 void BackendCore::Finish(const CallPtr& call) {
   End(call);
   bool late =
--- a/standins/backend_core.h
+++ b/standins/backend_core.h
@@ -73,7 +73,6 @@
   void Boot();
   void TurnCold();
   void CountWarming();
-  Duration ServiceTime();
   std::string_view State() const;
   std::string StateJson(std::string_view state, std::string_view in_flight) const;
   void AnswerState(const ConnectionPtr& connection);
--- a/standins/backend_options.h
+++ b/standins/backend_options.h
@@ -31,9 +31,9 @@
   double cold_collapse = 4;        ///< Multiplies it further for each call above `cold_slots`.
   std::uint64_t cold_calls = 100;  ///< Answers until it is warm; 0 stays cold.
   std::chrono::microseconds state_lag{0};  ///< `/health` and `/load` are refreshed so often.
-  std::string reported_state;              ///< Misleading state in `/health`; empty is true.
+  std::string reported_state = "";         ///< Misleading state in `/health`; empty is true.
   bool hide_cold = false;                  ///< The `Damask-State` of a cold server says warm.
-  std::string reported_in_flight;          ///< Misleading count in `/load`; empty is true.
+  std::string reported_in_flight = "";     ///< Misleading count in `/load`; empty is true.
   std::chrono::microseconds restart_delay{std::chrono::seconds(1)};  ///< Down after a crash.
   std::chrono::microseconds late_delay{std::chrono::seconds(1)};     ///< Of `late_answer`.
   std::string crash_marker = "damask-crash";  ///< A body with this text crashes the server.
--- a/standins/http_server.cc
+++ b/standins/http_server.cc
@@ -30,12 +30,25 @@
   acceptor_->async_accept(
       [self = shared_from_this(), acceptor = acceptor_](const boost::system::error_code& error,
                                                         HttpConnection::Socket socket) {
-        if (error || self->acceptor_ != acceptor) return;
+        if (self->acceptor_ != acceptor) return;
+        if (error) {
+          self->AcceptLater();
+          return;
+        }
         self->OnAccept(std::move(socket));
         self->Accept();
       });
 }
 
+void HttpServer::AcceptLater() {
+  // Out of file descriptors; a connection that closes makes room.
+  auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(10));
+  timer->async_wait(
+      [self = shared_from_this(), timer, acceptor = acceptor_](const boost::system::error_code&) {
+        if (self->acceptor_ == acceptor) self->Accept();
+      });
+}
+
 void HttpServer::OnAccept(HttpConnection::Socket socket) {
   boost::system::error_code ignored;
   if (options_.connection_limit > 0 &&
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -53,6 +53,7 @@
   using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type>;
 
   void Accept();
+  void AcceptLater();
   void OnAccept(HttpConnection::Socket socket);
   void Remove(HttpConnection* connection) { connections_.erase(connection); }
 
