--- a/include/damaskroute/scatter/latency_quantiles.h
+++ b/include/damaskroute/scatter/latency_quantiles.h
@@ -39,12 +39,12 @@
 
   static std::optional<Duration> Read(const std::atomic<Duration::rep>& value);
   Duration::rep QuantileOf(double quantile, std::uint64_t total) const;
-  void Decay();
+  void Decay(double factor);
 
   const double hedge_quantile_;
   Counts counts_;
   std::atomic<Duration::rep> next_refresh_{0};
-  std::atomic<std::uint32_t> refreshes_{0};
+  std::atomic<Duration::rep> last_decay_{0};
   std::atomic<Duration::rep> median_{0};
   std::atomic<Duration::rep> hedge_{0};
 };
--- a/src/scatter/latency_quantiles.cc
+++ b/src/scatter/latency_quantiles.cc
@@ -18,9 +18,9 @@
 constexpr std::uint64_t kMinTotal = 100 * kWeight;
 constexpr std::uint64_t kKeptTotal = 1000 * kWeight;
 constexpr Duration kRefreshInterval = milliseconds(50);
-// A tenth of the weight is lost at each 4th refresh, that is, every 200 ms.
-constexpr std::uint32_t kRefreshesPerDecay = 4;
-constexpr std::uint64_t kDecayDivisor = 10;
+// A tenth of the weight is lost per interval, so half of it in 1.4 s.
+constexpr Duration kDecayInterval = milliseconds(200);
+constexpr double kDecayFactor = 0.9;
 
 Duration::rep ToTicks(double seconds) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)).count();
@@ -44,7 +44,10 @@
     return;
   }
   Refresh();
-  if (refreshes_.fetch_add(1, std::memory_order_relaxed) % kRefreshesPerDecay == 0) Decay();
+  Duration::rep since = last_decay_.load(std::memory_order_relaxed);
+  if (ticks - since < kDecayInterval.count()) return;
+  last_decay_.store(ticks, std::memory_order_relaxed);
+  Decay(std::pow(kDecayFactor, static_cast<double>(ticks - since) / kDecayInterval.count()));
 }
 
 std::optional<Duration> LatencyQuantiles::Read(const std::atomic<Duration::rep>& value) {
@@ -72,14 +75,17 @@
   return ToTicks(kHighest);
 }
 
-void LatencyQuantiles::Decay() {
+void LatencyQuantiles::Decay(double factor) {
   std::uint64_t total = 0;
   for (const Counter& count : counts_) total += count.load(std::memory_order_relaxed);
   if (total <= kKeptTotal) return;
+  factor = std::max(factor, static_cast<double>(kKeptTotal) / static_cast<double>(total));
   for (Counter& count : counts_) {
-    // Rounding up lets single old samples vanish as well.
-    std::uint64_t value = count.load(std::memory_order_relaxed);
-    count.fetch_sub((value + kDecayDivisor - 1) / kDecayDivisor, std::memory_order_relaxed);
+    // Subtracts rather than stores, so that no concurrent sample is lost. Rounding up lets single
+    // old samples vanish as well.
+    auto value = static_cast<double>(count.load(std::memory_order_relaxed));
+    count.fetch_sub(static_cast<std::uint64_t>(std::ceil(value * (1 - factor))),
+                    std::memory_order_relaxed);
   }
 }
 
