--- a/benchmark/scatter_cost.cc
+++ b/benchmark/scatter_cost.cc
@@ -180,7 +180,7 @@
         slots_(absl::GetFlag(FLAGS_slots)),
         random_(absl::GetFlag(FLAGS_seed)),
         policy_random_(absl::GetFlag(FLAGS_seed) + 1000) {
-    backends_.resize(static_cast<std::size_t>(fan_out_ * replicas_));
+    backends_.resize(static_cast<std::size_t>(fan_out_) * static_cast<std::size_t>(replicas_));
     for (int i = 0; i < absl::GetFlag(FLAGS_coordinators); ++i) {
       nodes_.push_back(std::make_unique<Node>(setup_.hedge, i));
       nodes_.back()->view = MakeView(fan_out_, replicas_, slots_, nodes_.back()->loads);
--- a/include/damaskroute/admission/call_queue.h
+++ b/include/damaskroute/admission/call_queue.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -65,7 +66,9 @@
     TimePoint deadline;
     std::uint64_t sequence;  // First come, first served at equal deadlines.
     std::uint64_t token;
-    friend auto operator<=>(const Entry&, const Entry&) = default;
+    friend bool operator<(const Entry& a, const Entry& b) {
+      return std::tie(a.deadline, a.sequence) < std::tie(b.deadline, b.sequence);
+    }
   };
   struct Running {
     TimePoint started;
--- a/src/scatter/scatter_gather.cc
+++ b/src/scatter/scatter_gather.cc
@@ -277,7 +277,8 @@
 
 KeyRangeSet ScatterGather::Covered() {
   // In ascending order each range joins the one before, so that the set stays short.
-  std::sort(accepted_.begin(), accepted_.end());
+  std::sort(accepted_.begin(), accepted_.end(),
+            [](const KeyRange& a, const KeyRange& b) { return a.low < b.low; });
   KeyRangeSet covered;
   for (const KeyRange& range : accepted_) covered.Add(range);
   return covered;
