--- a/benchmark/scatter_cost.cc
+++ b/benchmark/scatter_cost.cc
@@ -29,6 +29,8 @@
 ABSL_FLAG(int, burst, 0, "Copies of a service that may be sent at once; 0 for the default.");
 ABSL_FLAG(double, copy_late_medians, 0,
           "A copy is late after this many medians; 0 for the default.");
+ABSL_FLAG(double, max_late_ratio, 0,
+          "No copies above this ratio of late calls; 0 for the default.");
 ABSL_FLAG(bool, cost, true, "Measure the processor time.");
 ABSL_FLAG(bool, experiment, true, "Run the experiment.");
 
@@ -454,6 +456,7 @@
   if (int burst = absl::GetFlag(FLAGS_burst); burst > 0) {
     hedge.copy_burst = static_cast<std::uint32_t>(burst);
   }
+  if (double ratio = absl::GetFlag(FLAGS_max_late_ratio); ratio > 0) hedge.max_late_ratio = ratio;
   if (double medians = absl::GetFlag(FLAGS_copy_late_medians); medians > 0) {
     hedge.copy_late_medians = medians;
   }
