Hold crash reports until a query has lost most of its calls

Cause: a lost zone breaks a third of an innocent query's connections at once. When that came before its first rows, two reports blocked its fingerprint for 10 minutes although the query then succeeded. Change: reports are held until more than half of the calls are lost, or the query ended or was abandoned without rows; they are dropped at the first rows.

--- a/include/damaskroute/scatter/scatter_action.h
+++ b/include/damaskroute/scatter/scatter_action.h
@@ -32,8 +32,8 @@
   TimePoint at;
 };
 
-/// A backend server broke the connection during a call of the query, which has no rows yet: tell
-/// the crash guard.
+/// A backend server broke the connection during a call of the query, which has no rows and has lost
+/// most of its calls: tell the crash guards of this node and of its peers.
 struct ReportCrash {
   BackendName backend;
   BootId boot_id = 0;
--- a/include/damaskroute/scatter/scatter_gather.h
+++ b/include/damaskroute/scatter/scatter_gather.h
@@ -41,7 +41,7 @@
   /// The replicas of the service changed. Calls that are open stay with their replicas.
   std::vector<ScatterAction> OnViewChanged(std::shared_ptr<const ServiceView> view, TimePoint now);
 
-  /// The caller went away: cancels the open calls and gives no `Finish`.
+  /// The caller went away: cancels the open calls, reports lost connections and gives no `Finish`.
   std::vector<ScatterAction> Abandon(TimePoint now);
 
   const QuerySpec& spec() const { return spec_; }
@@ -99,6 +99,7 @@
   void CancelCall(std::uint32_t call_id, bool record, TimePoint now, Pending& pending);
   void Hedge(TimePoint now, Pending& pending);
   void CollectExclusions(const Part& part);
+  void ReleaseReports(Pending& pending);
   bool HasPart(PartState state) const;
   bool IsSuspect() const { return lost_connections_ > 0 && !has_rows_; }
   std::vector<ScatterAction> Complete(TimePoint now, Pending& pending);
@@ -114,8 +115,9 @@
   TimePoint finish_at_;
   TimePoint timer_at_ = TimePoint::max();
   std::vector<Part> parts_;
-  std::vector<Call> calls_;         // Position is the call id.
-  std::vector<KeyRange> accepted_;  // Disjoint, of the version in use.
+  std::vector<Call> calls_;                // Position is the call id.
+  std::vector<KeyRange> accepted_;         // Disjoint, of the version in use.
+  std::vector<ReportCrash> held_reports_;  // Empty once there are rows.
   std::vector<NodeName> lost_holders_;
   std::vector<Exclusion> excluded_;
   std::uint32_t active_parts_ = 0;  // Neither done nor failed.
--- a/src/scatter/scatter_gather.cc
+++ b/src/scatter/scatter_gather.cc
@@ -77,7 +77,8 @@
     ReplicaSelector::OnOutcome(calls_[*call_id].target, reply.outcome, now);
     if (reply.outcome == ShardOutcome::kConnectionLost) {
       ++lost_connections_;
-      if (!has_rows_) pending.reports.push_back(ReportCrash{reply.backend, reply.boot_id});
+      if (!has_rows_) held_reports_.push_back({reply.backend, reply.boot_id});
+      if (lost_connections_ * 2 > calls_.size()) ReleaseReports(pending);
     }
     OnFailure(*call_id, reply.outcome, now, pending);
   }
@@ -124,7 +125,8 @@
   }
   finished_ = true;
   ReleasePolicies();
-  std::vector<ScatterAction> actions;
+  ReleaseReports(pending);
+  std::vector<ScatterAction> actions = std::move(pending.reports);
   for (CancelCalls& cancel : pending.cancels) actions.emplace_back(std::move(cancel));
   return actions;
 }
@@ -260,6 +262,7 @@
   accepted_.push_back(reply.range);
   if (!reply.rows.empty()) result_.rows.push_back(reply.rows);
   bool first_rows = !has_rows_;
+  held_reports_.clear();
   has_rows_ = true;
   const Part answered = part;  // Ask adds parts and invalidates references.
   for (const KeyRange& rest : {KeyRange{answered.range.low, reply.range.low},
@@ -481,7 +484,16 @@
                      [&](const Part& part) { return part.state == state; });
 }
 
+// A lost zone breaks about a third of the connections of an innocent query, perhaps before its
+// first rows; a query that crashes backend servers breaks nearly all of them. So reports are held
+// until more than half of the calls are lost or the query ended without rows.
+void ScatterGather::ReleaseReports(Pending& pending) {
+  for (ReportCrash& report : held_reports_) pending.reports.emplace_back(std::move(report));
+  held_reports_.clear();
+}
+
 void ScatterGather::FinishNow(TimePoint now, Pending& pending) {
+  ReleaseReports(pending);
   for (std::uint32_t id = 0; id < calls_.size(); ++id) {
     if (calls_[id].open) CancelCall(id, /*record=*/true, now, pending);
   }
--- a/tests/scatter_fixture.h
+++ b/tests/scatter_fixture.h
@@ -112,6 +112,7 @@
     for (auto& [id, sent] : calls) sent.open = sent.open && sent.holder != holder;
     Take(query_.OnHolderLost(holder, clock.Now()));
   }
+  void Abandon() { Take(query_.Abandon(clock.Now())); }
   void ChangeView() { Take(query_.OnViewChanged(fleet_.View(), clock.Now())); }
 
   ShardReply ReplyTo(std::uint32_t id, ShardOutcome outcome) const {
