--- a/src/scatter/scatter_gather.cc
+++ b/src/scatter/scatter_gather.cc
@@ -78,7 +78,7 @@
     if (reply.outcome == ShardOutcome::kConnectionLost) {
       ++lost_connections_;
       if (!has_rows_) held_reports_.push_back({reply.backend, reply.boot_id});
-      if (lost_connections_ * 2 > calls_.size()) ReleaseReports(pending);
+      if (lost_connections_ > calls_.size() / 2) ReleaseReports(pending);
     }
     OnFailure(*call_id, reply.outcome, now, pending);
   }
