Run actions at most once; guard against crashing requests; admit by an adaptive limit

Cause: the decision modules were not wired. Change: ActionService issues ids, makes the attempt and forwards to the issuer; CrashGuard and AdmissionLimit stand before each query; metrics are counted per front.

--- a/include/damaskroute/node/control_plane.h
+++ b/include/damaskroute/node/control_plane.h
@@ -93,6 +93,7 @@
   std::optional<ShareTable> shares_;
   PartitionView reports_;
   std::map<ServiceName, std::shared_ptr<ServiceRuntime>> services_;
+  std::map<FrontName, std::shared_ptr<FrontMetrics>> fronts_;
   std::map<BackendName, SetLimit> limits_;
   std::map<BackendName, BackendReport> own_reports_;
   std::uint64_t report_sequence_;
--- a/include/damaskroute/node/entry_node.h
+++ b/include/damaskroute/node/entry_node.h
@@ -6,8 +6,11 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "damaskroute/api/front_target.h"
 #include "damaskroute/core/snapshot.h"
+#include "damaskroute/crashguard/crash_guard.h"
 #include "damaskroute/http/http_server.h"
+#include "damaskroute/node/action_service.h"
 #include "damaskroute/node/control_plane.h"
 #include "damaskroute/node/event_loop.h"
 #include "damaskroute/node/holder_loop.h"
@@ -47,11 +50,14 @@
   struct Worker;
 
   void MakeWorkers();
+  void MakeActions();
+  void OnCrash(const QuerySpec& spec, const BackendName& backend, BootId boot_id);
   void MakeReplication();
   void MakeStoreAgent();
   void HandleCaller(HttpRequest request, HttpResponder respond);
+  void HandleAction(const FrontTarget& target, HttpRequest request, HttpResponder respond);
   HttpResponse AnswerReadiness() const;
-  void SendToNode(const NodeName& node, Message message);
+  bool SendToNode(const NodeName& node, Message message);
   void SendTo(const Endpoint& endpoint, Message message);
   void Deliver(const NodeName& from_node, const Endpoint& from, Message message);
   void OnPeerLost(const Endpoint& endpoint);
@@ -65,8 +71,10 @@
   QueryIds ids_;
   Snapshot<NodeView> view_;
   ReplicaSelector selector_;
+  CrashGuard crash_guard_;
   EventLoop control_loop_;
   std::vector<std::unique_ptr<Worker>> workers_;
+  std::unique_ptr<ActionService> actions_;  // On the first worker's loop.
   std::unique_ptr<ControlPlane> control_;
   std::unique_ptr<Replication> replication_;
   std::unique_ptr<PeerTransport> transport_;
--- a/include/damaskroute/node/node_view.h
+++ b/include/damaskroute/node/node_view.h
@@ -6,6 +6,7 @@
 
 #include "damaskroute/config/config_document.h"
 #include "damaskroute/core/ids.h"
+#include "damaskroute/metrics/front_metrics.h"
 #include "damaskroute/node/service_runtime.h"
 #include "damaskroute/placement/placement.h"
 #include "damaskroute/roster/roster.h"
@@ -19,6 +20,8 @@
   Placement placement;
   std::map<ServiceName, std::shared_ptr<ServiceRuntime>> services;
 
+  std::map<FrontName, std::shared_ptr<FrontMetrics>> fronts;
+
   /// Runtime of the service, or nullptr.
   std::shared_ptr<ServiceRuntime> FindService(const ServiceName& name) const {
     auto it = services.find(name);
--- a/include/damaskroute/node/query_service.h
+++ b/include/damaskroute/node/query_service.h
@@ -11,6 +11,7 @@
 
 #include "damaskroute/api/query_request.h"
 #include "damaskroute/core/snapshot.h"
+#include "damaskroute/crashguard/crash_guard.h"
 #include "damaskroute/http/http_response.h"
 #include "damaskroute/node/event_loop.h"
 #include "damaskroute/node/node_view.h"
@@ -32,6 +33,8 @@
     std::size_t loop_index = 0;
     QueryIds* ids = nullptr;
     const Snapshot<NodeView>* view = nullptr;
+    CrashGuard* crash_guard = nullptr;
+
     std::function<void(const Endpoint&, Message)> send;
   };
 
--- a/include/damaskroute/node/service_runtime.h
+++ b/include/damaskroute/node/service_runtime.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKROUTE_NODE_SERVICE_RUNTIME_H_
 #define DAMASKROUTE_NODE_SERVICE_RUNTIME_H_
 
+#include "damaskroute/admission/admission_limit.h"
 #include "damaskroute/core/ids.h"
 #include "damaskroute/core/snapshot.h"
 #include "damaskroute/scatter/hedge_policy.h"
@@ -16,6 +17,8 @@
   ServiceName name;
   HedgePolicy hedge;
   TokenBudget retries;
+  AdmissionLimit admission;
+
   Snapshot<ServiceView> view;
 };
 
--- a/include/damaskroute/roster/roster_updater.h
+++ b/include/damaskroute/roster/roster_updater.h
@@ -96,8 +96,8 @@
 
   RosterUpdaterOptions options_;
   OwnSeat wanted_ = OwnSeat::kUnmanaged;
-  bool decided_ = true;       // The wish has been fulfilled.
-  bool renewed_ = false;      // A seat of another process was seen.
+  bool decided_ = true;   // The wish has been fulfilled.
+  bool renewed_ = false;  // A seat of another process was seen.
   bool superseded_ = false;
   std::map<ZoneName, ZoneWork> zones_;
   std::map<NodeName, Missing> missing_;  // Seats whose VM the lists do not contain.
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -64,6 +64,12 @@
   }
   std::erase_if(services_,
                 [&](const auto& entry) { return config_.FindService(entry.first) == nullptr; });
+  for (const SearchFront& front : config_.fronts) {
+    auto& metrics = fronts_[front.name];
+    if (!metrics) metrics = std::make_shared<FrontMetrics>();
+  }
+  std::erase_if(fronts_,
+                [&](const auto& entry) { return config_.FindFront(entry.first) == nullptr; });
   Publish();
   EnsureShareTable();
   if (shares_) {
@@ -79,6 +85,8 @@
   view.roster = roster_;
   view.placement = *placement_;
   view.services = services_;
+  view.fronts = fronts_;
+
   view_.Publish(std::move(view));
 }
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -4,6 +4,7 @@
 #include <thread>
 #include <utility>
 
+#include "damaskroute/api/action_request.h"
 #include "damaskroute/api/front_target.h"
 #include "damaskroute/core/error_text.h"
 #include "damaskroute/core/hash.h"
@@ -51,15 +52,15 @@
       coordinator(
           loop, node.selector_,
           [&node](const NodeName& to, Message message) { node.SendToNode(to, std::move(message)); },
-          [](const QuerySpec& spec, const BackendName& backend, BootId) {
-            LogLine(LogLevel::kWarning, "backend server lost its connection during a query")
-                .Field("request_id", spec.request_id)
-                .Field("backend", backend);
+          [&node](const QuerySpec& spec, const BackendName& backend, BootId boot_id) {
+            node.OnCrash(spec, backend, boot_id);
           }),
       holder(loop, node.MakeChannelHooks(), node.incarnation_),
       queries(
           loop, coordinator,
           {node.settings_.node, node.settings_.zone, index, &node.ids_, &node.view_,
+           &node.crash_guard_,
+
            [&node](const Endpoint& to, Message message) { node.SendTo(to, std::move(message)); }}) {
 }
 
@@ -68,9 +69,13 @@
       incarnation_(incarnation),
       ids_(incarnation),
       selector_(settings_.zone),
+      crash_guard_(CrashGuardSettings{}),
+
       control_loop_(incarnation) {
   MakeWorkers();
+  MakeActions();
   MakeReplication();
+
   if (settings_.store.port != 0) MakeStoreAgent();
 }
 
@@ -104,6 +109,39 @@
       view_, std::move(hooks));
 }
 
+void EntryNode::MakeActions() {
+  ActionService::Context context;
+  context.node = settings_.node;
+  context.incarnation = incarnation_;
+  context.ids = &ids_;
+  context.view = &view_;
+  context.selector = &selector_;
+  context.crash_guard = &crash_guard_;
+  context.to_node = [this](const NodeName& to, Message message) {
+    return SendToNode(to, std::move(message));
+  };
+  context.to_endpoint = [this](const Endpoint& to, Message message) {
+    SendTo(to, std::move(message));
+  };
+  actions_ = std::make_unique<ActionService>(workers_.front()->loop, std::move(context));
+}
+
+void EntryNode::OnCrash(const QuerySpec& spec, const BackendName& backend, BootId boot_id) {
+  LogLine(LogLevel::kWarning, "backend server lost its connection during a query")
+      .Field("request_id", spec.request_id)
+      .Field("backend", backend);
+  crash_guard_.OnCrash(spec.service, spec.fingerprint, backend, boot_id, Now());
+  CrashReport report;
+  report.fingerprint = spec.fingerprint;
+  report.service = spec.service;
+  report.backend = backend;
+  report.boot_id = boot_id;
+  auto view = view_.Load();
+  for (const NodeName& node : view->placement.CoordinatorsOf(spec.service)) {
+    if (node != settings_.node) SendToNode(node, report);
+  }
+}
+
 void EntryNode::MakeReplication() {
   ReplicationHooks hooks;
   hooks.send = [this](const Endpoint& to, Message message) { SendTo(to, std::move(message)); };
@@ -261,8 +299,13 @@
     respond(SimpleProblem(405, "method_not_allowed", "expected POST"));
     return;
   }
+  if (target->operation == "actions" || target->operation == "action-ids") {
+    HandleAction(*target, std::move(request), std::move(respond));
+    return;
+  }
   if (target->operation != "query") {
-    respond(SimpleProblem(404, "unknown_path", "expected the operation query"));
+    respond(
+        SimpleProblem(404, "unknown_path", "expected the operation query, actions or action-ids"));
     return;
   }
   auto query = ParseQueryRequest(request.body);
@@ -274,20 +317,40 @@
                                          std::move(respond));
 }
 
+void EntryNode::HandleAction(const FrontTarget& target, HttpRequest request,
+                             HttpResponder respond) {
+  EventLoop& loop = workers_.front()->loop;
+  if (target.operation == "action-ids") {
+    loop.Post([this, front = target.front, respond = std::move(respond)] {
+      actions_->HandleIssue(front, respond);
+    });
+    return;
+  }
+  auto action = ParseActionRequest(request.body);
+  if (!action.ok()) {
+    respond(SimpleProblem(400, "invalid_request", std::string(action.status().message())));
+    return;
+  }
+  loop.Post([this, front = target.front, action = *std::move(action), received = request.received,
+             respond = std::move(respond)]() mutable {
+    actions_->Handle(front, std::move(action), received, std::move(respond));
+  });
+}
+
 EntryNode::Worker& EntryNode::WorkerOf(const BackendName& backend) {
   return *workers_[Hash64(backend) % workers_.size()];
 }
 
-void EntryNode::SendToNode(const NodeName& node, Message message) {
+bool EntryNode::SendToNode(const NodeName& node, Message message) {
   if (node == settings_.node) {
     Deliver(node, settings_.peers, std::move(message));
-    return;
+    return true;
   }
-  const Seat* seat = nullptr;
   auto view = view_.Load();
-  seat = view->roster.Find(node);
-  // An unknown node cannot answer; its calls end by their deadline.
-  if (seat != nullptr) transport_->Send(seat->peer, message);
+  const Seat* seat = view->roster.Find(node);
+  if (seat == nullptr) return false;
+  transport_->Send(seat->peer, message);
+  return true;
 }
 
 void EntryNode::SendTo(const Endpoint& endpoint, Message message) {
@@ -362,6 +425,23 @@
             worker.loop.Post([&worker, m = std::move(m)] { worker.queries.OnForwardReply(m); });
           },
           [&](RunAction& m) { DeliverAction(from, std::move(m)); },
+          [&](ForwardAction& m) {
+            workers_.front()->loop.Post(
+                [this, from, m = std::move(m)] { actions_->OnForwardAction(from, m); });
+          },
+          [&](ActionReply& m) {
+            workers_.front()->loop.Post([this, m = std::move(m)] { actions_->OnActionReply(m); });
+          },
+          [&](ActionResult& m) {
+            workers_.front()->loop.Post([this, m = std::move(m)] { actions_->OnActionResult(m); });
+          },
+          [&](CrashReport& m) {
+            if (m.is_action) {
+              crash_guard_.OnActionCrash(m.service, m.fingerprint, Now());
+            } else {
+              crash_guard_.OnCrash(m.service, m.fingerprint, m.backend, m.boot_id, Now());
+            }
+          },
           [&](ShareRelease& m) { to_control(std::move(m)); },
           [&](ShareReleaseAck& m) { to_control(std::move(m)); },
           [&](ShareClaim& m) { to_control(std::move(m)); },
@@ -381,6 +461,9 @@
   for (const Seat& seat : view->roster.seats) {
     if (seat.peer == endpoint) lost = seat.node;
   }
+  if (!lost.empty()) {
+    workers_.front()->loop.Post([this, lost] { actions_->OnPeerLost(lost); });
+  }
   for (auto& worker : workers_) {
     worker->loop.Post([&worker = *worker, lost, endpoint] {
       if (!lost.empty()) worker.coordinator.OnHolderLost(lost);
--- a/src/node/query_service.cc
+++ b/src/node/query_service.cc
@@ -18,6 +18,7 @@
 
 constexpr milliseconds kRetryWithoutConfiguration{1000};
 constexpr milliseconds kRetryAfterLostPeer{100};
+constexpr milliseconds kRetryAfterCanary{100};
 
 // A forwarded query is tried at this many coordinators, as a peer may be lost without notice.
 constexpr std::size_t kMaxForwardTargets = 2;
@@ -47,6 +48,33 @@
   return MakeProblemResponse(problem);
 }
 
+HttpResponse RefusedByCrashGuard(CrashMode mode, const std::string& request_id) {
+  Problem problem;
+  problem.request_id = request_id;
+  if (mode == CrashMode::kBlocked) {
+    problem.status = 422;
+    problem.type = "blocked_request";
+    problem.detail = "backend servers lost their connections while they ran this request";
+  } else {
+    problem.status = 503;
+    problem.type = "request_under_test";
+    problem.detail = "the same request runs on one backend server first after a crash";
+    problem.retry_after = kRetryAfterCanary;
+  }
+  return MakeProblemResponse(problem);
+}
+
+HttpResponse Overloaded(const ServiceRuntime& service, const std::string& request_id) {
+  Problem problem;
+  problem.status = 503;
+  problem.type = "overloaded";
+  problem.detail = "too many queries of this service are in progress";
+  problem.retry_after = std::max(
+      std::chrono::duration_cast<milliseconds>(service.admission.RetryAfter()), milliseconds(1));
+  problem.request_id = request_id;
+  return MakeProblemResponse(problem);
+}
+
 }  // namespace
 
 struct QueryService::Forwarded {
@@ -93,19 +121,44 @@
     respond(UnknownFront(front, request.request_id));
     return;
   }
+  std::uint64_t fingerprint = Fingerprint(front, request.query);
+  CrashMode mode = context_.crash_guard->Check(service->name, fingerprint, Now());
+  auto metrics = view.fronts.at(front);
+  if (mode == CrashMode::kBlocked || mode == CrashMode::kWait) {
+    metrics->OnRefused();
+    respond(RefusedByCrashGuard(mode, request.request_id));
+    return;
+  }
+  if (!service->admission.TryAdmit(request.priority)) {
+    if (mode == CrashMode::kCanary) context_.crash_guard->OnEnd(service->name, fingerprint, Now());
+    metrics->OnRefused();
+    respond(Overloaded(*service, request.request_id));
+    return;
+  }
   QuerySpec spec;
   spec.query_id = context_.ids->Next(context_.loop_index);
   spec.request_id = request.request_id;
   spec.service = declared->service;
   spec.priority = request.priority;
   spec.deadline = deadline;
-  spec.fingerprint = Fingerprint(front, request.query);
+  spec.fingerprint = fingerprint;
+  spec.canary = mode == CrashMode::kCanary;
   spec.body = std::move(request.query);
-  coordinator_.Start(
-      std::move(spec), std::move(service),
-      [respond = std::move(respond), request_id = request.request_id](const QueryResult& result) {
-        respond(MakeQueryAnswer(result, request_id));
-      });
+  auto done = [respond = std::move(respond), request_id = request.request_id, service, metrics,
+               guard = context_.crash_guard, fingerprint, started = Now(),
+               objective = declared->objective.latency](const QueryResult& result) {
+    TimePoint now = Now();
+    if (result.verdict == Verdict::kRan) {
+      guard->OnSuccess(service->name, fingerprint, now);
+      service->admission.OnEnd(now - started, now);
+    } else {
+      guard->OnEnd(service->name, fingerprint, now);
+      service->admission.OnRefused();
+    }
+    metrics->OnQuery(result, now - started, objective);
+    respond(MakeQueryAnswer(result, request_id));
+  };
+  coordinator_.Start(std::move(spec), service, std::move(done));
 }
 
 std::vector<const Seat*> QueryService::ForwardTargets(const NodeView& view,
--- a/src/node/service_runtime.cc
+++ b/src/node/service_runtime.cc
@@ -9,6 +9,7 @@
 ServiceRuntime::ServiceRuntime(ServiceName service_name, TokenBudget& node_copies)
     : name(std::move(service_name)),
       hedge(HedgeSettings{}, node_copies),
-      retries(kRetryRatio, kRetryBurst) {}
+      retries(kRetryRatio, kRetryBurst),
+      admission(AdmissionSettings{}) {}
 
 }  // namespace damaskroute
