--- a/include/damaskroute/node/entry_node.h
+++ b/include/damaskroute/node/entry_node.h
@@ -15,6 +15,7 @@
 #include "damaskroute/node/event_loop.h"
 #include "damaskroute/node/holder_loop.h"
 #include "damaskroute/node/node_view.h"
+#include "damaskroute/node/operator_api.h"
 #include "damaskroute/node/query_coordinator.h"
 #include "damaskroute/node/query_id.h"
 #include "damaskroute/node/query_service.h"
@@ -54,6 +55,8 @@
   void OnCrash(const QuerySpec& spec, const BackendName& backend, BootId boot_id);
   void MakeReplication();
   void MakeStoreAgent();
+  void MakeOperatorApi();
+  std::string RenderStatus();
   void HandleCaller(HttpRequest request, HttpResponder respond);
   void HandleAction(const FrontTarget& target, HttpRequest request, HttpResponder respond);
   HttpResponse AnswerReadiness() const;
@@ -79,6 +82,7 @@
   std::unique_ptr<Replication> replication_;
   std::unique_ptr<PeerTransport> transport_;
   std::unique_ptr<StoreAgent<HttpStore>> store_agent_;
+  std::unique_ptr<OperatorApi> operator_api_;
   std::unique_ptr<HttpServer> callers_;
   std::atomic<std::size_t> next_worker_{0};
   std::atomic<bool> draining_{false};
--- a/include/damaskroute/node/replication.h
+++ b/include/damaskroute/node/replication.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -59,6 +60,8 @@
   /// Copies of the present state. On the loop's thread.
   ReplicaStatus ConfigStatus() const { return config_.Status(SteadyClock().Now()); }
   ReplicaStatus RosterStatus() const { return roster_.Status(SteadyClock().Now()); }
+  /// Lowest configuration revision among this node and its live peers, as they last told it.
+  Revision LowestConfigRevision() const;
   std::vector<Member> LiveMembers() const { return membership_.state().LiveMembers(); }
   const SwimState& members() const { return membership_.state(); }
 
@@ -74,6 +77,7 @@
   ConfigReplica config_;
   ConfigReplica roster_;
   MembershipDriver membership_;
+  std::map<NodeName, Revision> peer_revisions_;
   asio::steady_timer timer_;
   std::atomic<bool> is_reader_{true};
 };
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -1,5 +1,6 @@
 #include "damaskroute/node/entry_node.h"
 
+#include <future>
 #include <map>
 #include <thread>
 #include <utility>
@@ -11,6 +12,7 @@
 #include "damaskroute/http/problem.h"
 #include "damaskroute/log/log_line.h"
 #include "damaskroute/store/http_threads.h"
+#include "fmt/format.h"
 
 namespace damaskroute {
 namespace {
@@ -76,10 +78,14 @@
   MakeActions();
   MakeReplication();
 
-  if (settings_.store.port != 0) MakeStoreAgent();
+  if (settings_.store.port != 0) {
+    MakeStoreAgent();
+    MakeOperatorApi();
+  }
 }
 
 EntryNode::~EntryNode() {
+  operator_api_.reset();
   if (store_agent_) store_agent_->Stop();
   control_loop_.Stop();
   for (auto& worker : workers_) worker->loop.Stop();
@@ -191,6 +197,37 @@
       Seat{settings_.node, settings_.zone, settings_.peers, incarnation_}, std::move(hooks));
 }
 
+void EntryNode::MakeOperatorApi() {
+  OperatorApiHooks hooks;
+  hooks.status = [this] { return RenderStatus(); };
+  hooks.on_committed = [this](const ConfigDocument& document) {
+    auto bytes = EncodeConfig(document);
+    if (!bytes.ok()) return;
+    control_loop_.Post([this, revision = document.revision, bytes = *std::move(bytes)]() mutable {
+      replication_->OnStoreConfig(revision, std::move(bytes));
+    });
+  };
+  operator_api_ = std::make_unique<OperatorApi>(settings_, view_, std::move(hooks));
+}
+
+std::string EntryNode::RenderStatus() {
+  std::promise<std::string> rendered;
+  control_loop_.Post([this, &rendered] {
+    ReplicaStatus config = replication_->ConfigStatus();
+    Revision lowest = replication_->LowestConfigRevision();
+    auto view = view_.Load();
+    rendered.set_value(fmt::format(
+        R"({{"node":"{}","zone":"{}","incarnation":{},"revision":{},"lowest_revision":{},)"
+        R"("roster_revision":{},"seats":{},"live_nodes":{},"behind":{},"store_age_ms":{},)"
+        R"("reader":{},"draining":{}}})"
+        "\n",
+        settings_.node, settings_.zone, incarnation_, view->config.revision, lowest,
+        view->roster.revision, view->roster.seats.size(), replication_->members().LiveCount(),
+        config.behind, config.age.count(), replication_->is_reader(), draining_.load()));
+  });
+  return rendered.get_future().get();
+}
+
 BackendChannelHooks EntryNode::MakeChannelHooks() {
   BackendChannelHooks hooks;
   hooks.reply = [this](const Endpoint& to, Message message) { SendTo(to, std::move(message)); };
@@ -235,6 +272,10 @@
   control_loop_.Post([this] { replication_->Start(settings_.seeds); });
   control_loop_.Start();
   if (store_agent_) store_agent_->Start();
+  if (operator_api_) {
+    status = operator_api_->Start();
+    if (!status.ok()) return status;
+  }
   LogLine(LogLevel::kInfo, "entry node started")
       .Field("node", settings_.node)
       .Field("zone", settings_.zone)
--- a/src/node/replication.cc
+++ b/src/node/replication.cc
@@ -1,5 +1,6 @@
 #include "damaskroute/node/replication.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "damaskroute/config/config_codec.h"
@@ -31,7 +32,10 @@
                 MembersChanged();
                 hooks_.member_changed(change.member);
               },
-              [this](const MemberForgotten&) { MembersChanged(); },
+              [this](const MemberForgotten& forgotten) {
+                peer_revisions_.erase(forgotten.node);
+                MembersChanged();
+              },
               [this](const RevisionsSeen& seen) { OnRevisions(seen); },
               [this](const SelfSuperseded&) { hooks_.superseded(); },
           }),
@@ -132,7 +136,17 @@
   }
 }
 
+Revision Replication::LowestConfigRevision() const {
+  Revision lowest = config_.revision();
+  for (const Member& member : membership_.state().LiveMembers()) {
+    auto it = peer_revisions_.find(member.node);
+    lowest = std::min(lowest, it == peer_revisions_.end() ? Revision{0} : it->second);
+  }
+  return lowest;
+}
+
 void Replication::OnRevisions(const RevisionsSeen& seen) {
+  peer_revisions_[seen.node] = seen.config_revision;
   Do(config_.OnRevisionSeen(Now(), seen.endpoint, seen.config_revision, seen.store_contact), false);
   Do(roster_.OnRevisionSeen(Now(), seen.endpoint, seen.roster_revision, seen.store_contact), true);
   TellRevisions();
