--- a/src/store/http_call.cc
+++ b/src/store/http_call.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <string_view>
 #include <system_error>
+#include <vector>
 
 #include "fmt/format.h"
 
@@ -41,7 +42,8 @@
     // closes without an answer, cpprestsdk 2.10.18 sends the request a second time.
     web::http::client::http_client client(base_url, config);
     web::http::http_response response = client.request(request).get();
-    result.body = response.extract_utf8string(true).get();
+    std::vector<unsigned char> body = response.extract_vector().get();
+    result.body.assign(body.begin(), body.end());
     result.version = ParseVersion(response.headers());
     result.status = response.status_code();
   } catch (const web::http::http_exception& error) {
--- a/src/store/http_store.cc
+++ b/src/store/http_store.cc
@@ -1,5 +1,8 @@
 #include "damaskroute/store/http_store.h"
 
+#include <utility>
+#include <vector>
+
 #include "fmt/format.h"
 #include "http_call.h"
 
@@ -42,7 +45,9 @@
   web::http::http_request request(web::http::methods::PUT);
   request.set_request_uri(KeyPath(key));
   request.headers().add("If-Version", expected_version);
-  request.set_body(value, "application/octet-stream");
+  // As bytes: the overload for std::string reads it through a stream of another type, which UBSan
+  // reports.
+  request.set_body(std::vector<unsigned char>(value.begin(), value.end()));
   HttpCallResult result = internal::CallOnce(base_url_, request, call_deadline_);
   if (result.status == 200 && result.version > 0) return result.version;
   if (result.status == 412) {
