--- a/include/damaskroute/intent/intent_server.h
+++ b/include/damaskroute/intent/intent_server.h
@@ -20,8 +20,8 @@
   int threads = 4;
 };
 
-/// What the server answers with. The first four run one at a time on a thread of the server and
-/// may block; the others run on the pool and must not.
+/// What the server answers with. The first three run one at a time on a thread of the server and
+/// may block on the store; the others run on the pool, also at the same time, and must not block.
 struct IntentOperations {
   std::function<HttpReply(const std::string& body, bool is_yaml)> make_plan;
   std::function<HttpReply(const std::string& plan_id, const std::string& body)> confirm;
--- a/include/damaskroute/intent/intent_service.h
+++ b/include/damaskroute/intent/intent_service.h
@@ -18,7 +18,8 @@
 
 namespace damaskroute {
 
-/// What `IntentService` needs from the node. Each function may be empty except `current`.
+/// What `IntentService` needs from the node. Each function may be empty except `current`, which
+/// must be thread-safe; the others are called on the thread that plans and commits.
 struct IntentHooks {
   /// Configuration in force on this node, never null.
   std::function<std::shared_ptr<const ConfigDocument>()> current;
@@ -33,8 +34,9 @@
   std::function<std::chrono::system_clock::time_point()> wall_time;
 };
 
-/// Plans and commits for the operators' interface. Blocks while the store answers. Not
-/// thread-safe: `IntentServer` calls it from one thread.
+/// Plans and commits for the operators' interface. Blocks while the store answers. Only `Config`
+/// may be called at the same time as another function: `IntentServer` calls the others from one
+/// thread.
 template <typename Store>
 class IntentService {
  public:
--- a/src/intent/intent_server.cc
+++ b/src/intent/intent_server.cc
@@ -141,7 +141,7 @@
     if (path == "/v1/history") {
       Run(request, operations_.history);
     } else if (path == "/v1/config") {
-      Run(request, operations_.config);
+      Send(request, operations_.config());
     } else if (path == "/v1/status" && operations_.status) {
       Send(request, {200, json, operations_.status()});
     } else if (path == "/v1/burn" && operations_.burn) {
--- a/tests/intent_server_test.cc
+++ b/tests/intent_server_test.cc
@@ -4,6 +4,7 @@
 
 #include "cpprest/http_client.h"
 #include "damaskroute/core/asio.h"
+#include "damaskroute/core/snapshot.h"
 #include "damaskroute/intent/bearer_token.h"
 #include "damaskroute/intent/intent_service.h"
 #include "fmt/format.h"
@@ -38,16 +39,14 @@
 
   IntentHooks Hooks() {
     IntentHooks hooks;
-    hooks.current = [this] { return current; };
-    hooks.on_committed = [this](const ConfigDocument& document) {
-      current = std::make_shared<ConfigDocument>(document);
-    };
+    hooks.current = [this] { return snapshot.Load(); };
+    hooks.on_committed = [this](const ConfigDocument& document) { snapshot.Publish(document); };
     hooks.pause = [](int) {};
     hooks.wall_time = [] { return std::chrono::system_clock::time_point(std::chrono::hours(1)); };
     return hooks;
   }
 
-  std::shared_ptr<const ConfigDocument> current = std::make_shared<ConfigDocument>();
+  Snapshot<ConfigDocument> snapshot;
   IntentService<FakeLogStore> service;
 };
 
@@ -82,7 +81,7 @@
   CHECK(PlanOf(node, Files()) == id);
   CHECK(store.values().empty());
   CHECK(node.service.Confirm(id, "").status == 200);
-  CHECK(node.current->revision == 1);
+  CHECK(node.snapshot.Load()->revision == 1);
   std::size_t values = store.values().size();
   HttpReply repeat = node.service.Confirm(id, "");
   CHECK(repeat.body ==
@@ -122,7 +121,7 @@
   CHECK(TextOf(reply, "detail") == "service desk is overloaded: 3.6 slots busy (assumed), 3 left");
   CHECK(ReadHead(store)->head.revision() == 1);
   CHECK(node.service.Confirm(id, "{\"override\":true}").status == 200);
-  CHECK(node.current->FindZone("a")->state == ZoneState::kOut);
+  CHECK(node.snapshot.Load()->FindZone("a")->state == ZoneState::kOut);
 }
 
 TEST_CASE("another node confirms a plan from its request, before and after it took effect") {
@@ -148,8 +147,8 @@
   Apply(node, Files());
   Apply(node, ZoneRequest{"a", ZoneState::kOut}, true);
   Apply(node, RollbackRequest{1});
-  CHECK(node.current->revision == 3);
-  CHECK(node.current->FindZone("a")->state == ZoneState::kServing);
+  CHECK(node.snapshot.Load()->revision == 3);
+  CHECK(node.snapshot.Load()->FindZone("a")->state == ZoneState::kServing);
   CHECK(node.service.MakePlan(PlanRequestJson(RollbackRequest{9}), false).status == 404);
 }
 
