--- a/include/damaskroute/roster/roster_updater.h
+++ b/include/damaskroute/roster/roster_updater.h
@@ -59,7 +59,8 @@
   Actions Join(TimePoint now);
   /// Marks the own seat as leaving, so that its shares move.
   Actions MarkLeaving(TimePoint now);
-  /// Removes the own seat. To be called once `ShareTable::Idle()`, or when the drain time ends.
+  /// Removes the own seat. Only to be called once `ShareTable::Idle()`; a process that ends before
+  /// leaves its seat to its successor, or to the removal after its VM is gone.
   Actions Leave(TimePoint now);
 
   Actions OnRead(const ZoneName& zone, const absl::StatusOr<StoredSeats>& stored, TimePoint now);
