--- a/src/dissemination/config_replica.cc
+++ b/src/dissemination/config_replica.cc
@@ -118,11 +118,9 @@
     return false;
   }
   std::optional<std::string> document;
-  std::size_t size = 0;
   for (const std::string& delta : data.deltas) {
     document = ApplyDelta(document.has_value() ? *document : *document_, delta);
     if (!document.has_value()) return false;
-    size += delta.size();
   }
   if (Hash64(*document) != data.hash) return false;
   // A single step is passed on as it came. Several are merged, for the intermediate hashes are not
--- a/src/membership/swim_state.cc
+++ b/src/membership/swim_state.cc
@@ -68,8 +68,9 @@
   SwimActions actions;
   if (!running_) return actions;
   AbsorbPause(now);
-  if (probe_.has_value() && !probe_->asked_others && now >= probe_->ack_due)
+  if (probe_.has_value() && !probe_->asked_others && now >= probe_->ack_due) {
     AskOthers(now, actions);
+  }
   ExpireSuspicions(now, actions);
   if (now >= period_end_) StartPeriod(now, actions);
   return actions;
--- a/tests/peer_transport_test.cc
+++ b/tests/peer_transport_test.cc
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "damaskroute/peer/frame_codec.h"
@@ -60,6 +61,27 @@
   CHECK(std::get<ForwardReply>(a.received[0]).body.size() == 3 << 20);
 }
 
+TEST_CASE("messages sent by several threads all arrive, each thread's in order") {
+  asio::io_context loop;
+  Node a(loop, "a");
+  Node b(loop, "b");
+  constexpr std::uint32_t kThreads = 3;
+  constexpr std::uint64_t kMessages = 500;
+  std::vector<std::thread> threads;
+  for (std::uint32_t thread = 0; thread < kThreads; ++thread) {
+    threads.emplace_back([&, thread, to = b.transport->endpoint()] {
+      for (std::uint64_t i = 0; i < kMessages; ++i) a.transport->Send(to, CancelCalls{i, {thread}});
+    });
+  }
+  RunUntil(loop, [&] { return b.received.size() == kThreads * kMessages; });
+  for (std::thread& thread : threads) thread.join();
+  std::vector<std::uint64_t> next(kThreads, 0);
+  for (const Message& message : b.received) {
+    const auto& cancel = std::get<CancelCalls>(message);
+    CHECK(cancel.query_id == next[cancel.call_ids[0]]++);
+  }
+}
+
 TEST_CASE("open calls fail at once when the peer refuses, dies, or does not read") {
   asio::io_context loop;
   PeerTransportOptions options;
