--- a/include/damaskroute/placement/placement.h
+++ b/include/damaskroute/placement/placement.h
@@ -86,7 +86,7 @@
   };
 
   void Build(const ConfigDocument& config, const Roster& roster, const Placement* previous);
-  void SetZones(const ConfigDocument& config, const Roster& roster);
+  void SetZones(const ConfigDocument& config, const Roster& roster, const Placement* previous);
   std::shared_ptr<const Layout> MakeLayout(const Service& service) const;
   std::size_t GroupSize(const Layout& layout, std::size_t zone) const;
   /// Groups of all services in the zone, parallel to `layouts`, members by descending weight.
--- a/include/damaskroute/roster/roster_updater.h
+++ b/include/damaskroute/roster/roster_updater.h
@@ -13,6 +13,7 @@
 #include "absl/status/statusor.h"
 #include "damaskroute/roster/roster.h"
 #include "damaskroute/roster/roster_action.h"
+#include "damaskroute/roster/stored_seats.h"
 
 namespace damaskroute {
 
@@ -32,12 +33,6 @@
   Duration longest_retry = std::chrono::seconds(10);
 };
 
-/// Value of a zone's roster key.
-struct StoredSeats {
-  std::uint64_t version = 0;  ///< 0 if the key does not exist.
-  std::string value;
-};
-
 /// Result of a compare-and-swap.
 enum class SwapResult : std::uint8_t {
   kDone,
--- a/include/damaskroute/shares/share_epoch.h
+++ b/include/damaskroute/shares/share_epoch.h
@@ -16,6 +16,7 @@
   std::uint64_t counter = 0;
   NodeName node;  ///< Node that made the step.
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on the comparison of the members.
   friend auto operator<=>(const ShareEpoch&, const ShareEpoch&) = default;
 };
 
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -79,12 +79,18 @@
   return next;
 }
 
-void Placement::SetZones(const ConfigDocument& config, const Roster& roster) {
+void Placement::SetZones(const ConfigDocument& config, const Roster& roster,
+                         const Placement* previous) {
   std::map<ZoneName, std::vector<NodeName>> by_zone;
-  for (const Zone& zone : config.zones) by_zone[zone.name];
-  for (const Service& service : config.services) {
-    for (const BackendServer& backend : service.backends) {
-      if (!by_zone.contains(backend.zone)) by_zone[backend.zone];
+  if (previous != nullptr) {
+    // A zone that is in use no more changes nothing, as it has neither seats nor backend servers.
+    for (const ZoneName& zone : previous->zones_) by_zone[zone];
+  } else {
+    for (const Zone& zone : config.zones) by_zone[zone.name];
+    for (const Service& service : config.services) {
+      for (const BackendServer& backend : service.backends) {
+        if (!by_zone.contains(backend.zone)) by_zone[backend.zone];
+      }
     }
   }
   for (const Seat& seat : roster.seats) {
@@ -108,14 +114,14 @@
                       const Placement* previous) {
   config_revision_ = config.revision;
   roster_revision_ = roster.revision;
-  SetZones(config, roster);
+  // Revision 0 stands for documents that tests build by hand.
+  bool same_config =
+      previous != nullptr && config.revision != 0 && previous->config_revision_ == config.revision;
+  SetZones(config, roster, same_config ? previous : nullptr);
   // Layouts refer to zones by position, so nothing can be kept when the zones differ.
   if (previous != nullptr && (previous->zones_ != zones_ || previous->host_ != host_)) {
     previous = nullptr;
   }
-  // Revision 0 stands for documents that tests build by hand.
-  bool same_config =
-      previous != nullptr && config.revision != 0 && previous->config_revision_ == config.revision;
   Layouts layouts;
   std::vector<const ServicePart*> old_parts;
   layouts.reserve(config.services.size());
--- a/tests/roster_updater_test.cc
+++ b/tests/roster_updater_test.cc
@@ -174,6 +174,19 @@
   CHECK(updater.Join(kNow).empty());
 }
 
+TEST_CASE("a roster is made only of values that were in force at the same time") {
+  StoredSeats x{2, EncodeRoster({0, {MakeSeat("b", 1)}})};
+  StoredSeats y{5, EncodeRoster({0, {MakeSeat("a", 1)}})};
+  StoredSeats none;
+  Roster roster = CombineZoneSeats({x, y, none}, {x, y, none}).value();
+  CHECK(roster.revision == 7);
+  CHECK(roster == Roster{7, {MakeSeat("a", 1), MakeSeat("b", 1)}});
+  StoredSeats later = y;
+  ++later.version;
+  CHECK(absl::IsAborted(CombineZoneSeats({x, y}, {x, later}).status()));
+  CHECK_FALSE(CombineZoneSeats({x, x}, {x, x}).ok());
+}
+
 TEST_CASE("encoded rosters are read back, anything else is refused") {
   Roster roster{9, {MakeSeat("a", 1), {"b", "y", {"::1", 1}, ~0ULL, true}}};
   CHECK(DecodeRoster(EncodeRoster(roster)).value() == roster);
