--- a/tests/commit_resolver_test.cc
+++ b/tests/commit_resolver_test.cc
@@ -6,6 +6,7 @@
 #include <functional>
 #include <set>
 
+#include "damaskroute/core/hash.h"
 #include "damaskroute/intent/config_log.h"
 #include "fmt/format.h"
 #include "tests/fake_log_store.h"
@@ -132,7 +133,7 @@
   bool IsNew(const FakeLogStore& store, const std::vector<Operator>& operators, int faults) {
     std::string state = fmt::format("{}\n{}", faults, store.State());
     for (const Operator& each : operators) state += each.answers;
-    return seen_.insert(ContentHash(state)).second;
+    return seen_.insert(Hash64(state)).second;
   }
 
   void Step(const FakeLogStore& store, const std::vector<Operator>& operators, std::size_t index,
@@ -148,7 +149,7 @@
   }
 
   Check check_;
-  std::set<std::string> seen_;
+  std::set<std::uint64_t> seen_;
   std::int64_t ends_ = 0;
   std::int64_t steps_ = 0;
 };
--- a/tests/planner_test.cc
+++ b/tests/planner_test.cc
@@ -96,7 +96,7 @@
   removed.fronts.clear();
   CHECK(Planner().MakePlan(base, removed)->needs_override);
   ConfigDocument leaving = base;
-  for (BackendServer& backend : leaving.services[0].backends) {
+  for (const BackendServer& backend : base.services[0].backends) {
     leaving = *WithBackendIntent(leaving, backend.name, BackendIntent::kLeaving);
   }
   CHECK(Planner().MakePlan(base, leaving)->needs_override);
