--- a/tests/support/http_call.h
+++ b/tests/support/http_call.h
@@ -1,6 +1,9 @@
 #ifndef DAMASKROUTE_TESTS_SUPPORT_HTTP_CALL_H_
 #define DAMASKROUTE_TESTS_SUPPORT_HTTP_CALL_H_
 
+#include <unistd.h>
+
+#include <atomic>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
@@ -43,11 +46,26 @@
   return {static_cast<int>(response.result_int()), response.body()};
 }
 
-/// A port of 127.0.0.1 that was free a moment ago.
+/// An address of 127.0.0.1 whose port was free for TCP and UDP a moment ago. The port is below the
+/// range from which the kernel takes ports of outgoing connections, as one of these could take it
+/// before the test does, and differs from all ports given before in this process.
 inline Endpoint FreeEndpoint() {
-  asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", acceptor.local_endpoint().port()};
+  constexpr int kFirst = 10'000;
+  constexpr int kCount = 22'000;
+  static std::atomic<int> next{static_cast<int>(getpid()) * 131 % kCount};
+  for (;;) {
+    auto port = static_cast<std::uint16_t>(kFirst + next++ % kCount);
+    auto address = asio::ip::make_address("127.0.0.1");
+    asio::io_context context;
+    boost::system::error_code error;
+    asio::ip::tcp::acceptor tcp(context);
+    asio::ip::udp::socket udp(context);
+    tcp.open(asio::ip::tcp::v4(), error);
+    if (!error) tcp.bind({address, port}, error);
+    if (!error) udp.open(asio::ip::udp::v4(), error);
+    if (!error) udp.bind({address, port}, error);
+    if (!error) return {"127.0.0.1", port};
+  }
 }
 
 }  // namespace damaskroute::testing
