Write the HTTP server and the backend client without coroutines

Cause: clang 14, which runs the linter and builds the fuzzers, has no C++20 coroutines with this standard library, so neither could read these files; GCC 12 has the double destruction found before. Change: both are state machines on callbacks. A connection is not reused after the answer to another request, and active requests count from their first byte.

--- a/include/damaskroute/api/internal/body_reader.h
+++ b/include/damaskroute/api/internal/body_reader.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
@@ -12,6 +13,16 @@
 
 namespace damaskroute::internal {
 
+/// One member of a JSON object; refers into its document.
+struct BodyMember {
+  std::string_view name;
+  const rapidjson::Value* value = nullptr;
+};
+
+/// Members of an object in their order. Clang refuses RapidJSON's member iterators in a range-based
+/// loop under C++20, because their comparison is ambiguous.
+std::vector<BodyMember> MembersOf(const rapidjson::Value& object);
+
 /// Parses a request body that must be one JSON object without repeated members.
 absl::StatusOr<rapidjson::Document> ParseBodyObject(std::string_view body);
 
--- a/include/damaskroute/http/backend_client.h
+++ b/include/damaskroute/http/backend_client.h
@@ -22,7 +22,7 @@
  public:
   using Callback = std::function<void(ExchangeResult)>;
 
-  BackendClient(asio::io_context& loop, Endpoint endpoint, int max_connections);
+  BackendClient(asio::io_context& loop, const Endpoint& endpoint, int max_connections);
   ~BackendClient();
   BackendClient(const BackendClient&) = delete;
   BackendClient& operator=(const BackendClient&) = delete;
--- a/include/damaskroute/http/http_server_options.h
+++ b/include/damaskroute/http/http_server_options.h
@@ -11,9 +11,9 @@
 /// Limits of an `HttpServer`. Together they bound the memory that clients can make it use.
 struct HttpServerOptions {
   Endpoint listen;
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 1024 * 1024;
-  std::size_t max_buffered_bytes = 32 * 1024 * 1024;  ///< Bodies of all connections together.
+  std::size_t max_header_bytes = std::size_t{16} << 10;
+  std::size_t max_body_bytes = std::size_t{1} << 20;
+  std::size_t max_buffered_bytes = std::size_t{32} << 20;  ///< Bodies of all connections together.
   std::size_t max_connections = 4096;
   std::chrono::milliseconds idle_timeout{30'000};     ///< Between requests.
   std::chrono::milliseconds header_timeout{5'000};    ///< From the first byte to the last header.
--- a/include/damaskroute/node/backend_channel.h
+++ b/include/damaskroute/node/backend_channel.h
@@ -81,7 +81,6 @@
   void OnHealth(const ExchangeResult& result);
   void Report();
 
-  EventLoop& loop_;
   const ServiceName service_;
   const BackendServer backend_;
   BackendChannelHooks hooks_;
--- a/include/damaskroute/node/control_plane.h
+++ b/include/damaskroute/node/control_plane.h
@@ -79,7 +79,6 @@
   void SendReport(const BackendReport& report);
   void ArmReportTimer();
 
-  EventLoop& loop_;
   const ControlIdentity identity_;
   Snapshot<NodeView>& view_;
   ControlHooks hooks_;
--- a/src/api/action_request.cc
+++ b/src/api/action_request.cc
@@ -49,11 +49,10 @@
   if (!document.ok()) return document.status();
   ActionRequest request;
   bool has_key = false;
-  for (const auto& member : document->GetObject()) {
-    std::string_view name(member.name.GetString(), member.name.GetStringLength());
-    absl::Status status = ReadMember(name, member.value, request);
+  for (const internal::BodyMember& member : internal::MembersOf(*document)) {
+    absl::Status status = ReadMember(member.name, *member.value, request);
     if (!status.ok()) return status;
-    has_key = has_key || name == "key";
+    has_key = has_key || member.name == "key";
   }
   if (request.action.empty()) return MemberError("action", "an object; the member is missing");
   if (!has_key) return MemberError("key", "an integer; the member is missing");
--- a/src/api/body_reader.cc
+++ b/src/api/body_reader.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "damaskroute/api/query_request.h"
+#include "damaskroute/core/json_member.h"
 #include "fmt/format.h"
 #include "rapidjson/error/en.h"
 #include "rapidjson/stringbuffer.h"
@@ -37,15 +38,24 @@
 
 bool HasRepeatedMember(const rapidjson::Value& object) {
   std::vector<std::string_view> names;
-  for (const auto& member : object.GetObject()) {
-    names.emplace_back(member.name.GetString(), member.name.GetStringLength());
-  }
+  names.reserve(object.MemberCount());
+  for (const BodyMember& member : MembersOf(object)) names.push_back(member.name);
   std::sort(names.begin(), names.end());
   return std::adjacent_find(names.begin(), names.end()) != names.end();
 }
 
 }  // namespace
 
+std::vector<BodyMember> MembersOf(const rapidjson::Value& object) {
+  std::vector<BodyMember> members;
+  members.reserve(object.MemberCount());
+  VisitJsonMembers(object, [&](std::string_view name, const rapidjson::Value& value) {
+    members.push_back({name, &value});
+    return true;
+  });
+  return members;
+}
+
 absl::StatusOr<rapidjson::Document> ParseBodyObject(std::string_view body) {
   if (DepthOf(body) > kMaxDepth) {
     return absl::InvalidArgumentError(
--- a/src/api/query_request.cc
+++ b/src/api/query_request.cc
@@ -44,9 +44,8 @@
   auto document = internal::ParseBodyObject(body);
   if (!document.ok()) return document.status();
   QueryRequest request;
-  for (const auto& member : document->GetObject()) {
-    std::string_view name(member.name.GetString(), member.name.GetStringLength());
-    absl::Status status = ReadMember(name, member.value, request);
+  for (const internal::BodyMember& member : internal::MembersOf(*document)) {
+    absl::Status status = ReadMember(member.name, *member.value, request);
     if (!status.ok()) return status;
   }
   if (request.query.empty()) return MemberError("query", "an object; the member is missing");
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -20,18 +21,17 @@
 namespace {
 
 // A response body above this size ends the exchange, as it would fill the node's memory.
-constexpr std::uint64_t kMaxResponseBytes = 8 * 1024 * 1024;
+constexpr std::uint64_t kMaxResponseBytes = std::uint64_t{8} << 20;
 
 struct Connection {
   explicit Connection(asio::io_context& loop) : stream(loop) {}
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  std::optional<http::response_parser<http::string_body>> parser;
   bool cancelled = false;
 };
 
-auto Redirect(error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
-
 // Whether the server has closed the idle connection or sent bytes that nobody asked for.
 bool IsStale(Connection& connection) {
   char byte;
@@ -110,68 +110,93 @@
   return ExchangeEnd::kBadAnswer;
 }
 
-// Opens a connection. kAnswered stands for success.
-asio::awaitable<ExchangeEnd> Connect(StatePtr state, Connection& connection) {
-  error_code error;
-  ++state->connects;
-  co_await connection.stream.async_connect(state->endpoint, Redirect(error));
-  // Nothing was sent, whatever the reason is.
-  if (error) co_return ExchangeEnd::kConnectFailed;
-  connection.stream.socket().set_option(Tcp::no_delay(true), error);
-  co_return ExchangeEnd::kAnswered;
-}
+// One exchange on one connection. Kept alive by the handlers of its operations.
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(StatePtr state, std::uint64_t id, ExchangeRequest request, BackendClient::Callback done)
+      : state_(std::move(state)), id_(id), request_(std::move(request)), done_(std::move(done)) {}
+
+  void Start() {
+    connection_ = state_->TakeIdle();
+    if (connection_) {
+      Begin();
+      Write();
+      return;
+    }
+    if (!state_->endpoint_valid || state_->open >= state_->max_connections) {
+      Finish(ExchangeEnd::kConnectFailed, false);
+      return;
+    }
+    connection_ = std::make_unique<Connection>(state_->loop);
+    ++state_->open;
+    ++state_->connects;
+    Begin();
+    connection_->stream.async_connect(
+        state_->endpoint, [self = shared_from_this()](const error_code& error) {
+          // Nothing was sent, whatever the reason is.
+          if (error) return self->Finish(ExchangeEnd::kConnectFailed, false);
+          error_code ignored;
+          self->connection_->stream.socket().set_option(Tcp::no_delay(true), ignored);
+          self->Write();
+        });
+  }
 
-asio::awaitable<ExchangeResult> Exchange(Connection& connection, const std::string& bytes,
-                                         bool& reusable) {
-  ExchangeResult result;
-  error_code error;
-  co_await asio::async_write(connection.stream, asio::buffer(bytes), Redirect(error));
-  if (error) {
-    result.end = EndOf(connection, error);
-    co_return result;
+ private:
+  void Begin() {
+    state_->running.emplace(id_, connection_.get());
+    connection_->stream.expires_after(request_.time_left);
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxResponseBytes);
-  co_await http::async_read(connection.stream, connection.buffer, parser, Redirect(error));
-  if (error) {
-    result.end = EndOf(connection, error);
-    co_return result;
+
+  void Write() {
+    asio::async_write(connection_->stream, asio::buffer(request_.bytes),
+                      [self = shared_from_this()](const error_code& error, std::size_t) {
+                        if (error) return self->Finish(EndOf(*self->connection_, error), false);
+                        self->Read();
+                      });
+  }
+
+  void Read() {
+    auto& parser = connection_->parser;
+    parser.emplace();
+    parser->body_limit(kMaxResponseBytes);
+    http::async_read(connection_->stream, connection_->buffer, *parser,
+                     [self = shared_from_this()](const error_code& error, std::size_t) {
+                       if (error) return self->Finish(EndOf(*self->connection_, error), false);
+                       self->OnResponse();
+                     });
   }
-  auto response = parser.release();
-  ReadHeaders(response, result);
-  result.body = std::move(response.body());
-  result.end = ExchangeEnd::kAnswered;
-  reusable = response.keep_alive() && connection.buffer.size() == 0;
-  co_return result;
-}
 
-asio::awaitable<void> RunExchange(StatePtr state, std::uint64_t id, ExchangeRequest request,
-                                  BackendClient::Callback done) {
-  ExchangeResult result;
-  auto connection = state->TakeIdle();
-  bool is_new = connection == nullptr;
-  if (is_new && state->endpoint_valid && state->open < state->max_connections) {
-    connection = std::make_unique<Connection>(state->loop);
-    ++state->open;
+  void OnResponse() {
+    auto response = connection_->parser->release();
+    ReadHeaders(response, result_);
+    result_.body = std::move(response.body());
+    bool reusable = response.keep_alive() && connection_->buffer.size() == 0;
+    // After the answer to another request the next one would be crossed as well.
+    if (!result_.request_id.empty() && result_.request_id != request_.request_id) reusable = false;
+    Finish(ExchangeEnd::kAnswered, reusable);
   }
-  if (connection != nullptr) {
-    state->running.emplace(id, connection.get());
-    connection->stream.expires_after(request.time_left);
-    bool reusable = false;
-    ExchangeEnd connected = ExchangeEnd::kAnswered;
-    if (is_new) connected = co_await Connect(state, *connection);
-    if (connected == ExchangeEnd::kAnswered) {
-      result = co_await Exchange(*connection, request.bytes, reusable);
+
+  void Finish(ExchangeEnd end, bool reusable) {
+    result_.end = end;
+    if (connection_) {
+      connection_->parser.reset();
+      state_->running.erase(id_);
+      state_->Return(std::move(connection_), reusable);
     }
-    state->running.erase(id);
-    state->Return(std::move(connection), reusable);
+    done_(std::move(result_));
   }
-  done(std::move(result));
-}
+
+  StatePtr state_;
+  std::uint64_t id_;
+  ExchangeRequest request_;
+  BackendClient::Callback done_;
+  std::unique_ptr<Connection> connection_;
+  ExchangeResult result_;
+};
 
 }  // namespace
 
-BackendClient::BackendClient(asio::io_context& loop, Endpoint endpoint, int max_connections)
+BackendClient::BackendClient(asio::io_context& loop, const Endpoint& endpoint, int max_connections)
     : state_(std::make_shared<State>(loop, max_connections)) {
   error_code error;
   auto address = asio::ip::make_address(endpoint.address, error);
@@ -187,8 +212,9 @@
 
 std::uint64_t BackendClient::Start(ExchangeRequest request, Callback done) {
   std::uint64_t id = state_->next_id++;
-  asio::co_spawn(state_->loop, RunExchange(state_, id, std::move(request), std::move(done)),
-                 asio::detached);
+  auto exchange = std::make_shared<Exchange>(state_, id, std::move(request), std::move(done));
+  // Posted, so that `done` is never called from within `Start`.
+  asio::post(state_->loop, [exchange] { exchange->Start(); });
   return id;
 }
 
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -3,7 +3,6 @@
 #include <atomic>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -24,6 +23,7 @@
   HttpHandler handler;
   std::unique_ptr<Tcp::acceptor> acceptor;
   std::atomic<bool> draining{false};
+  std::atomic<bool> close_after_responses{false};
   std::atomic<std::size_t> active_requests{0};
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> buffered_bytes{0};
@@ -33,6 +33,12 @@
 
 using Shared = HttpServer::Shared;
 
+// Unread input of a rejected request is read for so long, and so much of it.
+constexpr std::chrono::seconds kDiscardTime{1};
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{4} << 20;
+
+constexpr std::chrono::milliseconds kAcceptPause{10};
+
 // Counts a resource for as long as it is held.
 class Counted {
  public:
@@ -49,18 +55,6 @@
   std::size_t amount_;
 };
 
-// Carries the response from the handler's thread to the connection's loop.
-struct PendingResponse {
-  explicit PendingResponse(const asio::any_io_executor& executor)
-      : executor(executor), ready(executor) {}
-
-  asio::any_io_executor executor;
-  asio::steady_timer ready;
-  std::optional<HttpResponse> response;
-};
-
-auto Redirect(error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
-
 http::response<http::string_body> ToBeast(HttpResponse response, bool keep_alive) {
   http::response<http::string_body> message;
   message.version(11);
@@ -102,174 +96,233 @@
   return {400, "bad_request", "the request is not valid HTTP/1.1"};
 }
 
-class Session {
+// One connection: reads a request, hands it to the handler, writes the response, and so on. Kept
+// alive by the handlers of its operations. All functions run on the connection's loop.
+class Session : public std::enable_shared_from_this<Session> {
  public:
   Session(std::shared_ptr<Shared> shared, Tcp::socket socket, std::size_t loop)
       : shared_(std::move(shared)),
         loop_(loop),
         counted_(shared_->connections, 1),
         stream_(std::move(socket)),
+        timer_(stream_.get_executor()),
         buffer_(shared_->options.max_header_bytes + 8192) {}
 
-  asio::awaitable<void> Run() {
-    while (!shared_->draining && co_await ServeOne()) {
+  // Waits for the first byte of the next request.
+  void Next() {
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(shared_->options.max_header_bytes));
+    parser_->body_limit(shared_->options.max_body_bytes);
+    if (buffer_.size() > 0) {
+      ReadHeader();
+      return;
     }
-    error_code ignored;
-    stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    if (shared_->draining) {
+      Close();
+      return;
+    }
+    stream_.expires_after(shared_->options.idle_timeout);
+    stream_.async_read_some(buffer_.prepare(4096),
+                            [self = shared_from_this()](const error_code& error, std::size_t size) {
+                              if (error) return self->Close();
+                              self->buffer_.commit(size);
+                              self->ReadHeader();
+                            });
   }
 
  private:
-  // Serves one request; false if the connection must be closed.
-  asio::awaitable<bool> ServeOne() {
+  void ReadHeader() {
+    // Counted from its first byte, so that a shutdown waits for a request that is being received.
+    active_.emplace(shared_->active_requests, 1);
+    stream_.expires_after(shared_->options.header_timeout);
+    http::async_read_header(stream_, buffer_, *parser_,
+                            [self = shared_from_this()](const error_code& error, std::size_t) {
+                              if (error) return self->RejectAfter(error);
+                              self->OnHeader();
+                            });
+  }
+
+  void OnHeader() {
     const HttpServerOptions& options = shared_->options;
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(options.max_header_bytes));
-    parser.body_limit(options.max_body_bytes);
-    error_code error;
-    if (buffer_.size() == 0) {
-      stream_.expires_after(options.idle_timeout);
-      auto bytes = co_await stream_.async_read_some(buffer_.prepare(4096), Redirect(error));
-      if (error) co_return false;
-      buffer_.commit(bytes);
-    }
-    stream_.expires_after(options.header_timeout);
-    co_await http::async_read_header(stream_, buffer_, parser, Redirect(error));
-    if (error) co_return co_await Reject(ProblemOf(error), error);
-    TimePoint received = SteadyClock().Now();
-    if (auto problem = CheckHeader(parser.get())) co_return co_await Reject(*problem, error);
+    received_ = SteadyClock().Now();
+    if (auto problem = CheckHeader(parser_->get())) return Reject(*problem);
     std::size_t length =
-        parser.content_length().value_or(parser.chunked() ? options.max_body_bytes : 0);
-    if (length > options.max_body_bytes) {
-      co_return co_await Reject(ProblemOf(http::error::body_limit), error);
-    }
-    Counted buffered(shared_->buffered_bytes, length);
+        parser_->content_length().value_or(parser_->chunked() ? options.max_body_bytes : 0);
+    if (length > options.max_body_bytes) return Reject(ProblemOf(http::error::body_limit));
+    buffered_.emplace(shared_->buffered_bytes, length);
     if (shared_->buffered_bytes > options.max_buffered_bytes) {
-      // A named object: GCC 12 destroys braced temporaries in co_await expressions twice.
-      Problem problem{503, "overloaded", "too many request bodies at once", Verdict::kNotRun,
-                      std::chrono::seconds(1)};
-      co_return co_await Reject(problem, error);
+      return Reject({503, "overloaded", "too many request bodies at once", Verdict::kNotRun,
+                     std::chrono::seconds(1)});
     }
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-      http::response<http::empty_body> go_on(http::status::continue_, 11);
-      co_await http::async_write(stream_, go_on, Redirect(error));
-      if (error) co_return false;
+    if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+      return SendContinue();
     }
-    stream_.expires_after(options.body_timeout);
-    co_await http::async_read(stream_, buffer_, parser, Redirect(error));
-    if (error) co_return co_await Reject(ProblemOf(error), error);
-    Counted active(shared_->active_requests, 1);
-    bool keep_alive = parser.get().keep_alive();
-    HttpResponse response = co_await Handle(parser.release(), received);
-    keep_alive = keep_alive && !shared_->draining;
-    co_return co_await Write(std::move(response), keep_alive);
+    ReadBody();
+  }
+
+  void SendContinue() {
+    continue_.emplace(http::status::continue_, 11);
+    http::async_write(stream_, *continue_,
+                      [self = shared_from_this()](const error_code& error, std::size_t) {
+                        if (error) return self->Close();
+                        self->ReadBody();
+                      });
+  }
+
+  void ReadBody() {
+    stream_.expires_after(shared_->options.body_timeout);
+    http::async_read(stream_, buffer_, *parser_,
+                     [self = shared_from_this()](const error_code& error, std::size_t) {
+                       if (error) return self->RejectAfter(error);
+                       self->Handle();
+                     });
   }
 
-  asio::awaitable<HttpResponse> Handle(http::request<http::string_body> message,
-                                       TimePoint received) {
+  void Handle() {
+    auto message = parser_->release();
+    keep_alive_ = message.keep_alive();
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     request.content_type = std::string(message[http::field::content_type]);
     request.body = std::move(message.body());
     request.loop = loop_;
-    request.received = received;
-    auto pending = std::make_shared<PendingResponse>(stream_.get_executor());
-    pending->ready.expires_after(shared_->options.handler_timeout);
+    request.received = received_;
     stream_.expires_never();
-    shared_->handler(std::move(request), [pending](HttpResponse response) {
-      asio::post(pending->executor, [pending, response = std::move(response)]() mutable {
-        pending->response = std::move(response);
-        pending->ready.cancel();
-      });
+    std::uint64_t number = ++request_number_;
+    timer_.expires_after(shared_->options.handler_timeout);
+    timer_.async_wait([self = shared_from_this(), number](const error_code& error) {
+      if (error) return;
+      self->Respond(number,
+                    MakeProblemResponse({504, "handler_timeout", "no response was produced in time",
+                                         Verdict::kMayHaveRun}));
     });
-    error_code error;
-    co_await pending->ready.async_wait(Redirect(error));
-    if (pending->response) co_return std::move(*pending->response);
-    Problem problem{504, "handler_timeout", "no response was produced in time",
-                    Verdict::kMayHaveRun};
-    co_return MakeProblemResponse(problem);
+    shared_->handler(
+        std::move(request), [self = shared_from_this(), number](HttpResponse response) {
+          auto executor = self->stream_.get_executor();
+          asio::post(executor, [self, number, response = std::move(response)]() mutable {
+            self->Respond(number, std::move(response));
+          });
+        });
+  }
+
+  // Sends the response to the request with this number; a second one for it is dropped.
+  void Respond(std::uint64_t number, HttpResponse response) {
+    if (number != request_number_ || !active_) return;
+    timer_.cancel();
+    ++request_number_;
+    buffered_.reset();
+    keep_alive_ = keep_alive_ && !shared_->draining && !shared_->close_after_responses;
+    Write(std::move(response));
   }
 
-  asio::awaitable<bool> Write(HttpResponse response, bool keep_alive) {
-    auto message = ToBeast(std::move(response), keep_alive);
+  void Write(HttpResponse response) {
+    response_.emplace(ToBeast(std::move(response), keep_alive_));
     stream_.expires_after(shared_->options.write_timeout);
-    error_code error;
-    co_await http::async_write(stream_, message, Redirect(error));
-    co_return !error && keep_alive;
+    http::async_write(stream_, *response_,
+                      [self = shared_from_this()](const error_code& error, std::size_t) {
+                        self->active_.reset();
+                        self->response_.reset();
+                        if (self->rejected_) return self->DiscardRest();
+                        if (error || !self->keep_alive_) return self->Close();
+                        self->Next();
+                      });
   }
 
-  // Answers a request that cannot be read to its end, then closes the connection.
-  asio::awaitable<bool> Reject(Problem problem, const error_code& error) {
+  // Ends a connection whose request could not be read.
+  void RejectAfter(const error_code& error) {
     bool closed = error == http::error::end_of_stream || error == asio::error::eof ||
                   error == asio::error::connection_reset || error == http::error::partial_message;
     // Beast closes the socket on a timeout, so nothing can be sent then.
-    if (closed || error == beast::error::timeout) co_return false;
-    co_await Write(MakeProblemResponse(problem), false);
-    co_await DiscardRest();
-    co_return false;
+    if (closed || error == beast::error::timeout || error == asio::error::operation_aborted) {
+      return Close();
+    }
+    Reject(ProblemOf(error));
+  }
+
+  void Reject(const Problem& problem) {
+    rejected_ = true;
+    keep_alive_ = false;
+    Write(MakeProblemResponse(problem));
   }
 
   // Closing with unread input makes the kernel reset the connection, and the client may lose the
   // response. Reads on for a bounded time and amount.
-  asio::awaitable<void> DiscardRest() {
-    constexpr std::size_t kMaxDiscardedBytes = 4 * 1024 * 1024;
-    error_code error;
-    stream_.socket().shutdown(Tcp::socket::shutdown_send, error);
-    std::array<char, 8192> scratch;
-    stream_.expires_after(std::chrono::seconds(1));
-    for (std::size_t total = 0; !error && total < kMaxDiscardedBytes;) {
-      total += co_await stream_.async_read_some(asio::buffer(scratch), Redirect(error));
+  void DiscardRest() {
+    if (!discarding_) {
+      discarding_ = true;
+      error_code ignored;
+      stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+      stream_.expires_after(kDiscardTime);
     }
+    buffer_.consume(buffer_.size());
+    stream_.async_read_some(buffer_.prepare(4096),
+                            [self = shared_from_this()](const error_code& error, std::size_t size) {
+                              self->discarded_ += size;
+                              if (error || self->discarded_ > kMaxDiscardedBytes) {
+                                return self->Close();
+                              }
+                              self->DiscardRest();
+                            });
+  }
+
+  void Close() {
+    active_.reset();
+    buffered_.reset();
+    error_code ignored;
+    stream_.socket().shutdown(Tcp::socket::shutdown_both, ignored);
+    stream_.socket().close(ignored);
   }
 
   std::shared_ptr<Shared> shared_;
   std::size_t loop_;
   Counted counted_;
   beast::tcp_stream stream_;
+  asio::steady_timer timer_;
   beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::response<http::empty_body>> continue_;
+  std::optional<http::response<http::string_body>> response_;
+  std::optional<Counted> active_;    // While a request is received or served.
+  std::optional<Counted> buffered_;  // Bytes of its body.
+  TimePoint received_;
+  std::uint64_t request_number_ = 0;
+  bool keep_alive_ = false;
+  bool rejected_ = false;
+  bool discarding_ = false;
+  std::size_t discarded_ = 0;
 };
 
-asio::awaitable<void> RunSession(std::shared_ptr<Shared> shared, Tcp::socket socket,
-                                 std::size_t loop) {
-  Session session(std::move(shared), std::move(socket), loop);
-  co_await session.Run();
+void AcceptNext(const std::shared_ptr<Shared>& shared, std::size_t next);
+
+void OnAccepted(const std::shared_ptr<Shared>& shared, std::size_t loop, const error_code& error,
+                Tcp::socket socket) {
+  // Connections above the limit are closed at once.
+  if (error || shared->connections >= shared->options.max_connections) return;
+  error_code ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  auto session = std::make_shared<Session>(shared, std::move(socket), loop);
+  // The session must start on its own loop, as its stream is not shared between threads.
+  asio::post(*shared->loops[loop], [session] { session->Next(); });
 }
 
-void Spawn(const std::shared_ptr<Shared>& shared, Tcp::socket socket, std::size_t loop) {
-  auto executor = socket.get_executor();
-  asio::co_spawn(
-      executor, RunSession(shared, std::move(socket), loop), [](std::exception_ptr failure) {
-        if (!failure) return;
-        try {
-          std::rethrow_exception(failure);
-        } catch (const std::exception& e) {
-          LogLine(LogLevel::kError, "HTTP session ended by an exception").Field("error", e.what());
-        }
-      });
+void PauseAccepting(const std::shared_ptr<Shared>& shared, std::size_t next) {
+  auto pause = std::make_shared<asio::steady_timer>(*shared->loops.front(), kAcceptPause);
+  pause->async_wait([shared, next, pause](const error_code&) { AcceptNext(shared, next); });
 }
 
-asio::awaitable<void> AcceptLoop(std::shared_ptr<Shared> shared) {
-  std::size_t next = 0;
-  while (!shared->draining) {
-    error_code error;
-    std::size_t loop = next++ % shared->loops.size();
-    Tcp::socket socket(*shared->loops[loop]);
-    co_await shared->acceptor->async_accept(socket, Redirect(error));
-    if (error == asio::error::operation_aborted) co_return;
-    if (error) {
-      // Out of file descriptors, for example: wait instead of spinning.
-      asio::steady_timer pause(co_await asio::this_coro::executor, std::chrono::milliseconds(10));
-      co_await pause.async_wait(Redirect(error));
-      continue;
-    }
-    if (shared->connections >= shared->options.max_connections) continue;  // Closes the socket.
-    socket.set_option(Tcp::no_delay(true), error);
-    // The session must start on its own loop, as its stream is not shared between threads.
-    auto executor = socket.get_executor();
-    asio::post(executor, [shared, loop, socket = std::move(socket)]() mutable {
-      Spawn(shared, std::move(socket), loop);
-    });
-  }
+void AcceptNext(const std::shared_ptr<Shared>& shared, std::size_t next) {
+  if (shared->draining || !shared->acceptor) return;
+  std::size_t loop = next % shared->loops.size();
+  shared->acceptor->async_accept(*shared->loops[loop],
+                                 [shared, loop, next](const error_code& error, Tcp::socket socket) {
+                                   if (error == asio::error::operation_aborted) return;
+                                   OnAccepted(shared, loop, error, std::move(socket));
+                                   // Out of file descriptors, for example: wait instead of
+                                   // spinning.
+                                   if (error) return PauseAccepting(shared, next + 1);
+                                   AcceptNext(shared, next + 1);
+                                 });
 }
 
 }  // namespace
@@ -282,7 +335,12 @@
   shared_->handler = std::move(handler);
 }
 
-HttpServer::~HttpServer() { shared_->draining = true; }
+HttpServer::~HttpServer() {
+  shared_->draining = true;
+  // Sessions on other loops keep the shared state longer than the first loop lives, to which the
+  // acceptor belongs.
+  if (!shared_->loops.empty() && shared_->loops.front()->stopped()) shared_->acceptor.reset();
+}
 
 absl::Status HttpServer::Start() {
   error_code error;
@@ -299,7 +357,7 @@
     return absl::UnavailableError(fmt::format(
         "cannot listen on {}: {}", FormatEndpoint(shared_->options.listen), error.message()));
   }
-  asio::co_spawn(*shared_->loops.front(), AcceptLoop(shared_), asio::detached);
+  asio::post(*shared_->loops.front(), [shared = shared_] { AcceptNext(shared, 0); });
   return absl::OkStatus();
 }
 
@@ -311,6 +369,8 @@
   });
 }
 
+void HttpServer::CloseAfterResponses() { shared_->close_after_responses = true; }
+
 std::size_t HttpServer::active_requests() const { return shared_->active_requests; }
 
 std::size_t HttpServer::open_connections() const { return shared_->connections; }
--- a/src/node/backend_channel.cc
+++ b/src/node/backend_channel.cc
@@ -22,8 +22,7 @@
 BackendChannel::BackendChannel(EventLoop& loop, const ServiceName& service, BackendServer backend,
                                WarmthOptions warmth, LatencyQuantiles& latency,
                                BackendChannelHooks hooks)
-    : loop_(loop),
-      service_(service),
+    : service_(service),
       backend_(std::move(backend)),
       hooks_(std::move(hooks)),
       warmth_(std::move(warmth)),
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -19,8 +19,7 @@
 
 ControlPlane::ControlPlane(EventLoop& loop, ControlIdentity identity, Snapshot<NodeView>& view,
                            ControlHooks hooks)
-    : loop_(loop),
-      identity_(std::move(identity)),
+    : identity_(std::move(identity)),
       view_(view),
       hooks_(std::move(hooks)),
       node_copies_(kNodeCopyRatio, kNodeCopyBurst),
--- a/src/node/shard_exchange.cc
+++ b/src/node/shard_exchange.cc
@@ -85,18 +85,21 @@
                    FormatKeyRange(call.call.range));
   }
   request.bytes += body;
+  request.request_id = WireRequestId(call);
   return request;
 }
 
 ExchangeRequest MakeCancelRequest(const HolderCall& call, const Endpoint& backend) {
   return {fmt::format("DELETE /shard/calls/{}/{} HTTP/1.1\r\nHost: {}\r\n\r\n", WireRequestId(call),
                       call.call.call_id, FormatEndpoint(backend)),
-          kCancelTimeout};
+          kCancelTimeout,
+          {}};
 }
 
 ExchangeRequest MakeHealthRequest(const Endpoint& backend) {
   return {fmt::format("GET /health HTTP/1.1\r\nHost: {}\r\n\r\n", FormatEndpoint(backend)),
-          kHealthTimeout};
+          kHealthTimeout,
+          {}};
 }
 
 ShardOutcome JudgeExchange(const HolderCall& call, const ExchangeResult& result,
