Document operations with executed commands

Cause: operators had no page on settings, changes, upgrades, warnings and exit codes.

Change: docs/operations.md. tests/operations_doc_test.cc runs each damaskctl command of the page in order against two entry nodes with the platform stand-in as their store and compares the exit codes, parses the settings example, and checks that the page has each settings key, each metric and each warning or error that the sources log. Cluster::UseStore adds the stand-in.

--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -7,9 +7,11 @@
 #include <vector>
 
 #include "damaskroute/node/entry_node.h"
+#include "damaskroute/store/http_threads.h"
 #include "rapidjson/document.h"
 #include "standins/backend_standin.h"
 #include "standins/loop.h"
+#include "standins/platform_standin.h"
 #include "tests/support/http_call.h"
 
 namespace damaskroute::testing {
@@ -26,7 +28,8 @@
 }
 
 /// Entry nodes and stand-in backend servers in one process, over real sockets on loopback. The
-/// configuration and the roster are installed directly, without a store.
+/// configuration and the roster are installed directly, or with `UseStore` come from a stand-in of
+/// the platform.
 class Cluster {
  public:
   Cluster() {
@@ -37,6 +40,15 @@
   ~Cluster() {
     nodes_.clear();
     backends_.clear();
+    platform_.reset();
+  }
+
+  /// Configuration and roster go through a store. Call before `AddNode`.
+  standins::PlatformStandin& UseStore(const standins::PlatformOptions& options = {}) {
+    InitializeHttpThreads();
+    platform_ = std::make_unique<standins::PlatformStandin>(loop_, FreeEndpoint(), options);
+    (void)platform_->Start();
+    return *platform_;
   }
 
   void AddZone(const std::string& name) { config_.zones.push_back({name, "r", {}}); }
@@ -48,7 +60,9 @@
     settings.loops = 2;
     settings.callers = FreeEndpoint();
     settings.operators = FreeEndpoint();
+    settings.operator_token = "operators-secret-0123";
     settings.peers = FreeEndpoint();
+    if (platform_) settings.store = platform_->endpoint();
     settings.peer_keys.current = {1, "0123456789abcdef0123456789abcdef"};
     settings.drain_time = std::chrono::milliseconds(0);
     settings_.push_back(settings);
@@ -84,17 +98,19 @@
     config_.fronts.push_back({name, name, std::chrono::milliseconds(5000), {}});
   }
 
-  /// Starts all nodes with the present configuration.
+  /// Starts all nodes with the present configuration; with a store, with what the store holds.
   absl::Status Start() {
     Roster roster;
     roster.revision = 1;
     Incarnation incarnation = 100;
-    for (const NodeSettings& settings : settings_) {
+    for (NodeSettings settings : settings_) {
+      for (const Seat& seat : roster.seats) settings.seeds.push_back(seat.peer);
       roster.seats.push_back({settings.node, settings.zone, settings.peers, incarnation});
       nodes_.push_back(std::make_unique<EntryNode>(settings, incarnation++));
       absl::Status status = nodes_.back()->Start();
       if (!status.ok()) return status;
     }
+    if (platform_) return absl::OkStatus();
     for (auto& node : nodes_) {
       node->InstallRoster(roster);
       node->InstallConfig(config_);
@@ -129,6 +145,7 @@
 
  private:
   standins::Loop loop_;
+  std::unique_ptr<standins::PlatformStandin> platform_;
   std::vector<std::unique_ptr<standins::BackendStandin>> backends_;
   std::vector<BackendServer> pending_;
   ConfigDocument config_;
