--- a/benchmark/damaskbench.cc
+++ b/benchmark/damaskbench.cc
@@ -5,14 +5,13 @@
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
-#include "absl/flags/usage.h"
-#include "absl/flags/usage_config.h"
 #include "absl/strings/str_split.h"
 #include "benchmark/support/baseline_target.h"
 #include "benchmark/support/entry_target.h"
 #include "benchmark/support/load_generator.h"
 #include "damaskroute/config/declaration.h"
 #include "damaskroute/core/error_text.h"
+#include "damaskroute/settings/program.h"
 #include "fmt/format.h"
 
 ABSL_FLAG(std::vector<std::string>, targets, {}, "Callers' ports of entry nodes, IP:PORT,...");
@@ -34,6 +33,30 @@
 namespace damaskroute::bench {
 namespace {
 
+constexpr char kUsage[] = R"(damaskbench - open-loop load on search fronts
+
+usage: damaskbench --targets=IP:PORT,... --front=NAME [OPTIONS]
+
+  --targets=IP:PORT,...   callers' ports of entry nodes
+  --front=NAME            search front, or service for the baseline
+  --query=JSON            query object, default {}
+  --rate=N                queries per second, default 100
+  --duration=SPAN         time over which queries arrive, default 5s
+  --deadline=SPAN         deadline of each query, default 1s
+  --urgent=N              fraction of urgent queries, 0 to 1, default 0
+  --seed=N                seed of the arrivals, default 1
+  --loops=N               event loops of the load generator, default 2
+  --policy=NAME           damaskroute, or baseline: random replica, one retry
+  --declaration=PATH      declaration file or directory, for the baseline
+  --format=text|json      default text
+  --label=NAME            name of the run in the output, default load
+  --timeline              also prints a line per second
+  --help, --version
+
+The latency of a query counts from its scheduled arrival.
+exit codes: 0 after the run, 1 unknown option, 2 wrong options
+)";
+
 double Millis(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -145,12 +168,9 @@
 }  // namespace damaskroute::bench
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(
-      "Open-loop load on search fronts.\n\n  damaskbench --targets=IP:PORT,... --front=NAME "
-      "--rate=100 --duration=10s\n\nThe latency of a query counts from its scheduled arrival.");
-  absl::FlagsUsageConfig config;
-  config.version_string = [] { return std::string("damaskbench " DAMASKROUTE_VERSION "\n"); };
-  absl::SetFlagsUsageConfig(config);
+  const damaskroute::Program program{"damaskbench", DAMASKROUTE_VERSION,
+                                     damaskroute::bench::kUsage};
+  if (auto ended = program.AnswerInfoFlags({argv + 1, argv + argc})) return Print(*ended);
   absl::ParseCommandLine(argc, argv);
   return damaskroute::bench::Run();
 }
--- a/daemons/damask_standin.cc
+++ b/daemons/damask_standin.cc
@@ -6,9 +6,8 @@
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
-#include "absl/flags/usage.h"
-#include "absl/flags/usage_config.h"
 #include "damaskroute/core/asio.h"
+#include "damaskroute/settings/program.h"
 #include "fmt/format.h"
 #include "standins/backend_standin.h"
 #include "standins/control_standin.h"
@@ -22,7 +21,17 @@
 namespace damaskroute::standins {
 namespace {
 
-constexpr int kExitSettings = 2;
+constexpr char kUsage[] =
+    R"(damask_standin - stand-ins for backend servers and the platform, for tests and benchmarks
+
+usage: damask_standin --settings=FILE [--check]
+
+  --settings=FILE    settings file (YAML)
+  --check            check the settings file, then exit
+  --help, --version
+
+exit codes: 0 after a signal, 1 cannot start or unknown option, 2 wrong settings
+)";
 
 void WaitForSignal() {
   asio::io_context io(1);
@@ -65,25 +74,16 @@
   return 0;
 }
 
-int Main() {
-  auto settings = LoadStandinSettings(absl::GetFlag(FLAGS_settings));
-  if (!settings.ok()) {
-    fmt::print(stderr, "{}\n", std::string{settings.status().message()});
-    return kExitSettings;
-  }
-  return absl::GetFlag(FLAGS_check) ? 0 : Serve(*settings);
-}
-
 }  // namespace
 }  // namespace damaskroute::standins
 
 int main(int argc, char** argv) {
-  absl::FlagsUsageConfig usage;
-  usage.version_string = [] { return std::string("damask_standin " DAMASKROUTE_VERSION "\n"); };
-  absl::SetFlagsUsageConfig(usage);
-  absl::SetProgramUsageMessage(
-      "Stand-ins for backend servers and the platform, for tests and benchmarks.\n"
-      "Usage: damask_standin --settings=FILE [--check]");
+  const damaskroute::Program program{"damask_standin", DAMASKROUTE_VERSION,
+                                     damaskroute::standins::kUsage};
+  if (auto ended = program.AnswerInfoFlags({argv + 1, argv + argc})) return Print(*ended);
   absl::ParseCommandLine(argc, argv);
-  return damaskroute::standins::Main();
+  std::string file = absl::GetFlag(FLAGS_settings);
+  auto settings = damaskroute::standins::LoadStandinSettings(file);
+  auto ended = program.AfterSettings(file, settings.status(), absl::GetFlag(FLAGS_check));
+  return ended ? Print(*ended) : damaskroute::standins::Serve(*settings);
 }
--- a/daemons/damaskrouted.cc
+++ b/daemons/damaskrouted.cc
@@ -6,22 +6,30 @@
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
-#include "absl/flags/usage.h"
-#include "absl/flags/usage_config.h"
 #include "damaskroute/core/error_text.h"
 #include "damaskroute/log/log_line.h"
 #include "damaskroute/node/entry_node.h"
 #include "damaskroute/settings/node_settings.h"
-#include "fmt/format.h"
+#include "damaskroute/settings/program.h"
 
 ABSL_FLAG(std::string, settings, "", "Settings file (YAML).");
 ABSL_FLAG(bool, check, false, "Check the settings file, then exit.");
 
 namespace {
 
-constexpr int kExitSettings = 2;
 constexpr int kExitStart = 3;
 
+constexpr char kUsage[] = R"(damaskrouted - entry node of damaskroute
+
+usage: damaskrouted --settings=FILE [--check]
+
+  --settings=FILE    settings file (YAML), see docs/operations.md
+  --check            check the settings file, then exit
+  --help, --version
+
+exit codes: 0 after a graceful shutdown, 1 unknown option, 2 wrong settings, 3 cannot start
+)";
+
 damaskroute::Incarnation NewIncarnation() {
   return static_cast<damaskroute::Incarnation>(
       std::chrono::duration_cast<std::chrono::microseconds>(
@@ -58,26 +66,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(
-      "Entry node of damaskroute.\n\n  damaskrouted --settings=FILE [--check]\n\nExit codes: 0 "
-      "after a graceful shutdown, 2 for wrong settings, 3 if the node cannot start.");
-  absl::FlagsUsageConfig config;
-  config.version_string = [] { return std::string("damaskrouted " DAMASKROUTE_VERSION "\n"); };
-  absl::SetFlagsUsageConfig(config);
+  const damaskroute::Program program{"damaskrouted", DAMASKROUTE_VERSION, kUsage};
+  if (auto ended = program.AnswerInfoFlags({argv + 1, argv + argc})) return Print(*ended);
   absl::ParseCommandLine(argc, argv);
   std::string file = absl::GetFlag(FLAGS_settings);
-  if (file.empty()) {
-    fmt::print(stderr, "damaskrouted: --settings=FILE is required, see --help\n");
-    return kExitSettings;
-  }
   auto settings = damaskroute::LoadNodeSettings(file);
-  if (!settings.ok()) {
-    fmt::print(stderr, "{}\n", damaskroute::ErrorText(settings.status()));
-    return kExitSettings;
-  }
-  if (absl::GetFlag(FLAGS_check)) {
-    fmt::print("{}: OK\n", file);
-    return 0;
-  }
-  return Run(*std::move(settings));
+  auto ended = program.AfterSettings(file, settings.status(), absl::GetFlag(FLAGS_check));
+  return ended ? Print(*ended) : Run(*std::move(settings));
 }
--- a/include/damaskroute/peer/peer_keys.h
+++ b/include/damaskroute/peer/peer_keys.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKROUTE_PEER_PEER_KEYS_H_
 #define DAMASKROUTE_PEER_PEER_KEYS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,6 +10,9 @@
 
 namespace damaskroute {
 
+/// Shortest secret of a peer key, in bytes.
+inline constexpr std::size_t kMinPeerSecretBytes = 16;
+
 /// Secret shared by all nodes, with the number that names it on the wire.
 struct PeerKey {
   std::uint8_t id = 0;
--- a/src/peer/peer_keys.cc
+++ b/src/peer/peer_keys.cc
@@ -9,9 +9,8 @@
 }
 
 absl::Status PeerKeys::Validate() const {
-  constexpr std::size_t kMinSecretSize = 16;
-  if (current.secret.size() < kMinSecretSize ||
-      (other.has_value() && other->secret.size() < kMinSecretSize)) {
+  if (current.secret.size() < kMinPeerSecretBytes ||
+      (other.has_value() && other->secret.size() < kMinPeerSecretBytes)) {
     return absl::InvalidArgumentError("a peer key needs a secret of at least 16 bytes");
   }
   if (other.has_value() && other->id == current.id) {
--- a/src/settings/node_settings.cc
+++ b/src/settings/node_settings.cc
@@ -14,9 +14,12 @@
 
 absl::StatusOr<std::string> ReadFile(const std::filesystem::path& path) {
   std::ifstream stream(path, std::ios::binary);
-  if (!stream) return absl::NotFoundError(fmt::format("{}: cannot be read", path.string()));
   std::ostringstream text;
-  text << stream.rdbuf();
+  // Fails for a directory and for an empty file as well.
+  if (!stream || !(text << stream.rdbuf())) {
+    return absl::NotFoundError(
+        fmt::format("{}:1:1: expected a readable file that is not empty", path.string()));
+  }
   return text.str();
 }
 
@@ -35,7 +38,7 @@
   if (name.empty()) return;
   auto token = ReadFile(std::filesystem::path(file).parent_path() / name);
   if (!token.ok()) {
-    operators.Fail("token_file", "a file that can be read");
+    operators.Fail("token_file", "expected the path of a readable file that is not empty");
     return;
   }
   settings.operator_token = *token;
@@ -43,7 +46,17 @@
     settings.operator_token.pop_back();
   }
   if (settings.operator_token.size() < 16) {
-    operators.Fail("token_file", "a file with a token of at least 16 characters");
+    operators.Fail("token_file", "expected a file with a token of at least 16 characters");
+  }
+}
+
+void CheckPeerKeys(const YamlReader& peers, const PeerKeys& keys) {
+  constexpr char kExpected[] = "expected a secret of at least 16 characters";
+  if (keys.current.secret.size() < kMinPeerSecretBytes) peers.Fail("key", kExpected);
+  if (!keys.other.has_value()) return;
+  if (keys.other->secret.size() < kMinPeerSecretBytes) peers.Fail("other_key", kExpected);
+  if (keys.other->id == keys.current.id) {
+    peers.Fail("other_key_id", "expected another number than key_id");
   }
 }
 
@@ -57,15 +70,15 @@
         PeerKey{static_cast<std::uint8_t>(peers.Integer("other_key_id", 0, 255)),
                 peers.String("other_key")};
   }
-  if (!settings.peer_keys.Validate().ok()) {
-    peers.Fail("key", "keys of at least 16 characters with different key ids");
-  }
+  CheckPeerKeys(peers, settings.peer_keys);
   for (const std::string& text : peers.Strings("seeds")) {
     auto seed = ParseEndpoint(text);
     if (seed.ok()) {
       settings.seeds.push_back(*seed);
     } else {
-      peers.Fail("seeds", "a list of addresses such as 127.0.0.1:9000");
+      peers.Fail(
+          "seeds",
+          fmt::format("expected a list of addresses such as 127.0.0.1:9000, found \"{}\"", text));
     }
   }
 }
@@ -83,6 +96,9 @@
   settings.loops = static_cast<int>(root.Integer("loops", 1, 64, 4));
   settings.log_level =
       static_cast<LogLevel>(root.Choice("log_level", {"debug", "info", "warning", "error"}, 1));
+  for (const char* section : {"callers", "operators", "peers"}) {
+    if (!root.Has(section)) root.Fail(section, "expected a mapping, the key is missing");
+  }
   ReadCallers(root.Map("callers"), settings);
   ReadOperators(root.Map("operators"), file, settings);
   ReadPeers(root.Map("peers"), settings);
--- a/src/settings/yaml_reader.cc
+++ b/src/settings/yaml_reader.cc
@@ -107,7 +107,8 @@
 }
 
 void YamlReader::FailAt(const YAML::Mark& mark, const std::string& expected) const {
-  errors_->Add(file_, mark.line + 1, mark.column + 1, expected);
+  // A mapping that is not in the text has no mark, which yaml-cpp states as -1.
+  errors_->Add(file_, std::max(mark.line, 0) + 1, std::max(mark.column, 0) + 1, expected);
 }
 
 void YamlReader::Fail(const char* key, const std::string& expected) const {
--- a/standins/standin_settings.cc
+++ b/standins/standin_settings.cc
@@ -64,8 +64,17 @@
   if (!status.ok()) Fail(value, std::string{status.message()});
 }
 
+// yaml-cpp keeps both entries of a key that occurs twice.
+void ExpectUniqueKeys(const YAML::Node& map) {
+  std::set<std::string> seen;
+  for (const auto& entry : map) {
+    if (!seen.insert(Scalar(entry.first, "a key")).second) Fail(entry.first, "expected a key once");
+  }
+}
+
 BackendSettings ReadBackend(const YAML::Node& node, const BackendOptions& defaults) {
   if (!node.IsMap()) Fail(node, "expected a map with name, endpoint, versions and options");
+  ExpectUniqueKeys(node);
   BackendSettings backend;
   backend.options = defaults;
   for (const auto& entry : node) {
@@ -86,6 +95,7 @@
 
 PlatformSettings ReadPlatform(const YAML::Node& node) {
   if (!node.IsMap()) Fail(node, "expected a map with endpoint and options");
+  ExpectUniqueKeys(node);
   PlatformSettings platform;
   for (const auto& entry : node) {
     if (Scalar(entry.first, "a key") == "endpoint") {
@@ -100,12 +110,14 @@
 
 StandinSettings Read(const YAML::Node& root) {
   if (!root.IsMap()) Fail(root, "expected a map");
+  ExpectUniqueKeys(root);
   StandinSettings settings;
   BackendOptions defaults;
   // The defaults apply to all backend servers, wherever they stand in the file.
   if (root["defaults"]) {
     const YAML::Node node = root["defaults"];
     if (!node.IsMap()) Fail(node, "expected a map of options");
+    ExpectUniqueKeys(node);
     for (const auto& entry : node) {
       ReadOption(entry.first, entry.second, defaults, SetBackendOption);
     }
--- a/tests/standin_settings_test.cc
+++ b/tests/standin_settings_test.cc
@@ -54,6 +54,11 @@
       {"backends: [{name: a, endpoint: 127.0.0.1:1}, {name: a, endpoint: 127.0.0.1:2}]",
        "f.yaml:1:46: "},
       {"platform: {}", "f.yaml:1:11: "},
+      {"threads: 1\nthreads: 2", "f.yaml:2:1: "},
+      {"defaults: {slots: 1, slots: 2}", "f.yaml:1:22: "},
+      {"platform: {endpoint: 127.0.0.1:1, delays: 1s}", "f.yaml:1:35: "},
+      {"platform: {endpoint: 127.0.0.1:1, delay: 1}", "f.yaml:1:42: "},
+      {"backends: [{name: a, endpoint: 127.0.0.1:0}]", "f.yaml:1:32: "},
       {"threads: \"1", "f.yaml:1:"},
   };
   for (const Row& row : rows) {
@@ -63,6 +68,7 @@
     std::string message{settings.status().message()};
     CAPTURE(message);
     CHECK(message.starts_with(row.place));
+    CHECK(message.find('\n') == std::string::npos);
   }
 }
 
--- a/tools/damaskctl.cc
+++ b/tools/damaskctl.cc
@@ -12,6 +12,7 @@
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "damaskroute/ctl/ctl.h"
+#include "damaskroute/settings/program.h"
 #include "damaskroute/settings/yaml_reader.h"
 #include "fmt/format.h"
 #include "pplx/threadpool.h"
@@ -93,19 +94,10 @@
 }  // namespace damaskroute
 
 int main(int argc, char** argv) {
-  std::vector<std::string> texts;
-  for (int i = 0; i < argc; ++i) {
-    std::string text = damaskroute::NormalizeFlag(argv[i]);
-    if (text == "--help" || text == "-h") {
-      fmt::print("{}", damaskroute::CtlUsage());
-      return 0;
-    }
-    if (text == "--version") {
-      fmt::print("damaskctl {}\n", DAMASKROUTE_VERSION);
-      return 0;
-    }
-    texts.push_back(std::move(text));
-  }
+  const damaskroute::Program program{"damaskctl", DAMASKROUTE_VERSION, damaskroute::CtlUsage()};
+  if (auto ended = program.AnswerInfoFlags({argv + 1, argv + argc})) return Print(*ended);
+  std::vector<std::string> texts(argv, argv + argc);
+  for (std::string& text : texts) text = damaskroute::NormalizeFlag(text);
   std::vector<char*> pointers;
   pointers.reserve(texts.size());
   for (std::string& text : texts) pointers.push_back(text.data());
