Use one reply type and one writer of problem documents

Change: HttpReply gives way to HttpResponse, and ProblemReply builds its document with MakeProblemResponse, whose Problem may have a title and a next step and need not have a verdict. tests/problem_test.cc pins the bytes of both kinds; those of the operators' documents equal the output of the removed function. Shared now as well: WriteText and WriteInteger (core/json_writer.h), IsNameCharacter, problems of requests that did not run, the option tables and control messages of the stand-ins, and free ports in tests.

One difference on the wire: bytes that are not UTF-8 in an operator's problem are now replaced, as they were for callers.

--- a/include/damaskroute/http/http_response.h
+++ b/include/damaskroute/http/http_response.h
@@ -6,12 +6,12 @@
 
 namespace damaskroute {
 
-/// Response to be sent by `HttpServer`.
+/// Response to be sent to a caller or an operator.
 struct HttpResponse {
   int status = 200;
   std::string content_type = "application/json";
   std::string body;
-  std::chrono::milliseconds retry_after{0};  ///< Sent as `Retry-After` if above 0.
+  std::chrono::milliseconds retry_after{0};  ///< `HttpServer` sends it as `Retry-After` if above 0.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/intent/intent_server.h
+++ b/include/damaskroute/intent/intent_server.h
@@ -7,7 +7,7 @@
 
 #include "absl/status/statusor.h"
 #include "damaskroute/core/endpoint.h"
-#include "damaskroute/intent/http_reply.h"
+#include "damaskroute/http/http_response.h"
 
 namespace damaskroute {
 
@@ -23,10 +23,10 @@
 /// What the server answers with. The first three run one at a time on a thread of the server and
 /// may block on the store; the others run on the pool, also at the same time, and must not block.
 struct IntentOperations {
-  std::function<HttpReply(const std::string& body, bool is_yaml)> make_plan;
-  std::function<HttpReply(const std::string& plan_id, const std::string& body)> confirm;
-  std::function<HttpReply()> history;
-  std::function<HttpReply()> config;
+  std::function<HttpResponse(const std::string& body, bool is_yaml)> make_plan;
+  std::function<HttpResponse(const std::string& plan_id, const std::string& body)> confirm;
+  std::function<HttpResponse()> history;
+  std::function<HttpResponse()> config;
   std::function<std::string()> status;     ///< JSON.
   std::function<std::string()> burn;       ///< JSON.
   std::function<std::string()> burn_html;  ///< HTML page.
--- a/include/damaskroute/intent/intent_service.h
+++ b/include/damaskroute/intent/intent_service.h
@@ -54,7 +54,7 @@
   }
 
   /// `POST /v1/plans`. `body` is YAML if `is_yaml`, else JSON.
-  HttpReply MakePlan(const std::string& body, bool is_yaml) {
+  HttpResponse MakePlan(const std::string& body, bool is_yaml) {
     absl::StatusOr<PlanRequest> request =
         is_yaml ? absl::StatusOr<PlanRequest>(
                       PlanRequest(std::vector<DeclarationFile>{{"declaration", body}}))
@@ -68,7 +68,7 @@
   }
 
   /// `POST /v1/plans/ID/confirm`.
-  HttpReply Confirm(const std::string& plan_id, const std::string& body) {
+  HttpResponse Confirm(const std::string& plan_id, const std::string& body) {
     absl::StatusOr<ConfirmRequest> confirm = ParseConfirmRequest(body);
     if (!confirm.ok()) return StatusReply(confirm.status());
     absl::StatusOr<VersionedHead> head = ReadHead(*store_);
@@ -96,13 +96,13 @@
   }
 
   /// `GET /v1/history`.
-  HttpReply History() {
+  HttpResponse History() {
     absl::StatusOr<VersionedHead> head = ReadHead(*store_);
     return head.ok() ? HistoryReply(head->head) : StatusReply(head.status());
   }
 
   /// `GET /v1/config`: the configuration in force on this node; works without the store.
-  HttpReply Config() { return ConfigReply(*hooks_.current()); }
+  HttpResponse Config() { return ConfigReply(*hooks_.current()); }
 
  private:
   // The document in force. The node's own copy spares reading the chunks.
@@ -151,7 +151,7 @@
     return plan;
   }
 
-  HttpReply Commit(const CachedPlan& plan) {
+  HttpResponse Commit(const CachedPlan& plan) {
     CommitRequest request{plan.base_revision, plan.id, plan.summary, hooks_.wall_time(),
                           SplitChunks(plan.bytes)};
     CommitOutcome outcome = RunCommit(*store_, CommitResolver(std::move(request)), hooks_.pause);
--- a/src/actions/action_id.cc
+++ b/src/actions/action_id.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <optional>
 
+#include "damaskroute/core/name_character.h"
 #include "fmt/format.h"
 
 namespace damaskroute {
@@ -21,11 +22,6 @@
   return number;
 }
 
-bool IsNameCharacter(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' ||
-         c == '_' || c == '-';
-}
-
 }  // namespace
 
 std::string FormatActionId(const ActionId& id) {
--- a/src/config/config_json.cc
+++ b/src/config/config_json.cc
@@ -1,24 +1,11 @@
 #include "damaskroute/config/config_json.h"
 
+#include "damaskroute/core/json_writer.h"
 #include "damaskroute/settings/yaml_reader.h"
-#include "rapidjson/stringbuffer.h"
-#include "rapidjson/writer.h"
 
 namespace damaskroute {
 namespace {
 
-using JsonWriter = rapidjson::Writer<rapidjson::StringBuffer>;
-
-void WriteText(JsonWriter& writer, const char* key, const std::string& value) {
-  writer.Key(key);
-  writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
-}
-
-void WriteInteger(JsonWriter& writer, const char* key, int value) {
-  writer.Key(key);
-  writer.Int(value);
-}
-
 void WriteZone(JsonWriter& writer, const Zone& zone) {
   writer.StartObject();
   WriteText(writer, "name", zone.name);
--- a/src/http/problem.cc
+++ b/src/http/problem.cc
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/status.hpp>
 #include <string>
+#include <utility>
 
 #include "damaskroute/log/log_line.h"
 #include "fmt/format.h"
@@ -23,10 +24,10 @@
   body = R"({"type":)";
   AppendJsonString(body, problem.type);
   body += R"(,"title":)";
-  AppendJsonString(body, HttpReason(problem.status));
+  AppendJsonString(body, problem.title.empty() ? HttpReason(problem.status) : problem.title);
   body += fmt::format(R"(,"status":{},"detail":)", problem.status);
   AppendJsonString(body, problem.detail);
-  body += fmt::format(R"(,"verdict":"{}")", VerdictName(problem.verdict));
+  if (problem.verdict) body += fmt::format(R"(,"verdict":"{}")", VerdictName(*problem.verdict));
   if (problem.retry_after.count() > 0) {
     body += fmt::format(R"(,"retry_after_ms":{})", problem.retry_after.count());
   }
@@ -34,8 +35,20 @@
     body += R"(,"request_id":)";
     AppendJsonString(body, problem.request_id);
   }
+  if (problem.next_step) {
+    body += R"(,"next_step":)";
+    AppendJsonString(body, *problem.next_step);
+  }
   body += "}\n";
   return response;
 }
 
+HttpResponse MakeProblemResponse(int status, std::string type, std::string detail) {
+  Problem problem;
+  problem.status = status;
+  problem.type = std::move(type);
+  problem.detail = std::move(detail);
+  return MakeProblemResponse(problem);
+}
+
 }  // namespace damaskroute
--- a/src/intent/intent_replies.cc
+++ b/src/intent/intent_replies.cc
@@ -2,26 +2,19 @@
 
 #include "damaskroute/config/config_json.h"
 #include "damaskroute/core/error_text.h"
+#include "damaskroute/core/json_writer.h"
+#include "damaskroute/http/problem.h"
 #include "fmt/chrono.h"
 #include "fmt/format.h"
 #include "fmt/ranges.h"
-#include "rapidjson/stringbuffer.h"
-#include "rapidjson/writer.h"
 
 namespace damaskroute {
 namespace {
 
-using JsonWriter = rapidjson::Writer<rapidjson::StringBuffer>;
-
 // Lines of a problem text; more would hide the next step on a terminal.
 constexpr std::size_t kMaxListed = 10;
 
-void WriteText(JsonWriter& writer, const char* key, const std::string& value) {
-  writer.Key(key);
-  writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
-}
-
-HttpReply RevisionReply(Revision revision, const std::string& plan_id, bool committed) {
+HttpResponse RevisionReply(Revision revision, const std::string& plan_id, bool committed) {
   rapidjson::StringBuffer buffer;
   JsonWriter writer(buffer);
   writer.StartObject();
@@ -41,7 +34,21 @@
 
 }  // namespace
 
-HttpReply StatusReply(const absl::Status& status) {
+HttpResponse ProblemReply(int status, const std::string& type, const std::string& title,
+                          const std::string& detail, const std::string& next_step) {
+  Problem problem;
+  problem.status = status;
+  problem.type = type;
+  problem.title = title;
+  problem.detail = detail;
+  problem.verdict.reset();
+  problem.next_step = next_step;
+  HttpResponse response = MakeProblemResponse(problem);
+  response.body.pop_back();  // Bodies of this interface have no line break at the end.
+  return response;
+}
+
+HttpResponse StatusReply(const absl::Status& status) {
   std::string detail = ErrorText(status);
   if (absl::IsInvalidArgument(status)) {
     return ProblemReply(400, "invalid_request", "The request is not valid", detail,
@@ -59,7 +66,7 @@
                       "Look at the node's log and try another node.");
 }
 
-HttpReply CommitReply(const CommitOutcome& outcome, const std::string& plan_id) {
+HttpResponse CommitReply(const CommitOutcome& outcome, const std::string& plan_id) {
   switch (outcome.result) {
     case CommitResult::kCommitted:
       return RevisionReply(outcome.revision, plan_id, true);
@@ -76,11 +83,11 @@
                       "Confirm the same plan again: it takes effect at most once.");
 }
 
-HttpReply UnchangedReply(Revision revision, const std::string& plan_id) {
+HttpResponse UnchangedReply(Revision revision, const std::string& plan_id) {
   return RevisionReply(revision, plan_id, false);
 }
 
-HttpReply StalePlanReply(const ConfigHead& head, Revision base_revision) {
+HttpResponse StalePlanReply(const ConfigHead& head, Revision base_revision) {
   std::string detail = fmt::format("the plan was made for revision {}, revision {} is in force",
                                    base_revision, head.revision());
   std::size_t listed = 0;
@@ -96,19 +103,19 @@
                       "Nothing has changed. Make a new plan and compare it.");
 }
 
-HttpReply OverrideReply(const CachedPlan& plan) {
+HttpResponse OverrideReply(const CachedPlan& plan) {
   return ProblemReply(428, "override_required", "The plan needs an explicit override",
                       fmt::format("{}", fmt::join(plan.warnings, "; ")),
                       "Nothing has changed. Confirm with override if this is intended.");
 }
 
-HttpReply UnknownPlanReply(const std::string& plan_id) {
+HttpResponse UnknownPlanReply(const std::string& plan_id) {
   return ProblemReply(404, "unknown_plan", "This node does not have the plan",
                       fmt::format("plan {} was made by another node or dropped", plan_id),
                       "Send the plan request with the confirmation, or make the plan again.");
 }
 
-HttpReply HistoryReply(const ConfigHead& head) {
+HttpResponse HistoryReply(const ConfigHead& head) {
   rapidjson::StringBuffer buffer;
   JsonWriter writer(buffer);
   writer.StartObject();
@@ -128,7 +135,7 @@
   return {200, "application/json", buffer.GetString()};
 }
 
-HttpReply ConfigReply(const ConfigDocument& document) {
+HttpResponse ConfigReply(const ConfigDocument& document) {
   rapidjson::StringBuffer buffer;
   JsonWriter writer(buffer);
   std::string declaration = ConfigJson(document);
--- a/src/intent/intent_server.cc
+++ b/src/intent/intent_server.cc
@@ -9,6 +9,7 @@
 
 #include "cpprest/http_listener.h"
 #include "damaskroute/intent/bearer_token.h"
+#include "damaskroute/intent/intent_replies.h"
 #include "fmt/format.h"
 #include "pplx/threadpool.h"
 
@@ -22,7 +23,7 @@
 // Operators are few; more waiting requests mean that the store hangs.
 constexpr std::size_t kMaxWaiting = 32;
 
-void Send(const web::http::http_request& request, const HttpReply& reply) {
+void Send(const web::http::http_request& request, const HttpResponse& reply) {
   web::http::http_response response(static_cast<web::http::status_code>(reply.status));
   response.set_body(reply.body, reply.content_type);
   if (reply.status == 401) response.headers().add("WWW-Authenticate", "Bearer");
@@ -35,7 +36,7 @@
   });
 }
 
-HttpReply NotFoundReply(const std::string& method, const std::string& path) {
+HttpResponse NotFoundReply(const std::string& method, const std::string& path) {
   return ProblemReply(404, "not_found", "No such resource", fmt::format("{} {}", method, path),
                       "See the section on the operators' interface in docs/design.md.");
 }
@@ -200,7 +201,7 @@
     return id.find('/') == std::string::npos ? id : "";
   }
 
-  void Run(const web::http::http_request& request, std::function<HttpReply()> operation) {
+  void Run(const web::http::http_request& request, std::function<HttpResponse()> operation) {
     bool posted = worker_.Post([request, operation = std::move(operation)] {
       try {
         Send(request, operation());
--- a/src/intent/plan.cc
+++ b/src/intent/plan.cc
@@ -1,26 +1,13 @@
 #include "damaskroute/intent/plan.h"
 
+#include "damaskroute/core/json_writer.h"
 #include "fmt/format.h"
-#include "rapidjson/stringbuffer.h"
-#include "rapidjson/writer.h"
 
 namespace damaskroute {
 namespace {
 
 constexpr std::size_t kMaxSummaryBytes = 200;
 
-using JsonWriter = rapidjson::Writer<rapidjson::StringBuffer>;
-
-void WriteText(JsonWriter& writer, const char* key, std::string_view value) {
-  writer.Key(key);
-  writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
-}
-
-void WriteInteger(JsonWriter& writer, const char* key, std::int64_t value) {
-  writer.Key(key);
-  writer.Int64(value);
-}
-
 void WriteConsequence(JsonWriter& writer, const ServiceConsequence& consequence) {
   writer.StartObject();
   WriteText(writer, "service", consequence.service);
--- a/src/intent/plan_request.cc
+++ b/src/intent/plan_request.cc
@@ -2,24 +2,16 @@
 
 #include <optional>
 
+#include "damaskroute/core/json_writer.h"
 #include "rapidjson/document.h"
-#include "rapidjson/stringbuffer.h"
-#include "rapidjson/writer.h"
 
 namespace damaskroute {
 namespace {
 
-using JsonWriter = rapidjson::Writer<rapidjson::StringBuffer>;
-
 constexpr char kExpected[] =
     "expected a JSON object with files (name, text), or zone and state (serving, out), or backend "
     "and intent (serving, leaving), or rollback_to";
 
-void WriteText(JsonWriter& writer, const char* key, const std::string& value) {
-  writer.Key(key);
-  writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
-}
-
 struct RequestWriter {
   JsonWriter& writer;
 
--- a/src/node/action_service.cc
+++ b/src/node/action_service.cc
@@ -30,17 +30,9 @@
   return std::max(std::chrono::duration_cast<microseconds>(deadline - Now()), microseconds(0));
 }
 
-HttpResponse MakeProblem(int status, std::string type, std::string detail) {
-  Problem problem;
-  problem.status = status;
-  problem.type = std::move(type);
-  problem.detail = std::move(detail);
-  return MakeProblemResponse(problem);
-}
-
 HttpResponse UnknownFront(const FrontName& front) {
-  return MakeProblem(404, "unknown_front",
-                     fmt::format("no search front is named \"{}\"", front.substr(0, 64)));
+  return MakeProblemResponse(404, "unknown_front",
+                             fmt::format("no search front is named \"{}\"", front.substr(0, 64)));
 }
 
 // The request as peers and backend servers get it.
@@ -141,7 +133,7 @@
   } else if (auto parsed = ParseActionId(request.action_id); parsed.ok()) {
     id = *std::move(parsed);
   } else {
-    respond(MakeProblem(400, "invalid_action_id", "this id was not issued by damaskroute"));
+    respond(MakeProblemResponse(400, "invalid_action_id", "this id was not issued by damaskroute"));
     return;
   }
   const Seat* seat = view->roster.Find(id.issuer);
@@ -179,7 +171,7 @@
       respond(MakeActionAnswer({Verdict::kMayHaveRun, std::nullopt}, text));
       return;
     case ActionLedger::Step::kInvalid:
-      respond(MakeProblem(400, "invalid_action_id", "this id was never issued"));
+      respond(MakeProblemResponse(400, "invalid_action_id", "this id was never issued"));
       return;
     case ActionLedger::Step::kWait:
     case ActionLedger::Step::kRun:
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -30,14 +30,6 @@
   using Handlers::operator()...;
 };
 
-HttpResponse SimpleProblem(int status, std::string type, std::string detail) {
-  Problem problem;
-  problem.status = status;
-  problem.type = std::move(type);
-  problem.detail = std::move(detail);
-  return MakeProblemResponse(problem);
-}
-
 }  // namespace
 
 struct EntryNode::Worker {
@@ -315,9 +307,9 @@
 }
 
 HttpResponse EntryNode::AnswerReadiness() const {
-  if (draining_) return SimpleProblem(503, "draining", "the node is shutting down");
+  if (draining_) return MakeProblemResponse(503, "draining", "the node is shutting down");
   if (view_.Load()->config.revision == 0) {
-    return SimpleProblem(503, "not_ready", "no configuration is known yet");
+    return MakeProblemResponse(503, "not_ready", "no configuration is known yet");
   }
   return {200, "application/json", "{\"ready\":true}\n"};
 }
@@ -333,11 +325,11 @@
   }
   auto target = ParseFrontTarget(request.target);
   if (!target) {
-    respond(SimpleProblem(404, "unknown_path", "expected /v1/fronts/FRONT/query"));
+    respond(MakeProblemResponse(404, "unknown_path", "expected /v1/fronts/FRONT/query"));
     return;
   }
   if (request.method != "POST") {
-    respond(SimpleProblem(405, "method_not_allowed", "expected POST"));
+    respond(MakeProblemResponse(405, "method_not_allowed", "expected POST"));
     return;
   }
   if (target->operation == "actions" || target->operation == "action-ids") {
@@ -345,13 +337,13 @@
     return;
   }
   if (target->operation != "query") {
-    respond(
-        SimpleProblem(404, "unknown_path", "expected the operation query, actions or action-ids"));
+    respond(MakeProblemResponse(404, "unknown_path",
+                                "expected the operation query, actions or action-ids"));
     return;
   }
   auto query = ParseQueryRequest(request.body);
   if (!query.ok()) {
-    respond(SimpleProblem(400, "invalid_request", std::string(query.status().message())));
+    respond(MakeProblemResponse(400, "invalid_request", std::string(query.status().message())));
     return;
   }
   workers_[request.loop]->queries.Handle(target->front, *std::move(query), request.received,
@@ -369,7 +361,7 @@
   }
   auto action = ParseActionRequest(request.body);
   if (!action.ok()) {
-    respond(SimpleProblem(400, "invalid_request", std::string(action.status().message())));
+    respond(MakeProblemResponse(400, "invalid_request", std::string(action.status().message())));
     return;
   }
   loop.Post([this, front = target.front, action = *std::move(action), received = request.received,
--- a/src/settings/yaml_reader.cc
+++ b/src/settings/yaml_reader.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "damaskroute/core/error_text.h"
+#include "damaskroute/core/name_character.h"
 #include "fmt/format.h"
 #include "fmt/ranges.h"
 
@@ -31,11 +32,6 @@
                                       {"ms", 1'000'000},
                                       {"us", 1'000}}};
 
-bool IsNameCharacter(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' ||
-         c == '_' || c == '-';
-}
-
 template <typename T>
 std::optional<T> ParseNumber(const std::string& text) {
   T value{};
--- a/standins/backend_control.cc
+++ b/standins/backend_control.cc
@@ -10,6 +10,7 @@
 #include "damaskroute/core/json_member.h"
 #include "fmt/format.h"
 #include "standins/backend_core.h"
+#include "standins/control_message.h"
 
 namespace damaskroute::standins {
 namespace {
@@ -70,16 +71,10 @@
 }  // namespace
 
 absl::Status BackendCore::Control(std::string_view json) {
-  rapidjson::Document document;
-  document.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
-  if (document.HasParseError() || !document.IsObject()) {
-    return absl::InvalidArgumentError("expected a JSON object");
-  }
-  absl::Status status;
-  VisitJsonMembers(document, [&](std::string_view name, const rapidjson::Value& value) {
-    status = ControlMember(name, value);
-    return status.ok();
-  });
+  absl::Status status =
+      ApplyControlMessage(json, [this](std::string_view name, const rapidjson::Value& value) {
+        return ControlMember(name, value);
+      });
   if (!status.ok()) return status;
   if (server_) server_->options() = {options_.connections, options_.connect_cost};
   RunWaiting();
--- a/standins/platform_core.cc
+++ b/standins/platform_core.cc
@@ -12,6 +12,7 @@
 #include "damaskroute/store/config_store.h"
 #include "damaskroute/store/vm_list.h"
 #include "fmt/format.h"
+#include "standins/control_message.h"
 #include "standins/request_target.h"
 
 namespace damaskroute::standins {
@@ -294,16 +295,10 @@
 }
 
 absl::Status PlatformCore::Control(std::string_view json) {
-  rapidjson::Document document;
-  document.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
-  if (document.HasParseError() || !document.IsObject()) {
-    return absl::InvalidArgumentError("expected a JSON object");
-  }
-  absl::Status status;
-  VisitJsonMembers(document, [&](std::string_view name, const rapidjson::Value& value) {
-    status = ControlMember(name, value);
-    return status.ok();
-  });
+  absl::Status status =
+      ApplyControlMessage(json, [this](std::string_view name, const rapidjson::Value& value) {
+        return ControlMember(name, value);
+      });
   if (!status.ok()) return status;
   if (options_.refuse || options_.silent) BreakWatches();
   return absl::OkStatus();
--- a/tests/ctl_end_to_end_test.cc
+++ b/tests/ctl_end_to_end_test.cc
@@ -1,21 +1,15 @@
 #include <doctest/doctest.h>
 
-#include "damaskroute/core/asio.h"
 #include "damaskroute/core/snapshot.h"
 #include "damaskroute/ctl/ctl.h"
 #include "damaskroute/intent/intent_server.h"
 #include "damaskroute/intent/intent_service.h"
 #include "tests/fake_log_store.h"
+#include "tests/support/http_call.h"
 
 namespace damaskroute {
 namespace {
 
-std::uint16_t FreePort() {
-  asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-  return acceptor.local_endpoint().port();
-}
-
 TEST_CASE("the examples of a customer are applied, a zone goes out, and a rollback restores it") {
   FakeLogStore store;
   Snapshot<ConfigDocument> current;
@@ -24,7 +18,7 @@
   hooks.on_committed = [&](const ConfigDocument& document) { current.Publish(document); };
   IntentService<FakeLogStore> service(&store, Planner(), hooks);
   IntentOperations operations = OperationsOf(&service);
-  Endpoint address{"127.0.0.1", FreePort()};
+  Endpoint address = testing::FreeEndpoint();
   auto server = IntentServer::Start({address, "operators-secret-0123", 4}, operations);
   REQUIRE_MESSAGE(server.ok(), server.status().message());
 
--- a/tests/intent_server_test.cc
+++ b/tests/intent_server_test.cc
@@ -3,13 +3,13 @@
 #include <doctest/doctest.h>
 
 #include "cpprest/http_client.h"
-#include "damaskroute/core/asio.h"
 #include "damaskroute/core/snapshot.h"
 #include "damaskroute/intent/bearer_token.h"
 #include "damaskroute/intent/intent_service.h"
 #include "fmt/format.h"
 #include "rapidjson/document.h"
 #include "tests/fake_log_store.h"
+#include "tests/support/http_call.h"
 
 namespace damaskroute {
 namespace {
@@ -27,12 +27,6 @@
     "      - {name: desk-2, zone: b, address: \"127.0.0.1:9002\"}\n"
     "fronts: [{name: desk, service: desk}]\n";
 
-std::uint16_t FreePort() {
-  asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-  return acceptor.local_endpoint().port();
-}
-
 // A node with the service, without the HTTP server.
 struct Node {
   explicit Node(FakeLogStore* store) : service(store, Planner(), Hooks()) {}
@@ -50,7 +44,7 @@
   IntentService<FakeLogStore> service;
 };
 
-std::string TextOf(const HttpReply& reply, const char* key) {
+std::string TextOf(const HttpResponse& reply, const char* key) {
   rapidjson::Document document;
   document.Parse(reply.body.data(), reply.body.size());
   REQUIRE(document.IsObject());
@@ -59,14 +53,14 @@
 }
 
 std::string PlanOf(Node& node, const PlanRequest& request) {
-  HttpReply reply = node.service.MakePlan(PlanRequestJson(request), false);
+  HttpResponse reply = node.service.MakePlan(PlanRequestJson(request), false);
   REQUIRE_MESSAGE(reply.status == 200, reply.body);
   return TextOf(reply, "id");
 }
 
 void Apply(Node& node, const PlanRequest& request, bool override_warnings = false) {
-  HttpReply reply = node.service.Confirm(PlanOf(node, request),
-                                         ConfirmRequestJson({override_warnings, false, {}}));
+  HttpResponse reply = node.service.Confirm(PlanOf(node, request),
+                                            ConfirmRequestJson({override_warnings, false, {}}));
   REQUIRE_MESSAGE(reply.status == 200, reply.body);
 }
 
@@ -83,7 +77,7 @@
   CHECK(node.service.Confirm(id, "").status == 200);
   CHECK(node.snapshot.Load()->revision == 1);
   std::size_t values = store.values().size();
-  HttpReply repeat = node.service.Confirm(id, "");
+  HttpResponse repeat = node.service.Confirm(id, "");
   CHECK(repeat.body ==
         fmt::format("{{\"revision\":1,\"change_id\":\"{}\",\"committed\":true}}", id));
   CHECK(store.values().size() == values);
@@ -103,7 +97,7 @@
   Apply(first, Files());
   std::string stale = PlanOf(second, BackendRequest{"desk-1", BackendIntent::kLeaving});
   Apply(first, ZoneRequest{"a", ZoneState::kOut}, true);
-  HttpReply reply = second.service.Confirm(stale, "{\"override\":true}");
+  HttpResponse reply = second.service.Confirm(stale, "{\"override\":true}");
   CHECK(reply.status == 409);
   CHECK(TextOf(reply, "type") == "stale_plan");
   CHECK(TextOf(reply, "detail") ==
@@ -116,7 +110,7 @@
   Node node(&store);
   Apply(node, Files());
   std::string id = PlanOf(node, ZoneRequest{"a", ZoneState::kOut});
-  HttpReply reply = node.service.Confirm(id, "");
+  HttpResponse reply = node.service.Confirm(id, "");
   CHECK(reply.status == 428);
   CHECK(TextOf(reply, "detail") == "service desk is overloaded: 3.6 slots busy (assumed), 3 left");
   CHECK(ReadHead(store)->head.revision() == 1);
@@ -156,7 +150,7 @@
   FakeLogStore store;
   Node node(&store);
   store.set_fault(FakeLogStore::Fault::kUnavailable);
-  HttpReply reply = node.service.MakePlan(kDeclaration, true);
+  HttpResponse reply = node.service.MakePlan(kDeclaration, true);
   CHECK(reply.status == 503);
   CHECK(TextOf(reply, "type") == "store_unavailable");
   reply = node.service.MakePlan("zones: 7", true);
@@ -203,7 +197,7 @@
   IntentOperations operations = OperationsOf(&node.service);
   operations.status = [] { return std::string("{\"revision\":1}"); };
   operations.metrics = [] { return std::string("up 1\n"); };
-  IntentServerSettings settings{{"127.0.0.1", FreePort()}, kToken, 4};
+  IntentServerSettings settings{testing::FreeEndpoint(), kToken, 4};
   auto server = IntentServer::Start(settings, operations);
   REQUIRE_MESSAGE(server.ok(), server.status().message());
 
--- a/tests/membership_driver_test.cc
+++ b/tests/membership_driver_test.cc
@@ -6,22 +6,18 @@
 #include <string>
 #include <vector>
 
+#include "tests/support/http_call.h"
+
 namespace damaskroute {
 namespace {
 
 const PeerKeys kKeys{{1, "secret of the cluster"}, {}};
 
-// A free UDP port of the loopback interface.
-Endpoint FreeEndpoint(asio::io_context& loop) {
-  asio::ip::udp::socket socket(loop, {asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", socket.local_endpoint().port()};
-}
-
 // Two drivers that hand the table to each other directly, as the owner does over TCP.
 struct Pair {
   Pair() {
     for (int i = 0; i < 2; ++i) {
-      endpoints.push_back(FreeEndpoint(loop));
+      endpoints.push_back(testing::FreeEndpoint());
       Member self{i == 0 ? "a" : "b", "z", endpoints[i], 1, 0, MemberState::kAlive};
       MembershipHandlers handlers;
       handlers.send_pull = [this, i](const Endpoint&, const MembersPull& pull) {
