--- a/benchmark/support/baseline_target.cc
+++ b/benchmark/support/baseline_target.cc
@@ -44,6 +44,7 @@
     }
   }
   std::vector<BaselineShard> shards;
+  shards.reserve(replicas.size());
   for (auto& [range, positions] : replicas) shards.push_back({range, std::move(positions)});
   return shards;
 }
--- a/benchmark/support/load_generator.cc
+++ b/benchmark/support/load_generator.cc
@@ -99,6 +99,7 @@
 
 LoadResult RunLoad(const LoadOptions& options, const TargetFactory& make_target) {
   std::vector<std::unique_ptr<LoopLoad>> loads;
+  loads.reserve(static_cast<std::size_t>(options.loops));
   for (int i = 0; i < options.loops; ++i) {
     loads.push_back(std::make_unique<LoopLoad>(options, make_target, i));
   }
--- a/include/damaskroute/node/action_service.h
+++ b/include/damaskroute/node/action_service.h
@@ -47,7 +47,8 @@
   void HandleIssue(const FrontName& front, const Respond& respond);
 
   /// `POST /v1/fronts/F/actions`.
-  void Handle(const FrontName& front, ActionRequest request, TimePoint received, Respond respond);
+  void Handle(const FrontName& front, const ActionRequest& request, TimePoint received,
+              Respond respond);
 
   void OnForwardAction(const Endpoint& from, const ForwardAction& message);
   void OnActionReply(const ActionReply& message);
@@ -61,12 +62,12 @@
   struct Waiting;
   struct Forwarded;
 
-  void Serve(const FrontName& front, const ActionId& id, ActionRequest request, TimePoint deadline,
-             Respond respond);
+  void Serve(const FrontName& front, const ActionId& id, const ActionRequest& request,
+             TimePoint deadline, Respond respond);
   void Run(const FrontName& front, const ActionId& id, const ActionRequest& request,
            TimePoint deadline);
   void SendAttempt(std::unique_ptr<Attempt> attempt);
-  void Conclude(const ActionId& id, ActionOutcome outcome);
+  void Conclude(const ActionId& id, const ActionOutcome& outcome);
   void Forward(const FrontName& front, const ActionId& id, const ActionRequest& request,
                TimePoint deadline, Respond respond);
   void EndForward(std::uint64_t id, HttpResponse response);
--- a/include/damaskroute/node/backend_channel.h
+++ b/include/damaskroute/node/backend_channel.h
@@ -65,7 +65,7 @@
     TimePoint started;
   };
 
-  void Apply(std::vector<QueueAction> actions);
+  void Apply(const std::vector<QueueAction>& actions);
   void Start(std::uint64_t token);
   void Finish(std::uint64_t token, const ExchangeResult& result);
   void Refuse(std::uint64_t token, ShardOutcome outcome);
--- a/include/damaskroute/node/entry_node.h
+++ b/include/damaskroute/node/entry_node.h
@@ -58,7 +58,7 @@
   void MakeOperatorApi();
   std::string RenderStatus();
   void HandleCaller(HttpRequest request, HttpResponder respond);
-  void HandleAction(const FrontTarget& target, HttpRequest request, HttpResponder respond);
+  void HandleAction(const FrontTarget& target, const HttpRequest& request, HttpResponder respond);
   HttpResponse AnswerReadiness() const;
   bool SendToNode(const NodeName& node, Message message);
   void SendTo(const Endpoint& endpoint, Message message);
--- a/src/node/action_service.cc
+++ b/src/node/action_service.cc
@@ -126,7 +126,7 @@
   respond(std::move(response));
 }
 
-void ActionService::Handle(const FrontName& front, ActionRequest request, TimePoint received,
+void ActionService::Handle(const FrontName& front, const ActionRequest& request, TimePoint received,
                            Respond respond) {
   auto view = context_.view->Load();
   const SearchFront* declared = view->config.FindFront(front);
@@ -149,7 +149,7 @@
   if (seat != nullptr) known = seat->incarnation;
   switch (DecideForeign(id, context_.node, context_.incarnation, known)) {
     case ForeignDecision::kOwn:
-      Serve(front, id, std::move(request), deadline, std::move(respond));
+      Serve(front, id, request, deadline, std::move(respond));
       return;
     case ForeignDecision::kForward:
       Forward(front, id, request, deadline, std::move(respond));
@@ -160,7 +160,7 @@
   }
 }
 
-void ActionService::Serve(const FrontName& front, const ActionId& id, ActionRequest request,
+void ActionService::Serve(const FrontName& front, const ActionId& id, const ActionRequest& request,
                           TimePoint deadline, Respond respond) {
   std::string text = FormatActionId(id);
   std::uint64_t fingerprint = Hash64(request.action, Hash64(front));
@@ -290,7 +290,7 @@
   Conclude(attempt->action, {Verdict::kMayHaveRun, std::nullopt});
 }
 
-void ActionService::Conclude(const ActionId& id, ActionOutcome outcome) {
+void ActionService::Conclude(const ActionId& id, const ActionOutcome& outcome) {
   std::string text = FormatActionId(id);
   for (ActionLedger::Waiter waiter : ledger_.Finish(id, outcome, Now())) {
     auto it = waiting_.find(waiter);
@@ -352,7 +352,7 @@
     reply(MakeActionAnswer({Verdict::kMayHaveRun, std::nullopt}, message.action_id));
     return;
   }
-  Serve(message.front, *id, *std::move(request), Now() + message.time_left, std::move(reply));
+  Serve(message.front, *id, *request, Now() + message.time_left, std::move(reply));
 }
 
 void ActionService::OnActionReply(const ActionReply& message) {
--- a/src/node/backend_channel.cc
+++ b/src/node/backend_channel.cc
@@ -74,7 +74,7 @@
   calls_.erase(token);
 }
 
-void BackendChannel::Apply(std::vector<QueueAction> actions) {
+void BackendChannel::Apply(const std::vector<QueueAction>& actions) {
   for (const QueueAction& action : actions) {
     if (const auto* start = std::get_if<StartCall>(&action)) {
       Start(start->token);
@@ -99,8 +99,9 @@
   if (it == calls_.end()) return;
   Entry& entry = it->second;
   entry.started = Now();
-  entry.exchange = client_.Start(MakeExchangeRequest(entry.call, backend_.endpoint, entry.started),
-                                 [this, token](ExchangeResult result) { Finish(token, result); });
+  entry.exchange =
+      client_.Start(MakeExchangeRequest(entry.call, backend_.endpoint, entry.started),
+                    [this, token](const ExchangeResult& result) { Finish(token, result); });
 }
 
 void BackendChannel::Finish(std::uint64_t token, const ExchangeResult& result) {
--- a/src/node/burn_recorder.cc
+++ b/src/node/burn_recorder.cc
@@ -9,7 +9,7 @@
 constexpr std::chrono::minutes kPeriod{1};
 
 // Three days, the longest that a node keeps in memory: 4,320 minutes of 32 bytes per front.
-constexpr std::size_t kMaxMinutes = 3 * 24 * 60;
+constexpr std::size_t kMaxMinutes = std::chrono::minutes(std::chrono::days(3)).count();
 
 }  // namespace
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -29,6 +29,8 @@
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
 };
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 HttpResponse SimpleProblem(int status, std::string type, std::string detail) {
   Problem problem;
@@ -341,7 +343,7 @@
     return;
   }
   if (target->operation == "actions" || target->operation == "action-ids") {
-    HandleAction(*target, std::move(request), std::move(respond));
+    HandleAction(*target, request, std::move(respond));
     return;
   }
   if (target->operation != "query") {
@@ -358,7 +360,7 @@
                                          std::move(respond));
 }
 
-void EntryNode::HandleAction(const FrontTarget& target, HttpRequest request,
+void EntryNode::HandleAction(const FrontTarget& target, const HttpRequest& request,
                              HttpResponder respond) {
   EventLoop& loop = workers_.front()->loop;
   if (target.operation == "action-ids") {
--- a/src/node/replication.cc
+++ b/src/node/replication.cc
@@ -17,6 +17,11 @@
 
 TimePoint Now() { return SteadyClock().Now(); }
 
+// The roster has messages of its own; there is one roster, so the zone stays empty.
+Message AboutRoster(const ConfigAnnounce& message) { return RosterAnnounce{{}, message}; }
+Message AboutRoster(const ConfigPull& message) { return RosterPull{{}, message}; }
+Message AboutRoster(const ConfigData& message) { return RosterData{{}, message}; }
+
 }  // namespace
 
 Replication::Replication(EventLoop& loop, const Member& self, const PeerKeys& keys,
@@ -98,16 +103,7 @@
     const auto& send = std::get<SendToPeer>(action);
     std::visit(
         [&](const auto& message) {
-          using T = std::decay_t<decltype(message)>;
-          if (!is_roster) {
-            hooks_.send(send.to, message);
-          } else if constexpr (std::is_same_v<T, ConfigAnnounce>) {
-            hooks_.send(send.to, RosterAnnounce{{}, message});
-          } else if constexpr (std::is_same_v<T, ConfigPull>) {
-            hooks_.send(send.to, RosterPull{{}, message});
-          } else {
-            hooks_.send(send.to, RosterData{{}, message});
-          }
+          hooks_.send(send.to, is_roster ? AboutRoster(message) : Message(message));
         },
         send.message);
   }
