Keep the roster under one key; add seats of a fleet in few writes

Cause: the handover of shares needs totally ordered roster revisions, but RosterUpdater used one key per zone and StoreAgent its own loop. Each joining node wrote its own seat. Change: RosterUpdater uses the key damaskroute/roster; SeatKeeper carries out its actions. Readers add the seats of all live members in one write; Seat::renewed tells a node whether it had a predecessor. A seat is removed only after its VM was missing and its node dead at the same time for the longest call. The roster has a compact binary form.

--- a/include/damaskroute/http/http_server.h
+++ b/include/damaskroute/http/http_server.h
@@ -33,6 +33,10 @@
   /// Opens the listening socket and starts accepting. Unavailable if the address is taken.
   absl::Status Start();
 
+  /// Closes each connection after its next response, which says so, but goes on accepting; the
+  /// callers move to other nodes before `BeginDrain` leaves them with a closed connection.
+  void EndKeepAlive();
+
   /// Stops accepting; each connection is closed after the response to its current request.
   void BeginDrain();
 
--- a/include/damaskroute/node/action_service.h
+++ b/include/damaskroute/node/action_service.h
@@ -53,6 +53,11 @@
   void OnActionReply(const ActionReply& message);
   void OnActionResult(const ActionResult& message);
 
+  /// Actions that run or wait here.
+  std::size_t open_actions() const {
+    return waiting_.size() + attempts_.size() + forwarded_.size();
+  }
+
   /// Messages sent to this peer may have arrived, but nothing comes back.
   void OnPeerLost(const NodeName& node);
 
--- a/include/damaskroute/node/control_plane.h
+++ b/include/damaskroute/node/control_plane.h
@@ -32,6 +32,7 @@
   ZoneName zone;
   Incarnation incarnation = 0;
   double backends_per_node = Placement::kDefaultBackendsPerNode;
+  Duration longest_call = std::chrono::seconds(10);  ///< See `NodeSettings::longest_call`.
 };
 
 /// Turns configuration, roster and backend reports into the snapshots that the request path reads
@@ -64,6 +65,19 @@
   void OnShareMessage(const NodeName& from, const ShareMessage& message);
   void OnWithinLimit(const BackendName& backend, std::uint64_t sequence);
 
+  /// Lets no call to backend servers start any more; for a node that ends and cannot pass its
+  /// shares on.
+  void StopHolding();
+
+  /// No share is in use or on its way to another node, so the own seat may be removed.
+  bool Released() const;
+
+  /// Sum of the slots that this node may use.
+  int HeldSlots() const;
+
+  /// Own seat in the installed roster, or null.
+  const Seat* FindOwnSeat() const { return roster_.Find(identity_.node); }
+
   Revision config_revision() const { return config_.revision; }
   Revision roster_revision() const { return roster_.revision; }
 
@@ -88,6 +102,7 @@
   ConfigDocument config_;
   Roster roster_;
   std::shared_ptr<const Placement> placement_;
+  bool holding_ = true;
   std::optional<bool> had_predecessor_;  // Set once the seat is in the roster.
   const TimePoint started_ = SteadyClock().Now();
   std::optional<ShareTable> shares_;
--- a/include/damaskroute/node/entry_node.h
+++ b/include/damaskroute/node/entry_node.h
@@ -25,6 +25,7 @@
 #include "damaskroute/scatter/replica_selector.h"
 #include "damaskroute/settings/node_settings.h"
 #include "damaskroute/store/http_store.h"
+#include "damaskroute/store/http_vm_list.h"
 
 namespace damaskroute {
 
@@ -39,9 +40,16 @@
   /// Opens all ports and starts the threads. Unavailable if a port is taken.
   absl::Status Start();
 
-  /// Graceful shutdown: readiness fails first, running work ends, then the threads stop. Blocks.
+  /// Graceful shutdown (docs/design.md, 3.11). Blocks until the node can be destroyed without
+  /// cutting off a request, or until the bounds of the single steps have passed: `drain_time`, the
+  /// longest deadline of a caller, and some seconds for the platform if it does not answer. A
+  /// further call returns at once.
   void Drain();
 
+  /// Sum of the slots of backend servers that this node may use now. Between `Start` and the
+  /// destructor, from any thread but the node's own.
+  int HeldSlots();
+
   /// Installs documents without a store, for tests. Thread-safe. The node then has a seat that had
   /// no predecessor.
   void InstallConfig(ConfigDocument config);
@@ -55,6 +63,11 @@
   void OnCrash(const QuerySpec& spec, const BackendName& backend, BootId boot_id);
   void MakeReplication();
   void MakeStoreAgent();
+  bool PassShares();
+  bool WaitForWork(Duration limit);
+  std::size_t CountWork();
+  template <typename Function>
+  auto OnControlLoop(Function function);
   void MakeOperatorApi();
   std::string RenderStatus();
   void HandleCaller(HttpRequest request, HttpResponder respond);
@@ -81,7 +94,7 @@
   std::unique_ptr<ControlPlane> control_;
   std::unique_ptr<Replication> replication_;
   std::unique_ptr<PeerTransport> transport_;
-  std::unique_ptr<StoreAgent<HttpStore>> store_agent_;
+  std::unique_ptr<StoreAgent<HttpStore, HttpVmList>> store_agent_;
   std::unique_ptr<OperatorApi> operator_api_;
   std::unique_ptr<HttpServer> callers_;
   std::atomic<std::size_t> next_worker_{0};
--- a/include/damaskroute/node/holder_loop.h
+++ b/include/damaskroute/node/holder_loop.h
@@ -13,7 +13,9 @@
 /// The backend channels of one event loop. On the loop's thread only.
 class HolderLoop {
  public:
-  HolderLoop(EventLoop& loop, BackendChannelHooks hooks, Incarnation incarnation);
+  /// `longest_call` bounds each call from here to its end; see `NodeSettings::longest_call`.
+  HolderLoop(EventLoop& loop, BackendChannelHooks hooks, Incarnation incarnation,
+             Duration longest_call);
 
   /// Creates, changes or removes a channel. A limit of zero removes it once it is empty.
   struct Limit {
@@ -44,6 +46,7 @@
   EventLoop& loop_;
   BackendChannelHooks hooks_;
   Incarnation incarnation_;
+  const Duration longest_call_;
   std::map<ServiceName, std::unique_ptr<LatencyQuantiles>> latencies_;
   std::map<BackendName, std::unique_ptr<BackendChannel>> channels_;
 };
--- a/include/damaskroute/node/store_agent.h
+++ b/include/damaskroute/node/store_agent.h
@@ -1,10 +1,7 @@
 #ifndef DAMASKROUTE_NODE_STORE_AGENT_H
 #define DAMASKROUTE_NODE_STORE_AGENT_H
 
-#include <algorithm>
-#include <atomic>
 #include <condition_variable>
-#include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -14,44 +11,31 @@
 #include "damaskroute/core/error_text.h"
 #include "damaskroute/intent/config_log.h"
 #include "damaskroute/log/log_line.h"
+#include "damaskroute/node/seat_keeper.h"
+#include "damaskroute/node/store_agent_hooks.h"
 #include "damaskroute/roster/roster_codec.h"
 #include "damaskroute/store/config_store.h"
 
 namespace damaskroute {
 
-/// Key of the roster in the store.
-inline constexpr char kRosterKey[] = "damaskroute/roster";
-
-/// What a `StoreAgent` tells its node. Called on the agent's threads.
-struct StoreAgentHooks {
-  std::function<bool()> is_reader;
-  std::function<void(Revision, std::string document)> on_config;
-  std::function<void(Revision, std::string document)> on_roster;
-  std::function<void()> on_contact;
-
-  /// The own seat is in the roster. `had_predecessor` says whether an earlier process of this node
-  /// had a seat before.
-  std::function<void(bool had_predecessor)> on_seat;
-};
-
-/// Keeps a node in touch with the store, on two threads, as the calls block: adds the node's seat
-/// to the roster, and watches configuration and roster while the node is a reader. A store that is
-/// down is asked again, with a pause.
-template <ConfigStore Store>
+/// Keeps a node in touch with the platform, on three threads, as the calls block: keeps the node's
+/// seat and, while the node is a reader, watches configuration and roster and keeps the seats of
+/// others. A store that is down is asked again, with a pause.
+template <ConfigStore Store, VmSource Vms>
 class StoreAgent {
  public:
-  StoreAgent(Store store, Seat seat, StoreAgentHooks hooks)
-      : store_(std::move(store)), seat_(std::move(seat)), hooks_(std::move(hooks)) {}
+  StoreAgent(Store store, Vms vms, const RosterUpdaterOptions& options, StoreAgentHooks hooks)
+      : store_(std::move(store)),
+        hooks_(std::move(hooks)),
+        seat_(store_, std::move(vms), options, hooks_) {}
   ~StoreAgent() { Stop(); }
   StoreAgent(const StoreAgent&) = delete;
   StoreAgent& operator=(const StoreAgent&) = delete;
 
   void Start() {
     config_thread_ = std::thread([this] { WatchConfig(); });
-    roster_thread_ = std::thread([this] {
-      TakeSeat();
-      WatchRoster();
-    });
+    roster_thread_ = std::thread([this] { WatchRoster(); });
+    seat_.Start();
   }
 
   /// Ends the threads; waits for a call that runs, at most its deadline.
@@ -61,22 +45,17 @@
       stopping_ = true;
     }
     wake_.notify_all();
+    seat_.Stop();
     if (config_thread_.joinable()) config_thread_.join();
     if (roster_thread_.joinable()) roster_thread_.join();
   }
 
-  /// Removes the own seat, as the last step of a graceful shutdown. Call after `Stop`.
-  absl::Status LeaveSeat() {
-    return ChangeRoster([this](Roster& roster) {
-      return std::erase_if(roster.seats, [this](const Seat& seat) {
-               return seat.node == seat_.node && seat.incarnation == seat_.incarnation;
-             }) > 0;
-    });
-  }
+  /// The own seat, for a graceful shutdown. Valid between `Start` and `Stop`.
+  SeatKeeper<Store, Vms>& seat() { return seat_; }
 
  private:
   static constexpr std::chrono::milliseconds kPause{500};
-  static constexpr std::chrono::milliseconds kWatchTime{5000};
+  static constexpr std::chrono::milliseconds kWatchTime{2000};
 
   bool Pause() {
     std::unique_lock lock(mutex_);
@@ -89,65 +68,6 @@
     return stopping_;
   }
 
-  // Reads the roster, applies `change` and writes it, until the write has taken effect or `change`
-  // returns false because there is nothing to do.
-  template <typename Change>
-  absl::Status ChangeRoster(Change change) {
-    auto stored = store_.Get(kRosterKey);
-    Roster roster;
-    std::uint64_t version = 0;
-    if (stored.ok()) {
-      auto decoded = DecodeRoster(stored->value);
-      if (!decoded.ok()) return decoded.status();
-      roster = *std::move(decoded);
-      version = stored->version;
-    } else if (!absl::IsNotFound(stored.status())) {
-      return stored.status();
-    }
-    if (!change(roster)) return absl::OkStatus();
-    ++roster.revision;
-    std::string bytes = EncodeRoster(roster);
-    auto written = store_.CompareAndSwap(kRosterKey, version, bytes);
-    if (!written.ok()) return written.status();
-    hooks_.on_roster(roster.revision, std::move(bytes));
-    return absl::OkStatus();
-  }
-
-  // A conflict or a lost answer leads to another reading, which shows whether the seat is there.
-  void TakeSeat() {
-    bool had_predecessor = false;
-    while (!stopping()) {
-      bool present = false;
-      absl::Status status = ChangeRoster([&](Roster& roster) {
-        auto it = std::lower_bound(
-            roster.seats.begin(), roster.seats.end(), seat_.node,
-            [](const Seat& seat, const NodeName& node) { return seat.node < node; });
-        bool exists = it != roster.seats.end() && it->node == seat_.node;
-        if (exists && *it == seat_) {
-          present = true;
-          return false;
-        }
-        if (exists) {
-          had_predecessor = true;
-          *it = seat_;
-        } else {
-          roster.seats.insert(it, seat_);
-        }
-        return true;
-      });
-      if (status.ok()) {
-        if (present) LogLine(LogLevel::kInfo, "the seat is in the roster already");
-        hooks_.on_seat(had_predecessor);
-        return;
-      }
-      if (!absl::IsAborted(status)) {
-        LogLine(LogLevel::kWarning, "cannot add the seat to the roster yet")
-            .Field("error", ErrorText(status));
-        if (!Pause()) return;
-      }
-    }
-  }
-
   void WatchRoster() {
     std::uint64_t version = 0;
     while (!stopping()) {
@@ -207,8 +127,8 @@
   }
 
   Store store_;
-  const Seat seat_;
   StoreAgentHooks hooks_;
+  SeatKeeper<Store, Vms> seat_;
   std::mutex mutex_;
   std::condition_variable wake_;
   bool stopping_ = false;
--- a/include/damaskroute/roster/roster_action.h
+++ b/include/damaskroute/roster/roster_action.h
@@ -2,36 +2,33 @@
 #define DAMASKROUTE_ROSTER_ROSTER_ACTION_H_
 
 #include <cstdint>
-#include <string>
 #include <variant>
 
-#include "damaskroute/core/ids.h"
 #include "damaskroute/core/time.h"
+#include "damaskroute/roster/roster.h"
 
 namespace damaskroute {
 
-/// Reads the roster key of a zone; answered by `RosterUpdater::OnRead`.
-struct ReadZoneSeats {
-  ZoneName zone;
-};
+/// Reads the roster key; answered by `RosterUpdater::OnRead`.
+struct ReadRoster {};
 
 /// Replaces the value if the key still has `version` (0: does not exist); answered by
 /// `RosterUpdater::OnSwapped`.
-struct SwapZoneSeats {
-  ZoneName zone;
+struct SwapRoster {
   std::uint64_t version = 0;
-  std::string value;
+  Roster roster;  ///< With the revision after the one that was read.
 };
 
 /// How the own seat came about.
 enum class SeatOutcome : std::uint8_t {
   kAdded,       ///< There was no seat of this node.
-  kRenewed,     ///< There was one, or there may have been: calls of a predecessor may run.
+  kRenewed,     ///< There was one: calls of a predecessor may run.
   kSuperseded,  ///< A later process has the seat; this one must end.
+  kLeaving,     ///< The seat is marked as leaving, or was gone already.
   kRemoved,     ///< The seat was removed on request.
 };
 
-/// The own seat is in the store, or is gone from it.
+/// The wish about the own seat is fulfilled in the store.
 struct SeatDecided {
   SeatOutcome outcome = SeatOutcome::kAdded;
 };
@@ -41,7 +38,7 @@
   TimePoint at;
 };
 
-using RosterAction = std::variant<ReadZoneSeats, SwapZoneSeats, SeatDecided, SetRosterTimer>;
+using RosterAction = std::variant<ReadRoster, SwapRoster, SeatDecided, SetRosterTimer>;
 
 }  // namespace damaskroute
 
--- a/include/damaskroute/roster/seat.h
+++ b/include/damaskroute/roster/seat.h
@@ -14,6 +14,10 @@
   Incarnation incarnation = 0;
   bool leaving = false;  ///< Holds and coordinates nothing new; is releasing its shares.
 
+  /// Replaced the seat of an earlier process of the node, whose calls may still run. Kept in the
+  /// roster, because the seat may have been written by another node.
+  bool renewed = false;
+
   friend bool operator==(const Seat&, const Seat&) = default;
 };
 
--- a/include/damaskroute/settings/node_settings.h
+++ b/include/damaskroute/settings/node_settings.h
@@ -29,6 +29,10 @@
   std::vector<Endpoint> seeds;  ///< Peers to join through.
   Endpoint store;
   double backends_per_node = 4.7;
+
+  /// Longest time of a call to a backend server, waiting at the holder included, whatever the
+  /// caller's deadline. The same on all nodes: the shares of a dead node are used again after it.
+  std::chrono::milliseconds longest_call{10'000};
   std::chrono::milliseconds drain_time{5000};  ///< Requests are accepted for so long after SIGTERM.
 };
 
--- a/include/damaskroute/shares/share_table.h
+++ b/include/damaskroute/shares/share_table.h
@@ -52,7 +52,7 @@
   /// Whether this process has a seat in the roster, and so takes part.
   bool Active() const { return active_; }
 
-  /// Has no share, waits for no acknowledgement, and no call of a predecessor can run: a leaving
+  /// Has no share that another node could take, waits for no acknowledgement, and no call of a predecessor can run: a leaving
   /// node may remove its seat. A node that must end earlier leaves its seat in the roster; a
   /// seat removed too early lets others claim shares on which calls still run.
   bool Idle(TimePoint now) const;
--- a/include/damaskroute/shares/share_table_options.h
+++ b/include/damaskroute/shares/share_table_options.h
@@ -15,11 +15,12 @@
   TimePoint started;  ///< Start of this process.
 
   /// Whether an earlier process of this node may have had a seat when this one started; false
-  /// only if this process added a seat where there was none (`SeatOutcome::kAdded`).
+  /// only if its seat came where there was none (`SeatOutcome::kAdded`).
   bool had_predecessor = true;
 
-  /// Calls of an earlier process of this node may run this long after the start of this one.
-  Duration longest_call = std::chrono::seconds(60);
+  /// Calls of an earlier process of this node may run this long after the start of this one. The
+  /// same on all nodes (`NodeSettings::longest_call`).
+  Duration longest_call = std::chrono::seconds(10);
 
   /// Time that a release from the previous owner has before a claim asks all nodes. Most releases
   /// arrive within a call's duration (70 ms), and a claim costs a message to each node.
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -24,6 +24,7 @@
   HttpHandler handler;
   std::unique_ptr<Tcp::acceptor> acceptor;
   std::atomic<bool> draining{false};
+  std::atomic<bool> keep_alive{true};
   std::atomic<std::size_t> active_requests{0};
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> buffered_bytes{0};
@@ -160,7 +161,7 @@
     Counted active(shared_->active_requests, 1);
     bool keep_alive = parser.get().keep_alive();
     HttpResponse response = co_await Handle(parser.release(), received);
-    keep_alive = keep_alive && !shared_->draining;
+    keep_alive = keep_alive && shared_->keep_alive && !shared_->draining;
     co_return co_await Write(std::move(response), keep_alive);
   }
 
@@ -303,6 +304,8 @@
   return absl::OkStatus();
 }
 
+void HttpServer::EndKeepAlive() { shared_->keep_alive = false; }
+
 void HttpServer::BeginDrain() {
   shared_->draining = true;
   asio::post(*shared_->loops.front(), [shared = shared_] {
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -97,6 +97,7 @@
   options.incarnation = identity_.incarnation;
   options.started = started_;
   options.had_predecessor = *had_predecessor_;
+  options.longest_call = identity_.longest_call;
   shares_.emplace(options);
 }
 
@@ -124,7 +125,7 @@
     change.service = service->name;
     change.backend = *backend;
     change.warm_up = service->warm_up;
-    change.accepts_work = AcceptsWork(config_, *backend);
+    change.accepts_work = holding_ && AcceptsWork(config_, *backend);
   } else {
     change.backend.name = limit.backend;
   }
@@ -140,6 +141,19 @@
   for (const auto& [name, limit] : limits_) ApplyLimit(limit);
 }
 
+void ControlPlane::StopHolding() {
+  holding_ = false;
+  RefreshIntents();
+}
+
+int ControlPlane::HeldSlots() const {
+  int total = 0;
+  for (const auto& [name, limit] : limits_) total += limit.limit.slots;
+  return total;
+}
+
+bool ControlPlane::Released() const { return !shares_ || shares_->Idle(Now()); }
+
 void ControlPlane::OnLocalReport(BackendReport report) {
   report.holder = identity_.node;
   report.sequence = ++report_sequence_;
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -2,6 +2,7 @@
 
 #include <future>
 #include <map>
+#include <memory>
 #include <thread>
 #include <utility>
 
@@ -17,9 +18,16 @@
 namespace damaskroute {
 namespace {
 
-// Requests that the balancer sent before it saw the failing readiness check are still accepted.
 constexpr std::chrono::milliseconds kDrainPoll{20};
+// Above the longest deadline of a caller.
 constexpr std::chrono::seconds kLongestDrain{65};
+// Time for the store to take a change of the seat: two calls with their deadlines and a retry.
+constexpr std::chrono::seconds kSeatWait{5};
+// Other nodes may send work until the new roster, or the end of this node, has reached them. Gossip
+// takes about a second at 7,600 nodes.
+constexpr std::chrono::milliseconds kQuietTime{1000};
+// Releases are repeated every 250 ms to 8 s until the new holders acknowledge them.
+constexpr std::chrono::seconds kReleaseWait{10};
 constexpr std::chrono::milliseconds kStoreCallDeadline{2000};
 
 TimePoint Now() { return SteadyClock().Now(); }
@@ -57,7 +65,7 @@
           [&node](const QuerySpec& spec, const BackendName& backend, BootId boot_id) {
             node.OnCrash(spec, backend, boot_id);
           }),
-      holder(loop, node.MakeChannelHooks(), node.incarnation_),
+      holder(loop, node.MakeChannelHooks(), node.incarnation_, node.settings_.longest_call),
       queries(
           loop, coordinator,
           {node.settings_.node, node.settings_.zone, index, &node.ids_, &node.view_,
@@ -111,7 +119,8 @@
   };
   control_ = std::make_unique<ControlPlane>(
       control_loop_,
-      ControlIdentity{settings_.node, settings_.zone, incarnation_, settings_.backends_per_node},
+      ControlIdentity{settings_.node, settings_.zone, incarnation_, settings_.backends_per_node,
+                      settings_.longest_call},
       view_, std::move(hooks));
 }
 
@@ -174,6 +183,16 @@
       std::make_unique<Replication>(control_loop_, self, settings_.peer_keys, std::move(hooks));
 }
 
+// Runs the function on the control loop, whose thread must run, and waits for its result.
+template <typename Function>
+auto EntryNode::OnControlLoop(Function function) {
+  // Shared, because the promise is still in use on the loop when the waiting thread goes on.
+  auto result = std::make_shared<std::promise<decltype(function())>>();
+  auto future = result->get_future();
+  control_loop_.Post([result, &function] { result->set_value(function()); });
+  return future.get();
+}
+
 void EntryNode::MakeStoreAgent() {
   InitializeHttpThreads();
   StoreAgentHooks hooks;
@@ -192,9 +211,27 @@
   hooks.on_seat = [this](bool had_predecessor) {
     control_loop_.Post([this, had_predecessor] { control_->OnSeat(had_predecessor); });
   };
-  store_agent_ = std::make_unique<StoreAgent<HttpStore>>(
+  hooks.live_members = [this] {
+    return OnControlLoop([this] {
+      std::vector<Seat> seats;
+      for (const Member& member : replication_->LiveMembers()) {
+        if (member.node == settings_.node) continue;
+        seats.push_back({member.node, member.zone, member.endpoint, member.incarnation});
+      }
+      return seats;
+    });
+  };
+  hooks.roster = [this] {
+    auto view = view_.Load();
+    return std::shared_ptr<const Roster>(view, &view->roster);
+  };
+  RosterUpdaterOptions options;
+  options.self = {settings_.node, settings_.zone, settings_.peers, incarnation_};
+  options.seed = Hash64(settings_.node, incarnation_);
+  options.longest_call = settings_.longest_call;
+  store_agent_ = std::make_unique<StoreAgent<HttpStore, HttpVmList>>(
       HttpStore(settings_.store, kStoreCallDeadline),
-      Seat{settings_.node, settings_.zone, settings_.peers, incarnation_}, std::move(hooks));
+      HttpVmList(settings_.store, kStoreCallDeadline), options, std::move(hooks));
 }
 
 void EntryNode::MakeOperatorApi() {
@@ -210,22 +247,24 @@
   operator_api_ = std::make_unique<OperatorApi>(settings_, view_, std::move(hooks));
 }
 
+int EntryNode::HeldSlots() {
+  return OnControlLoop([this] { return control_->HeldSlots(); });
+}
+
 std::string EntryNode::RenderStatus() {
-  std::promise<std::string> rendered;
-  control_loop_.Post([this, &rendered] {
+  return OnControlLoop([this] {
     ReplicaStatus config = replication_->ConfigStatus();
     Revision lowest = replication_->LowestConfigRevision();
     auto view = view_.Load();
-    rendered.set_value(fmt::format(
+    return fmt::format(
         R"({{"node":"{}","zone":"{}","incarnation":{},"revision":{},"lowest_revision":{},)"
-        R"("roster_revision":{},"seats":{},"live_nodes":{},"behind":{},"store_age_ms":{},)"
+        R"("roster_revision":{},"seats":{},"held_slots":{},"live_nodes":{},"behind":{},"store_age_ms":{},)"
         R"("reader":{},"draining":{}}})"
         "\n",
         settings_.node, settings_.zone, incarnation_, view->config.revision, lowest,
-        view->roster.revision, view->roster.seats.size(), replication_->members().LiveCount(),
-        config.behind, config.age.count(), replication_->is_reader(), draining_.load()));
+        view->roster.revision, view->roster.seats.size(), control_->HeldSlots(), replication_->members().LiveCount(),
+        config.behind, config.age.count(), replication_->is_reader(), draining_.load());
   });
-  return rendered.get_future().get();
 }
 
 BackendChannelHooks EntryNode::MakeChannelHooks() {
@@ -284,22 +323,75 @@
   return absl::OkStatus();
 }
 
+// Queries, actions and calls of other nodes in progress.
+std::size_t EntryNode::CountWork() {
+  std::size_t total = callers_->active_requests();
+  for (auto& worker : workers_) {
+    auto count = std::make_shared<std::promise<std::size_t>>();
+    auto future = count->get_future();
+    worker->loop.Post([this, &worker, count] {
+      std::size_t open = worker->coordinator.open_queries() + worker->holder.load();
+      if (worker == workers_.front()) open += actions_->open_actions();
+      count->set_value(open);
+    });
+    total += future.get();
+  }
+  return total;
+}
+
+// Waits until there has been no work for `kQuietTime`; false if `limit` passed before.
+bool EntryNode::WaitForWork(Duration limit) {
+  TimePoint end = Now() + limit;
+  TimePoint quiet_since = Now();
+  while (Now() - quiet_since < kQuietTime) {
+    if (Now() >= end) return false;
+    if (CountWork() > 0) quiet_since = Now();
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  return true;
+}
+
+// Marks the seat as leaving and releases all shares; false if that did not come to its end.
+bool EntryNode::PassShares() {
+  if (!store_agent_ || !store_agent_->seat().MarkLeaving(kSeatWait)) return false;
+  TimePoint end = Now() + settings_.longest_call + kReleaseWait;
+  // The own loop learns the new roster after the store has it.
+  auto released = [this] {
+    const Seat* seat = control_->FindOwnSeat();
+    return (seat == nullptr || seat->leaving) && control_->Released();
+  };
+  while (!OnControlLoop(released)) {
+    if (Now() >= end) return false;
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  return true;
+}
+
 void EntryNode::Drain() {
-  draining_ = true;
+  if (draining_.exchange(true)) return;
   LogLine(LogLevel::kInfo, "draining");
+  // Requests that the balancer sent before it saw the failing readiness check are still accepted.
+  callers_->EndKeepAlive();
   std::this_thread::sleep_for(settings_.drain_time);
   callers_->BeginDrain();
   TimePoint limit = Now() + kLongestDrain;
   while (callers_->active_requests() > 0 && Now() < limit) std::this_thread::sleep_for(kDrainPoll);
-  if (store_agent_) {
-    store_agent_->Stop();
-    absl::Status left = store_agent_->LeaveSeat();
-    if (!left.ok()) {
-      LogLine(LogLevel::kWarning, "cannot remove the seat").Field("error", ErrorText(left));
-    }
+  bool released = PassShares();
+  if (!released) {
+    // The seat stays for a successor or for the removal by a reader. The other nodes use other
+    // replicas as soon as they see that this one takes no more calls.
+    LogLine(LogLevel::kWarning, "the shares could not be passed on");
+    control_loop_.Post([this] { control_->StopHolding(); });
+  }
+  bool finished = WaitForWork(kLongestDrain);
+  if (released && !store_agent_->seat().Leave(kSeatWait)) {
+    LogLine(LogLevel::kWarning, "cannot remove the seat");
   }
+  if (store_agent_) store_agent_->Stop();
   control_loop_.Post([this] { replication_->Leave(); });
-  LogLine(LogLevel::kInfo, "drained").Field("unfinished", callers_->active_requests());
+  // Until the others have heard that this node leaves, they may forward queries to it.
+  finished = WaitForWork(kQuietTime * 5) && finished;
+  LogLine(LogLevel::kInfo, "drained").Field("released", released).Field("finished", finished);
 }
 
 void EntryNode::InstallConfig(ConfigDocument config) {
--- a/src/node/holder_loop.cc
+++ b/src/node/holder_loop.cc
@@ -1,5 +1,6 @@
 #include "damaskroute/node/holder_loop.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace damaskroute {
@@ -9,8 +10,12 @@
 
 }  // namespace
 
-HolderLoop::HolderLoop(EventLoop& loop, BackendChannelHooks hooks, Incarnation incarnation)
-    : loop_(loop), hooks_(std::move(hooks)), incarnation_(incarnation) {}
+HolderLoop::HolderLoop(EventLoop& loop, BackendChannelHooks hooks, Incarnation incarnation,
+                       Duration longest_call)
+    : loop_(loop),
+      hooks_(std::move(hooks)),
+      incarnation_(incarnation),
+      longest_call_(longest_call) {}
 
 void HolderLoop::SetLimit(const Limit& limit) {
   auto it = channels_.find(limit.backend.name);
@@ -35,6 +40,8 @@
 }
 
 void HolderLoop::Submit(const BackendName& backend, HolderCall call) {
+  // Other nodes rely on this bound when they take over the shares of this one.
+  call.deadline = std::min(call.deadline, SteadyClock().Now() + longest_call_);
   auto it = channels_.find(backend);
   if (it == channels_.end()) {
     RefuseWithoutChannel(backend, call);
--- a/src/settings/node_settings.cc
+++ b/src/settings/node_settings.cc
@@ -76,7 +76,7 @@
   YamlErrors errors;
   YamlReader root = YamlReader::Parse(file, text, &errors);
   root.ExpectKeys({"node", "zone", "loops", "log_level", "callers", "operators", "peers", "store",
-                   "backends_per_node", "drain_time"});
+                   "backends_per_node", "longest_call", "drain_time"});
   NodeSettings settings;
   settings.node = root.Name("node");
   settings.zone = root.Name("zone");
@@ -88,6 +88,8 @@
   ReadPeers(root.Map("peers"), settings);
   settings.store = root.Address("store");
   settings.backends_per_node = root.Number("backends_per_node", 1, 10'000, 4.7);
+  settings.longest_call = root.Span<milliseconds>("longest_call", milliseconds(1000),
+                                                  milliseconds(60'000), milliseconds(10'000));
   settings.drain_time = root.Span<milliseconds>("drain_time", milliseconds(0),
                                                 milliseconds(600'000), milliseconds(5000));
   if (!errors.status().ok()) return errors.status();
--- a/src/shares/share_table.cc
+++ b/src/shares/share_table.cc
@@ -338,11 +338,14 @@
 
 bool ShareTable::Idle(TimePoint now) const {
   if (Quiet(now)) return false;
-  return std::all_of(states_.begin(), states_.end(), [](const auto& entry) {
+  return std::all_of(states_.begin(), states_.end(), [this](const auto& entry) {
     const BackendState& state = entry.second;
-    bool free = std::none_of(state.halves.begin(), state.halves.end(), [](const HalfState& half) {
-      return half.held || half.outgoing || half.claim;
-    });
+    // With no node left to take it, an unused share ends with this process.
+    bool has_heir = placement_->HoldersOf(entry.first).has_value();
+    auto open = [has_heir](const HalfState& half) {
+      return (half.held && has_heir) || half.outgoing || half.claim;
+    };
+    bool free = std::none_of(state.halves.begin(), state.halves.end(), open);
     return free && state.limit == Share{} && state.confirmed == state.sequence;
   });
 }
--- a/tests/roster_updater_test.cc
+++ b/tests/roster_updater_test.cc
@@ -3,8 +3,12 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
+#include <vector>
 
 #include "damaskroute/core/random.h"
 #include "damaskroute/roster/roster_codec.h"
@@ -25,10 +29,12 @@
   explicit FakeStore(std::uint64_t seed) : random_(seed) {}
 
   absl::StatusOr<StoredSeats> Read() {
+    ++reads;
     if (faults_ && random_.Below(5) == 0) return absl::UnavailableError("down");
     return stored_;
   }
-  SwapResult Swap(const SwapZoneSeats& swap) {
+  SwapResult Swap(const SwapRoster& swap) {
+    ++writes;
     std::uint64_t fault = faults_ ? random_.Below(6) : 5;
     if (fault == 0) return SwapResult::kUnknown;
     if (fault == 1) {
@@ -45,25 +51,32 @@
     delayed_.pop_back();
   }
   void Heal() { faults_ = false; }
+
+  int reads = 0;
+  int writes = 0;
+
   Roster Seats() const {
     return stored_.version == 0 ? Roster{} : DecodeRoster(stored_.value).value();
   }
 
  private:
-  bool Execute(const SwapZoneSeats& swap) {
+  bool Execute(const SwapRoster& swap) {
     if (swap.version != stored_.version) return false;
-    stored_ = {stored_.version + 1, swap.value};
+    // The handover of shares needs totally ordered revisions.
+    REQUIRE(swap.roster.revision > Seats().revision);
+    stored_ = {stored_.version + 1, EncodeRoster(swap.roster)};
     return true;
   }
 
   Random random_;
   StoredSeats stored_;
-  std::vector<SwapZoneSeats> delayed_;
+  std::vector<SwapRoster> delayed_;
   bool faults_ = true;
 };
 
 struct Process {
-  explicit Process(const Seat& seat) : updater(RosterUpdaterOptions{.self = seat}) {}
+  explicit Process(const Seat& seat) : Process(RosterUpdaterOptions{.self = seat}) {}
+  explicit Process(const RosterUpdaterOptions& options) : updater(options) {}
   RosterUpdater updater;
   std::vector<RosterAction> open;
   std::optional<SeatOutcome> outcome;
@@ -82,11 +95,10 @@
     if (open.empty()) return;
     RosterAction action = open.front();
     open.erase(open.begin());
-    if (const auto* read = std::get_if<ReadZoneSeats>(&action)) {
-      Add(updater.OnRead(read->zone, store.Read(), now));
+    if (std::holds_alternative<ReadRoster>(action)) {
+      Add(updater.OnRead(store.Read(), now));
     } else {
-      const auto& swap = std::get<SwapZoneSeats>(action);
-      Add(updater.OnSwapped(swap.zone, store.Swap(swap), now));
+      Add(updater.OnSwapped(store.Swap(std::get<SwapRoster>(action)), now));
     }
   }
 };
@@ -138,7 +150,10 @@
 
 TEST_CASE("a seat is removed only when lists and membership agree for the longest call") {
   Roster roster{3, {MakeSeat("a", 1), MakeSeat("b", 1), MakeSeat("self", 1)}};
-  RosterUpdater updater(RosterUpdaterOptions{.self = MakeSeat("self", 1)});
+  RosterUpdaterOptions options{.self = MakeSeat("self", 1)};
+  options.reader_delay = {};
+  options.longest_call = seconds(60);
+  RosterUpdater updater(options);
   auto list = [&](std::set<NodeName> vms, std::set<NodeName> dead, seconds at) {
     return !updater.OnVmList(vms, roster, dead, kNow + at).empty();
   };
@@ -150,52 +165,215 @@
   CHECK_FALSE(list({}, {"a", "b"}, seconds(120)));
   // Membership hears from it.
   CHECK_FALSE(list({"a"}, {}, seconds(122)));
+  // The VM is missing for long already, but the node has been dead for less than a call.
+  CHECK_FALSE(list({"a"}, {"b"}, seconds(122)));
+  CHECK_FALSE(list({"a"}, {"b"}, seconds(122 + 59)));
+  CHECK_FALSE(list({"a"}, {}, seconds(122 + 60)));
   // A restart under the same name starts over.
+  CHECK_FALSE(list({"a"}, {"b"}, seconds(200)));
   roster.seats[1].incarnation = 2;
-  CHECK_FALSE(list({"a"}, {"b"}, seconds(123)));
-  CHECK_FALSE(list({"a"}, {"b"}, seconds(182)));
-  CHECK(list({"a"}, {"b"}, seconds(183)));
+  CHECK_FALSE(list({"a"}, {"b"}, seconds(223)));
+  CHECK_FALSE(list({"a"}, {"b"}, seconds(282)));
+  CHECK(list({"a"}, {"b"}, seconds(283)));
   StoredSeats stored{7, EncodeRoster(roster)};
-  RosterUpdater::Actions actions = updater.OnRead("z", stored, kNow + seconds(183));
+  RosterUpdater::Actions actions = updater.OnRead(stored, kNow + seconds(283));
   REQUIRE(actions.size() == 1);
-  const auto& swap = std::get<SwapZoneSeats>(actions[0]);
+  const auto& swap = std::get<SwapRoster>(actions[0]);
   CHECK(swap.version == 7);
-  CHECK(DecodeRoster(swap.value)->Find("b") == nullptr);
-  CHECK(DecodeRoster(swap.value)->seats.size() == 2);
+  CHECK(swap.roster.revision == 4);
+  CHECK(swap.roster.Find("b") == nullptr);
+  CHECK(swap.roster.seats.size() == 2);
 }
 
 TEST_CASE("a process whose seat belongs to a later one gives up") {
-  RosterUpdater updater(RosterUpdaterOptions{.self = MakeSeat("a", 4)});
+  RosterUpdaterOptions options{.self = MakeSeat("a", 4)};
+  options.join_delay = {};
+  RosterUpdater updater(options);
   updater.Join(kNow);
   StoredSeats stored{2, EncodeRoster({0, {MakeSeat("a", 5)}})};
-  RosterUpdater::Actions actions = updater.OnRead("z", stored, kNow);
+  RosterUpdater::Actions actions = updater.OnRead(stored, kNow);
   REQUIRE(actions.size() == 1);
   CHECK(std::get<SeatDecided>(actions[0]).outcome == SeatOutcome::kSuperseded);
   CHECK(updater.Join(kNow).empty());
 }
 
+TEST_CASE("a process whose seat is added by a reader learns whether it had a predecessor") {
+  for (bool renewed : {false, true}) {
+    RosterUpdater updater(RosterUpdaterOptions{.self = MakeSeat("a", 4)});
+    updater.Join(kNow);
+    Seat seat = MakeSeat("a", 4);
+    seat.renewed = renewed;
+    RosterUpdater::Actions actions = updater.OnRoster({3, {seat}}, kNow);
+    REQUIRE(actions.size() == 1);
+    SeatOutcome expected = renewed ? SeatOutcome::kRenewed : SeatOutcome::kAdded;
+    CHECK(std::get<SeatDecided>(actions[0]).outcome == expected);
+    // Its own write, which was due later, does not follow.
+    CHECK(updater.OnTimer(kNow + seconds(100)).empty());
+  }
+}
+
+TEST_CASE("a reader adds live members, but not one that has just removed its seat") {
+  RosterUpdaterOptions options{.self = MakeSeat("r", 1)};
+  options.reader_delay = {};
+  options.join_delay = {};
+  RosterUpdater updater(options);
+  updater.Join(kNow);
+  StoredSeats stored{4, EncodeRoster({5, {MakeSeat("left", 7), MakeSeat("old", 1)}})};
+  RosterUpdater::Actions actions = updater.OnRead(stored, kNow);
+  REQUIRE(actions.size() == 1);
+  updater.OnSwapped(SwapResult::kDone, kNow);
+  updater.OnRoster({7, {MakeSeat("old", 1), MakeSeat("r", 1)}}, kNow);
+  CHECK(updater.OnMembers(true, {MakeSeat("left", 7), MakeSeat("old", 1)}, kNow).empty());
+  std::vector<Seat> live{MakeSeat("left", 7), MakeSeat("new", 1), MakeSeat("old", 2)};
+  CHECK(updater.OnMembers(true, live, kNow).size() == 1);
+  stored = {6, EncodeRoster({7, {MakeSeat("old", 1), MakeSeat("r", 1)}})};
+  actions = updater.OnRead(stored, kNow);
+  REQUIRE(actions.size() == 1);
+  const Roster& roster = std::get<SwapRoster>(actions[0]).roster;
+  CHECK(roster.seats.size() == 3);
+  REQUIRE(roster.Find("new") != nullptr);
+  CHECK_FALSE(roster.Find("new")->renewed);
+  CHECK(roster.Find("old")->incarnation == 2);
+  CHECK(roster.Find("old")->renewed);
+}
+
+// What a cold start took, until the last node knows its seat.
+struct ColdStart {
+  int reads = 0;
+  int writes = 0;
+  int most_writes_in_a_second = 0;
+  Duration took{};
+};
+
+// Nodes that start within a second, over a store that takes 10 ms for a call, with lists of members
+// that are complete `known_after` the start of a node.
+ColdStart RunColdStart(int size, Duration known_after, bool hears_rosters) {
+  constexpr std::chrono::milliseconds kStep{10};
+  Random random(7);
+  FakeStore store(1);
+  store.Heal();
+  std::vector<std::unique_ptr<Process>> nodes;
+  std::vector<Seat> seats;
+  std::vector<TimePoint> starts;
+  for (int i = 0; i < size; ++i) {
+    seats.push_back(MakeSeat(fmt::format("n{:04}", i), 1));
+    RosterUpdaterOptions options{.self = seats.back(), .seed = static_cast<std::uint64_t>(i)};
+    nodes.push_back(std::make_unique<Process>(options));
+    starts.push_back(kNow + std::chrono::milliseconds(random.Below(1000)));
+  }
+  ColdStart result;
+  int writes_before = 0;
+  for (int step = 0; step < 60'000; ++step) {
+    TimePoint now = kNow + step * kStep;
+    if (step % 100 == 0) writes_before = store.writes;
+    int decided = 0;
+    for (int i = 0; i < size; ++i) {
+      Process& node = *nodes[i];
+      if (now < starts[i]) continue;
+      if (now < starts[i] + kStep) node.Add(node.updater.Join(now));
+      if (node.outcome) ++decided;
+      bool knows = now - starts[i] >= known_after;
+      // As `SeatKeeper` does; the two first nodes are the readers.
+      if ((step + i) % 50 == 0) {
+        if (hears_rosters) node.Add(node.updater.OnRoster(store.Seats(), now));
+        std::vector<Seat> live = knows ? seats : std::vector<Seat>{};
+        if (knows) live.erase(live.begin() + i);
+        node.Add(node.updater.OnMembers(!knows || i < 2, live, now));
+      }
+      node.Step(store, now);
+    }
+    result.most_writes_in_a_second =
+        std::max(result.most_writes_in_a_second, store.writes - writes_before);
+    if (decided == size) {
+      result.took = now - kNow;
+      break;
+    }
+  }
+  result.reads = store.reads;
+  result.writes = store.writes;
+  CHECK(store.Seats().seats.size() == static_cast<std::size_t>(size));
+  MESSAGE(fmt::format("{} nodes: {} reads, {} writes, at most {} writes/s, {} ms", size,
+                      result.reads, result.writes, result.most_writes_in_a_second,
+                      std::chrono::duration_cast<std::chrono::milliseconds>(result.took).count()));
+  return result;
+}
+
+TEST_CASE("a fleet that starts at once gets its seats in few writes") {
+  // One write for each node, repeated on conflicts, would take thousands of calls.
+  ColdStart start = RunColdStart(200, std::chrono::milliseconds(400), true);
+  CHECK(start.writes <= 20);
+  CHECK(start.reads <= 40);
+  CHECK(start.took > Duration::zero());
+  CHECK(start.took <= seconds(5));
+}
+
+TEST_CASE("without members and announcements a fleet still joins within the store's limits") {
+  // Each node takes itself for a reader, and all write against each other.
+  ColdStart start = RunColdStart(200, std::chrono::hours(1), false);
+  CHECK(start.most_writes_in_a_second <= 300);
+  CHECK(start.took > Duration::zero());
+  CHECK(start.took <= seconds(120));
+}
+
+TEST_CASE("a roster of the target size fits the store's limit many times over") {
+  Roster roster{123'456, {}};
+  for (int i = 0; i < 7600; ++i) {
+    roster.seats.push_back({fmt::format("entry-vestland-a-{:06}", i * 37),
+                            fmt::format("vestland-{}", i % 5),
+                            {fmt::format("fd00::{:x}:{:x}", i / 250 + 1, i % 250 + 1), 7000},
+                            1'764'820'000'000'000ULL + i,
+                            i % 7 == 0,
+                            i % 3 == 0});
+  }
+  std::string bytes = EncodeRoster(roster);
+  MESSAGE(fmt::format("{} bytes for 7,600 seats with IPv6 addresses", bytes.size()));
+  CHECK(bytes.size() < 300'000);
+  CHECK(DecodeRoster(bytes).value() == roster);
+}
+
 TEST_CASE("encoded rosters are read back, anything else is refused") {
-  Roster roster{9, {MakeSeat("a", 1), {"b", "y", {"::1", 1}, ~0ULL, true}}};
-  CHECK(DecodeRoster(EncodeRoster(roster)).value() == roster);
-  const char* seat = R"(["a","z","127.0.0.1:1",1,false])";
+  Roster roster{9, {MakeSeat("a", 1), {"b", "y", {"::1", 1}, ~0ULL, true, true}}};
+  std::string valid = EncodeRoster(roster);
+  CHECK(DecodeRoster(valid).value() == roster);
+  // Byte positions: byte order 0, format 1, revision 5, zones 13 (1 + "y", 1 + "z"), seats 18,
+  // seat "a" 22: shared 22, size 23, name 24, zone 25, flags 26, port 27, incarnation 29,
+  // address 37; seat "b" 41.
+  auto changed = [&valid](std::size_t position, char value) {
+    std::string text = valid;
+    REQUIRE(position < text.size());
+    text[position] = value;
+    return text;
+  };
+  REQUIRE(valid[24] == 'a');
+  REQUIRE(valid[43] == 'b');
   for (const std::string& text : {
            std::string(),
            std::string("[]"),
-           std::string("{}"),
            std::string(100'000, '['),
-           std::string(R"({"revision":-1,"seats":[]})"),
-           std::string(R"({"revision":1,"seats":{}})"),
-           fmt::format(R"({{"revision":1,"seats":[{},{}]}})", seat, seat),
-           std::string(R"({"revision":1,"seats":[["","z","127.0.0.1:1",1,false]]})"),
-           std::string(R"({"revision":1,"seats":[["a","z","localhost:1",1,false]]})"),
-           std::string(R"({"revision":1,"seats":[["a","z","127.0.0.1:1",1]]})"),
+           changed(0, 0),        // Big endian.
+           changed(1, 'x'),      // Another format.
+           changed(14, 0),       // A zone without a name.
+           changed(18, 3),       // More seats than follow.
+           changed(18, 1),       // Bytes follow the last seat.
+           changed(20, 1),       // Above `kMaxSeats`.
+           changed(22, 1),       // Shares a letter with nothing.
+           changed(23, 0),       // No name.
+           changed(23, 65),      // Too long a name.
+           changed(25, 2),       // No such zone.
+           changed(26, 8),       // Unknown flag.
+           changed(27, 0).replace(28, 1, 1, '\0'),  // Port 0.
+           changed(43, 'a'),     // The same name twice.
+           changed(43, 'A'),     // Not sorted.
+           valid + "x",
        }) {
     CHECK_FALSE(DecodeRoster(text).ok());
   }
-  std::string valid = EncodeRoster(roster);
   for (std::size_t length = 0; length < valid.size(); ++length) {
     CHECK_FALSE(DecodeRoster(valid.substr(0, length)).ok());
   }
+  CHECK_FALSE(IsEncodable({"", "z", {"127.0.0.1", 1}, 1}));
+  CHECK_FALSE(IsEncodable({"a", "z", {"localhost", 1}, 1}));
+  CHECK_FALSE(IsEncodable({"a", "z", {"127.0.0.1", 0}, 1}));
 }
 
 }  // namespace
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -102,6 +102,33 @@
     return absl::OkStatus();
   }
 
+  /// Starts all nodes with the present configuration; their seats come from the platform's store,
+  /// and they join through the first node.
+  absl::Status StartWithStore(const Endpoint& platform) {
+    for (NodeSettings& settings : settings_) {
+      settings.store = platform;
+      settings.operator_token = "test-operator-token";
+      settings.seeds = {settings_.front().peers};
+      nodes_.push_back(nullptr);
+      absl::Status status = StartNode(nodes_.size() - 1);
+      if (!status.ok()) return status;
+    }
+    return absl::OkStatus();
+  }
+
+  /// For all nodes; before they start.
+  void SetLongestCall(std::chrono::milliseconds longest_call) {
+    for (NodeSettings& settings : settings_) settings.longest_call = longest_call;
+  }
+
+  /// Starts a process of the node after `RemoveNode`, with a greater incarnation.
+  absl::Status StartNode(std::size_t index) {
+    nodes_[index] = std::make_unique<EntryNode>(settings_[index], next_incarnation_++);
+    absl::Status status = nodes_[index]->Start();
+    if (status.ok()) nodes_[index]->InstallConfig(config_);
+    return status;
+  }
+
   /// Installs the next revision of the configuration after `change` was applied to it.
   template <typename Change>
   void Reconfigure(Change change) {
@@ -134,6 +161,7 @@
   ConfigDocument config_;
   std::vector<NodeSettings> settings_;
   std::vector<std::unique_ptr<EntryNode>> nodes_;
+  Incarnation next_incarnation_ = 1000;
 };
 
 }  // namespace damaskroute::testing
