Drain a node in the order of the design; pass its shares on before it ends

Cause: Drain removed the seat while shares were held and calls of other coordinators ran; the setting backends_per_node was not used; a call to a backend server could take as long as the caller's deadline, 60 s.

--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -387,8 +387,8 @@
   if (released && !store_agent_->seat().Leave(kSeatWait)) {
     LogLine(LogLevel::kWarning, "cannot remove the seat");
   }
-  if (store_agent_) store_agent_->Stop();
   control_loop_.Post([this] { replication_->Leave(); });
+  if (store_agent_) store_agent_->Stop();
   // Until the others have heard that this node leaves, they may forward queries to it.
   finished = WaitForWork(kQuietTime * 5) && finished;
   LogLine(LogLevel::kInfo, "drained").Field("released", released).Field("finished", finished);
--- a/tests/node_lifecycle_test.cc
+++ b/tests/node_lifecycle_test.cc
@@ -38,7 +38,9 @@
     REQUIRE(platform.Start().ok());
     cluster.AddZone("a");
     for (const char* node : {"node-0", "node-1", "node-2"}) {
-      cluster.AddNode(node, "a").drain_time = milliseconds(300);
+      NodeSettings& settings = cluster.AddNode(node, "a");
+      settings.drain_time = milliseconds(300);
+      settings.backends_per_node = 1;  // All nodes are holders.
     }
     standins::BackendOptions options;
     options.slots = kSlots;
@@ -128,6 +130,7 @@
   Cluster& cluster = deployment.cluster;
   deployment.Start();
   REQUIRE(WaitLong([&] { return deployment.HeldSlots({0, 1, 2}) == kSlots * kBackends; }));
+  REQUIRE(cluster.node(2).HeldSlots() > 0);
   QueryStream others(cluster, {0, 1});
   std::atomic<int> failed_through_leaving{0};
   std::thread through_leaving([&] {
@@ -164,6 +167,8 @@
   Deployment deployment;
   Cluster& cluster = deployment.cluster;
   deployment.Start();
+  REQUIRE(WaitLong([&] { return deployment.HeldSlots({0, 1, 2}) == kSlots * kBackends; }));
+  REQUIRE(cluster.node(2).HeldSlots() > 0);
   QueryStream others(cluster, {0, 1});
   REQUIRE(deployment.platform.Control(R"({"refuse":true})").ok());
   std::thread first([&] { cluster.node(2).Drain(); });
@@ -192,6 +197,7 @@
         R"({}{{"name":"{}","address":"127.0.0.1","zone":"a","state":"live"}})",
         i == 0 ? "" : ",", cluster.settings(i).node);
   }
+  REQUIRE(cluster.node(2).HeldSlots() > 0);
   cluster.RemoveNode(2);
   CHECK(deployment.Seats().size() == 3);
   REQUIRE(deployment.platform.Control(fmt::format(R"({{"vms":[{}]}})", vms)).ok());
@@ -199,5 +205,29 @@
   CHECK(WaitLong([&] { return deployment.HeldSlots({0, 1}) == kSlots * kBackends; }));
 }
 
+TEST_CASE("a call to a backend server ends after the longest call, whatever the caller's deadline") {
+  // The shares of a dead node are used again after that time.
+  Cluster cluster;
+  cluster.AddZone("a");
+  cluster.AddNode("node-0", "a");
+  cluster.AddNode("node-1", "a");
+  standins::BackendOptions options;
+  options.service_time = std::chrono::seconds(600);
+  options.ignore_deadline = true;
+  cluster.AddBackend("all", "a", {{1, {{0, kKeySpaceSize}}}}, options);
+  cluster.AddService("desk");
+  cluster.SetLongestCall(milliseconds(1000));
+  REQUIRE(cluster.Start().ok());
+  auto running = [&] { return cluster.backend(0).Stats().ran; };
+  std::thread caller;
+  REQUIRE(WaitLong([&] {
+    if (caller.joinable()) caller.join();
+    caller = std::thread([&] { cluster.Query(0, "desk", R"({"query":{},"deadline_ms":60000})"); });
+    return WaitFor([&] { return running() > 0; });
+  }));
+  CHECK(WaitFor([&] { return cluster.backend(0).Stats().disconnected > 0; }));
+  caller.join();
+}
+
 }  // namespace
 }  // namespace damaskroute
