--- a/include/damaskroute/roster/roster_updater.h
+++ b/include/damaskroute/roster/roster_updater.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <string>
 #include <utility>
 #include <vector>
 
@@ -14,15 +13,10 @@
 #include "damaskroute/roster/roster.h"
 #include "damaskroute/roster/roster_action.h"
 #include "damaskroute/roster/roster_updater_options.h"
+#include "damaskroute/roster/stored_seats.h"
 
 namespace damaskroute {
 
-/// Value of the roster key.
-struct StoredSeats {
-  std::uint64_t version = 0;  ///< 0 if the key does not exist.
-  std::string value;
-};
-
 /// Result of a compare-and-swap.
 enum class SwapResult : std::uint8_t {
   kDone,
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -262,8 +262,9 @@
         R"("reader":{},"draining":{}}})"
         "\n",
         settings_.node, settings_.zone, incarnation_, view->config.revision, lowest,
-        view->roster.revision, view->roster.seats.size(), control_->HeldSlots(), replication_->members().LiveCount(),
-        config.behind, config.age.count(), replication_->is_reader(), draining_.load());
+        view->roster.revision, view->roster.seats.size(), control_->HeldSlots(),
+        replication_->members().LiveCount(), config.behind, config.age.count(),
+        replication_->is_reader(), draining_.load());
   });
 }
 
@@ -371,7 +372,7 @@
   if (draining_.exchange(true)) return;
   LogLine(LogLevel::kInfo, "draining");
   // Requests that the balancer sent before it saw the failing readiness check are still accepted.
-  callers_->EndKeepAlive();
+  callers_->CloseAfterResponses();
   std::this_thread::sleep_for(settings_.drain_time);
   callers_->BeginDrain();
   TimePoint limit = Now() + kLongestDrain;
--- a/src/roster/roster_codec.cc
+++ b/src/roster/roster_codec.cc
@@ -21,9 +21,7 @@
 enum Flag : std::uint8_t { kLeaving = 1, kRenewed = 2, kIpV6 = 4 };
 constexpr std::uint8_t kAllFlags = kLeaving | kRenewed | kIpV6;
 
-bool IsName(const std::string& name) {
-  return !name.empty() && name.size() <= kMaxSeatNameLength;
-}
+bool IsName(const std::string& name) { return !name.empty() && name.size() <= kMaxSeatNameLength; }
 
 void Require(bool condition, const char* message) {
   if (!condition) throw cereal::Exception(message);
@@ -63,8 +61,8 @@
   WriteText(output, std::string_view(seat.node).substr(shared));
   boost::system::error_code error;
   auto address = asio::ip::make_address(seat.peer.address, error);
-  std::uint8_t flags = (seat.leaving ? kLeaving : 0) | (seat.renewed ? kRenewed : 0) |
-                       (address.is_v6() ? kIpV6 : 0);
+  std::uint8_t flags =
+      (seat.leaving ? kLeaving : 0) | (seat.renewed ? kRenewed : 0) | (address.is_v6() ? kIpV6 : 0);
   output(zone, flags, seat.peer.port, seat.incarnation);
   if (address.is_v6()) {
     WriteBytes(output, address.to_v6().to_bytes());
--- a/src/roster/roster_updater.cc
+++ b/src/roster/roster_updater.cc
@@ -16,9 +16,8 @@
 constexpr int kRetryGrowth = 4;
 
 std::vector<Seat>::iterator Position(std::vector<Seat>& seats, const NodeName& node) {
-  return std::lower_bound(
-      seats.begin(), seats.end(), node,
-      [](const Seat& seat, const NodeName& name) { return seat.node < name; });
+  return std::lower_bound(seats.begin(), seats.end(), node,
+                          [](const Seat& seat, const NodeName& name) { return seat.node < name; });
 }
 
 }  // namespace
@@ -157,8 +156,9 @@
 bool RosterUpdater::Edit(std::vector<Seat>& seats) {
   bool changed = !decided_ && EditOwnSeat(seats);
   for (const auto& [node, member] : additions_) changed |= AddMember(member, seats);
-  std::size_t removed = std::erase_if(
-      seats, [&](const Seat& seat) { return removals_.contains({seat.node, seat.incarnation}); });
+  std::size_t removed = std::erase_if(seats, [&](const Seat& seat) {
+    return removals_.contains({seat.node, seat.incarnation});
+  });
   return changed || removed > 0;
 }
 
@@ -167,9 +167,9 @@
   decided_ = true;
   join_at_.reset();
   const Seat* seat = roster.Find(options_.self.node);
-  SeatOutcome outcome = superseded_                    ? SeatOutcome::kSuperseded
-                        : wanted_ == OwnSeat::kAbsent  ? SeatOutcome::kRemoved
-                        : wanted_ == OwnSeat::kLeaving ? SeatOutcome::kLeaving
+  SeatOutcome outcome = superseded_                        ? SeatOutcome::kSuperseded
+                        : wanted_ == OwnSeat::kAbsent      ? SeatOutcome::kRemoved
+                        : wanted_ == OwnSeat::kLeaving     ? SeatOutcome::kLeaving
                         : seat != nullptr && seat->renewed ? SeatOutcome::kRenewed
                                                            : SeatOutcome::kAdded;
   actions.push_back(SeatDecided{outcome});
@@ -288,7 +288,8 @@
   }
   missing_ = std::move(missing);
   // A node that returned since keeps its seat.
-  std::erase_if(removals_, [this](const auto& removal) { return !missing_.contains(removal.first); });
+  std::erase_if(removals_,
+                [this](const auto& removal) { return !missing_.contains(removal.first); });
   if (!removals_.empty()) WorkForOthers(now, actions);
   return actions;
 }
--- a/tests/node_lifecycle_test.cc
+++ b/tests/node_lifecycle_test.cc
@@ -148,8 +148,7 @@
   CHECK(WaitLong([&] { return deployment.HeldSlots({0, 1}) == kSlots * kBackends; }));
   REQUIRE(cluster.StartNode(2).ok());
   REQUIRE(WaitLong([&] {
-    return cluster.node(2).HeldSlots() > 0 &&
-           deployment.HeldSlots({0, 1, 2}) == kSlots * kBackends;
+    return cluster.node(2).HeldSlots() > 0 && deployment.HeldSlots({0, 1, 2}) == kSlots * kBackends;
   }));
   others.Stop();
   CHECK(others.sent() > 0);
@@ -193,9 +192,8 @@
   REQUIRE(WaitLong([&] { return deployment.HeldSlots({0, 1, 2}) == kSlots * kBackends; }));
   std::string vms;
   for (std::size_t i : {0, 1}) {
-    vms += fmt::format(
-        R"({}{{"name":"{}","address":"127.0.0.1","zone":"a","state":"live"}})",
-        i == 0 ? "" : ",", cluster.settings(i).node);
+    vms += fmt::format(R"({}{{"name":"{}","address":"127.0.0.1","zone":"a","state":"live"}})",
+                       i == 0 ? "" : ",", cluster.settings(i).node);
   }
   REQUIRE(cluster.node(2).HeldSlots() > 0);
   cluster.RemoveNode(2);
@@ -205,7 +203,8 @@
   CHECK(WaitLong([&] { return deployment.HeldSlots({0, 1}) == kSlots * kBackends; }));
 }
 
-TEST_CASE("a call to a backend server ends after the longest call, whatever the caller's deadline") {
+TEST_CASE(
+    "a call to a backend server ends after the longest call, whatever the caller's deadline") {
   // The shares of a dead node are used again after that time.
   Cluster cluster;
   cluster.AddZone("a");
--- a/tests/roster_updater_test.cc
+++ b/tests/roster_updater_test.cc
@@ -350,20 +350,20 @@
            std::string(),
            std::string("[]"),
            std::string(100'000, '['),
-           changed(0, 0),        // Big endian.
-           changed(1, 'x'),      // Another format.
-           changed(14, 0),       // A zone without a name.
-           changed(18, 3),       // More seats than follow.
-           changed(18, 1),       // Bytes follow the last seat.
-           changed(20, 1),       // Above `kMaxSeats`.
-           changed(22, 1),       // Shares a letter with nothing.
-           changed(23, 0),       // No name.
-           changed(23, 65),      // Too long a name.
-           changed(25, 2),       // No such zone.
-           changed(26, 8),       // Unknown flag.
+           changed(0, 0),                           // Big endian.
+           changed(1, 'x'),                         // Another format.
+           changed(14, 0),                          // A zone without a name.
+           changed(18, 3),                          // More seats than follow.
+           changed(18, 1),                          // Bytes follow the last seat.
+           changed(20, 1),                          // Above `kMaxSeats`.
+           changed(22, 1),                          // Shares a letter with nothing.
+           changed(23, 0),                          // No name.
+           changed(23, 65),                         // Too long a name.
+           changed(25, 2),                          // No such zone.
+           changed(26, 8),                          // Unknown flag.
            changed(27, 0).replace(28, 1, 1, '\0'),  // Port 0.
-           changed(43, 'a'),     // The same name twice.
-           changed(43, 'A'),     // Not sorted.
+           changed(43, 'a'),                        // The same name twice.
+           changed(43, 'A'),                        // Not sorted.
            valid + "x",
        }) {
     CHECK_FALSE(DecodeRoster(text).ok());
