--- a/include/damaskroute/membership/membership_driver.h
+++ b/include/damaskroute/membership/membership_driver.h
@@ -28,6 +28,9 @@
   std::function<void(const MemberForgotten&)> on_forgotten;
   std::function<void(const RevisionsSeen&)> on_revisions;
   std::function<void(const SelfSuperseded&)> on_superseded;
+
+  /// Message loss for measurements: a datagram for which it returns true is not sent. May be empty.
+  std::function<bool()> drop_datagram;
 };
 
 /// Runs a `SwimState` on a UDP socket and a timer. All members are for the loop's thread.
--- a/include/damaskroute/node/replication.h
+++ b/include/damaskroute/node/replication.h
@@ -24,7 +24,8 @@
   std::function<void(ConfigDocument)> install_config;
   std::function<void(Roster)> install_roster;
   std::function<void(const Member&)> member_changed;
-  std::function<void()> superseded;  ///< Another process runs under this node's name.
+  std::function<void()> superseded;     ///< Another process runs under this node's name.
+  std::function<bool()> drop_datagram;  ///< See `MembershipHandlers`. May be empty.
 };
 
 /// Membership, configuration and roster as this node shares them with its peers. Belongs to the
@@ -65,6 +66,9 @@
   std::vector<Member> LiveMembers() const { return membership_.state().LiveMembers(); }
   const SwimState& members() const { return membership_.state(); }
 
+  /// Traffic of the membership. Readable from any thread.
+  const MembershipCounters& membership_counters() const { return membership_.counters(); }
+
  private:
   void Do(const ReplicaActions& actions, bool is_roster);
   void Install(const DocumentInstalled& installed, bool is_roster);
--- a/src/membership/membership_driver.cc
+++ b/src/membership/membership_driver.cc
@@ -79,6 +79,7 @@
 }
 
 void MembershipDriver::SendTo(const Endpoint& to, const PeerDatagram& datagram) {
+  if (handlers_.drop_datagram && handlers_.drop_datagram()) return;
   absl::StatusOr<std::string> bytes = codec_.Encode(datagram);
   boost::system::error_code error;
   auto address = asio::ip::make_address(to.address, error);
