Measure the cost of configuration, roster, claims and seats up to the target size

Cause: docs/CAPACITY.md needs figures at 36,000 backend servers and 7,600 seats. Change: benchmark/capacity measures each at four or five sizes and fits a line.

--- /dev/null
+++ b/benchmark/capacity.cc
@@ -0,0 +1,567 @@
+// Cost of one node, and of the operators' path, against the size of the configuration and of the
+// roster, up to the target size. All figures are processor time of this process, so a busy machine
+// changes them little. docs/CAPACITY.md is made of this program's output.
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "benchmark/support/linear_fit.h"
+#include "benchmark/support/process_usage.h"
+#include "benchmark/support/target_config.h"
+#include "damaskroute/config/config_codec.h"
+#include "damaskroute/config/declaration.h"
+#include "damaskroute/core/hash.h"
+#include "damaskroute/dissemination/config_replica.h"
+#include "damaskroute/dissemination/document_delta.h"
+#include "damaskroute/intent/chunks.h"
+#include "damaskroute/intent/planner.h"
+#include "damaskroute/node/control_plane.h"
+#include "damaskroute/node/store_agent.h"
+#include "damaskroute/peer/message_codec.h"
+#include "damaskroute/peer/peer_transport.h"
+#include "damaskroute/roster/roster_codec.h"
+#include "damaskroute/shares/share_table.h"
+#include "damaskroute/store/memory_store.h"
+#include "fmt/format.h"
+#include "fmt/ranges.h"
+
+ABSL_FLAG(std::string, parts, "config,operators,roster,claims,peers,seats",
+          "parts to measure, separated by commas");
+ABSL_FLAG(int, backends_per_service, 440, "backend servers of each service, 2 to 36000");
+ABSL_FLAG(int, runs, 7, "runs of which the median is taken, 3 to 99");
+ABSL_FLAG(std::string, format, "table", "table or json");
+
+namespace damaskroute {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kFleet = 7600;
+constexpr double kBackends = 36000;
+constexpr double kBackendsPerNode = 4.7;
+constexpr std::uint64_t kSeed = 5;
+constexpr double kMegabyte = 1e6;
+
+struct Value {
+  const char* name;
+  const char* unit;
+  double value;
+};
+using Values = std::vector<Value>;
+
+double HeapMegabytes() { return static_cast<double>(mallinfo2().uordblks) / kMegabyte; }
+
+// Median processor time of `run` in milliseconds; `prepare` is not measured.
+double MedianMs(const std::function<void()>& prepare, const std::function<void()>& run) {
+  std::vector<double> times;
+  for (int i = 0; i < absl::GetFlag(FLAGS_runs); ++i) {
+    prepare();
+    double start = bench::ProcessorSeconds();
+    run();
+    times.push_back(1e3 * (bench::ProcessorSeconds() - start));
+  }
+  std::nth_element(times.begin(), times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2),
+                   times.end());
+  return times[times.size() / 2];
+}
+
+double MedianMs(const std::function<void()>& run) {
+  return MedianMs([] {}, run);
+}
+
+void ChangeOneBackend(ConfigDocument& config) {
+  ++config.revision;
+  auto& backends = config.services[config.revision % config.services.size()].backends;
+  BackendServer& backend = backends[config.revision % backends.size()];
+  backend.connections = 30 + static_cast<int>(config.revision % 7);
+}
+
+// The parts of a node that hold configuration and roster, on a loop that this thread runs.
+class InstalledNode {
+ public:
+  InstalledNode(const ConfigDocument& config, const Roster& roster)
+      : loop_(kSeed), control_(loop_, Identity(roster), view_, Hooks()) {
+    control_.InstallRoster(roster);
+    control_.InstallConfig(config);
+    // A predecessor keeps the share table from claims for 60 s.
+    control_.OnSeat(/*had_predecessor=*/true);
+    Flush();
+    TakeReports();
+  }
+
+  ControlPlane& control() { return control_; }
+  std::shared_ptr<const NodeView> view() const { return view_.Load(); }
+
+  // Runs what the last change has scheduled.
+  void Flush() {
+    std::this_thread::sleep_for(milliseconds(3));
+    loop_.context().poll();
+  }
+
+  double reports_sent() const { return reports_sent_; }
+  double report_bytes() const { return report_bytes_; }
+  void ResetReports() { reports_sent_ = report_bytes_ = 0; }
+
+ private:
+  static ControlIdentity Identity(const Roster& roster) {
+    const Seat& seat = roster.seats.front();
+    return {seat.node, seat.zone, seat.incarnation, kBackendsPerNode};
+  }
+
+  ControlHooks Hooks() {
+    ControlHooks hooks;
+    hooks.set_limit = [](const HolderLoop::Limit&) {};
+    hooks.view_changed = [](const ServiceName&) {};
+    hooks.to_node = [this](const NodeName&, const Message& message) {
+      if (!std::holds_alternative<BackendReport>(message)) return;
+      ++reports_sent_;
+      if (report_size_ == 0) report_size_ = static_cast<double>(EncodeMessage(message).size());
+      report_bytes_ += report_size_;
+    };
+    return hooks;
+  }
+
+  // Reports of all holders of the services that the node coordinates, and its own.
+  void TakeReports() {
+    auto view = view_.Load();
+    const NodeName& self = view->roster.seats.front().node;
+    std::uint64_t sequence = 1;
+    for (const ServiceName& name : view->placement.ServicesCoordinatedBy(self)) {
+      for (const BackendServer& backend : view->config.FindService(name)->backends) {
+        auto holders = view->placement.HoldersOf(backend.name);
+        BackendReport report;
+        report.service = name;
+        report.backend = backend.name;
+        report.boot_id = 1;
+        report.state = BackendState::kWarm;
+        report.share = 1;
+        report.held = {{1, {0, kKeySpaceSize}}};
+        for (const NodeName& holder : {holders->first, holders->second.value_or(holders->first)}) {
+          report.holder = holder;
+          report.sequence = sequence;
+          if (holder == self) {
+            control_.OnLocalReport(report);
+          } else {
+            control_.OnPeerReport(report);
+          }
+        }
+      }
+    }
+    Flush();
+  }
+
+  EventLoop loop_;
+  Snapshot<NodeView> view_;
+  ControlPlane control_;
+  double reports_sent_ = 0;
+  double report_bytes_ = 0;
+  double report_size_ = 0;
+};
+
+int SeatsFor(double backends) {
+  return std::max(10, static_cast<int>(std::lround(backends * kFleet / kBackends)));
+}
+
+Values MeasureConfig(double size) {
+  ConfigDocument config = bench::MakeTargetConfig(static_cast<int>(size),
+                                                  absl::GetFlag(FLAGS_backends_per_service));
+  Roster roster = bench::MakeTargetRoster(SeatsFor(size));
+  std::string bytes = *EncodeConfig(config);
+  ConfigDocument changed = config;
+  ChangeOneBackend(changed);
+  std::string changed_bytes = *EncodeConfig(changed);
+  std::string delta = MakeDelta(bytes, changed_bytes);
+  double encode = MedianMs([&] { (void)EncodeConfig(config); });
+  double decode = MedianMs([&] { (void)DecodeConfig(bytes); });
+  double make = MedianMs([&] { MakeDelta(bytes, changed_bytes); });
+  double apply = MedianMs([&] { (void)Hash64(*ApplyDelta(bytes, delta)); });
+  Placement placement(config, roster);
+  double next = MedianMs([&] { placement.Next(changed, roster); });
+  double copy = MedianMs([&] { ConfigDocument again = config; });
+
+  // Documents that are held besides the control plane: the encoded text and the last differences.
+  double heap = HeapMegabytes();
+  auto node = std::make_unique<InstalledNode>(config, roster);
+  ConfigReplica config_replica({}, kSeed);
+  config_replica.OnStoreDocument(SteadyClock().Now(), 1, bytes);
+  ConfigReplica roster_replica({}, kSeed);
+  roster_replica.OnStoreDocument(SteadyClock().Now(), 1, EncodeRoster(roster));
+  double memory = HeapMegabytes() - heap;
+
+  ConfigDocument revised = config;
+  ConfigDocument next_revision;
+  double install = MedianMs(
+      [&] {
+        ChangeOneBackend(revised);
+        next_revision = revised;
+      },
+      [&] {
+        node->control().InstallConfig(std::move(next_revision));
+        node->Flush();
+      });
+  auto old_view = node->view();
+  ChangeOneBackend(revised);
+  node->ResetReports();
+  node->control().InstallConfig(revised);
+  double peak = HeapMegabytes() - heap;
+  old_view.reset();
+  node->Flush();
+  return {{"encoded configuration", "MB", static_cast<double>(bytes.size()) / kMegabyte},
+          {"encode (reader, committing node)", "ms", encode},
+          {"decode", "ms", decode},
+          {"make the difference (reader)", "ms", make},
+          {"apply and hash the difference", "ms", apply},
+          {"placement after a change", "ms", next},
+          {"copy of the configuration", "ms", copy},
+          {"install in the control plane", "ms", install},
+          {"decode, apply and install", "ms", decode + apply + install},
+          {"reports sent on a change", "messages", node->reports_sent()},
+          {"bytes of these reports", "bytes", node->report_bytes()},
+          {"heap: documents, placement, reports", "MB", memory},
+          {"the same while a reader keeps the last view", "MB", peak}};
+}
+
+Values MeasureOperators(double size) {
+  ConfigDocument config = bench::MakeTargetConfig(static_cast<int>(size),
+                                                  absl::GetFlag(FLAGS_backends_per_service));
+  std::string text = bench::DeclarationText(config);
+  double start = bench::ProcessorSeconds();
+  auto parsed = ParseDeclaration({{"all.yaml", text}});
+  double parse = 1e3 * (bench::ProcessorSeconds() - start);
+  if (!parsed.ok()) {
+    fmt::print(stderr, "the declaration is refused: {}\n", parsed.status().message().data());
+    std::exit(1);
+  }
+  ConfigDocument changed = *parsed;
+  changed.services[0].backends[0].connections = 40;
+  double plan = MedianMs([&] { (void)Planner().MakePlan(config, changed); });
+  std::string bytes = *EncodeConfig(config);
+  std::size_t chunk_count = 0;
+  double chunks = MedianMs([&] {
+    std::vector<std::string> parts = SplitChunks(bytes);
+    chunk_count = parts.size();
+    EncodeManifest(parts);
+  });
+  return {{"declaration", "MB", static_cast<double>(text.size()) / kMegabyte},
+          {"parse the declaration", "ms", parse},
+          {"make a plan for one change", "ms", plan},
+          {"split into chunks and hash them", "ms", chunks},
+          {"chunks, read by each reader on each change", "reads",
+           static_cast<double>(chunk_count)}};
+}
+
+Values MeasureRoster(double size) {
+  int seats = static_cast<int>(size);
+  ConfigDocument config = bench::MakeTargetConfig(static_cast<int>(size * kBackends / kFleet),
+                                                  absl::GetFlag(FLAGS_backends_per_service));
+  Roster roster = bench::MakeTargetRoster(seats);
+  std::string text = EncodeRoster(roster);
+  double decode = MedianMs([&] { (void)DecodeRoster(text); });
+  double encode = MedianMs([&] { (void)EncodeRoster(roster); });
+  InstalledNode node(config, roster);
+  Roster revised = roster;
+  std::size_t at = 1;
+  Roster next_roster;
+  node.ResetReports();
+  double installs = 0;
+  double install = MedianMs(
+      [&] {
+        // Removes a seat of each zone in turn.
+        revised.seats.erase(revised.seats.begin() + static_cast<std::ptrdiff_t>(++at));
+        ++revised.revision;
+        next_roster = revised;
+        ++installs;
+      },
+      [&] {
+        node.control().InstallRoster(std::move(next_roster));
+        node.Flush();
+      });
+  return {{"encoded roster", "MB", static_cast<double>(text.size()) / kMegabyte},
+          {"decode the roster", "ms", decode},
+          {"encode the roster", "ms", encode},
+          {"install in the control plane, shares included", "ms", install},
+          {"decode and install", "ms", decode + install},
+          {"reports sent on a change of the roster", "messages", node.reports_sent() / installs}};
+}
+
+Values MeasureClaims(double size) {
+  int seats = static_cast<int>(size);
+  auto roster = std::make_shared<const Roster>(bench::MakeTargetRoster(seats));
+  ConfigDocument config = bench::MakeTargetConfig(static_cast<int>(size * kBackends / kFleet),
+                                                  absl::GetFlag(FLAGS_backends_per_service));
+  auto placement = std::make_shared<const Placement>(config, *roster);
+  ManualClock clock;
+  auto make_table = [&](const Seat& seat) {
+    ShareTableOptions options;
+    options.self = seat.node;
+    options.incarnation = seat.incarnation;
+    options.started = clock.Now();
+    options.had_predecessor = false;
+    ShareTable table(options);
+    table.OnPlacement(placement, roster, clock.Now());
+    return table;
+  };
+  ShareTable claimant = make_table(roster->seats[0]);
+  ShareTable asked = make_table(roster->seats[1]);
+  double halves = 0;
+  for (const BackendName& backend : placement->BackendsHeldBy(roster->seats[0].node)) {
+    auto holders = placement->HoldersOf(backend);
+    halves += (holders->first == roster->seats[0].node) +
+              (holders->OwnerOf(ShareHalf::kSecond) == roster->seats[0].node);
+  }
+  clock.Advance(milliseconds(600));
+  double start = bench::ProcessorSeconds();
+  ShareTable::Actions actions = claimant.OnTimer(clock.Now());
+  std::vector<const SendShareMessage*> claims;
+  double bytes = 0;
+  for (const ShareAction& action : actions) {
+    const auto* send = std::get_if<SendShareMessage>(&action);
+    if (send == nullptr) continue;
+    claims.push_back(send);
+    std::visit([&](const auto& message) { bytes += static_cast<double>(
+                                              EncodeMessage(Message(message)).size()); },
+               send->message);
+  }
+  double send_us = 1e6 * (bench::ProcessorSeconds() - start) / static_cast<double>(claims.size());
+  constexpr int kAnswers = 20000;
+  double reply_bytes = 0;
+  start = bench::ProcessorSeconds();
+  for (int i = 0; i < kAnswers; ++i) {
+    const SendShareMessage& claim = *claims[static_cast<std::size_t>(i) % claims.size()];
+    for (const ShareAction& action :
+         asked.OnMessage(roster->seats[0].node, claim.message, clock.Now())) {
+      if (const auto* send = std::get_if<SendShareMessage>(&action)) {
+        std::visit([&](const auto& message) { reply_bytes += static_cast<double>(
+                                                  EncodeMessage(Message(message)).size()); },
+                   send->message);
+      }
+    }
+  }
+  double answer_us = 1e6 * (bench::ProcessorSeconds() - start) / kAnswers;
+  double count = static_cast<double>(claims.size());
+  return {{"halves of a node", "halves", halves},
+          {"claims of these, one round", "messages", count},
+          {"claims for a half", "messages", count / std::max(1.0, halves)},
+          {"bytes of a claim", "bytes", bytes / count},
+          {"bytes of a reply", "bytes", reply_bytes / kAnswers},
+          {"make and encode a claim", "us", send_us},
+          {"answer a claim", "us", answer_us}};
+}
+
+// One node sends a message to `size` others that it has no connection to, as a claim does, and is
+// answered by each over a connection of its own.
+Values MeasurePeers(double size) {
+  PeerKeys keys{{1, "secret of the benchmark"}, {}};
+  asio::io_context loop;
+  auto count = static_cast<std::size_t>(size);
+  std::size_t answers = 0;
+  std::vector<std::unique_ptr<PeerTransport>> peers(count + 1);
+  for (std::size_t i = 0; i <= count; ++i) {
+    PeerHandlers handlers;
+    handlers.on_message = [&, i](const PeerContext& from, const Message& message) {
+      if (i == 0) {
+        ++answers;
+      } else {
+        peers[i]->Send(from.endpoint, message);
+      }
+    };
+    handlers.on_peer_lost = [](const Endpoint&) {};
+    peers[i] = std::make_unique<PeerTransport>(
+        loop, PeerIdentity{fmt::format("entry-node-{:05}", i), 1, {"127.0.0.1", 0}}, keys,
+        handlers);
+    if (!peers[i]->Listen().ok()) std::exit(1);
+  }
+  double heap = HeapMegabytes();
+  // Processor time in milliseconds.
+  auto round = [&] {
+    answers = 0;
+    double start = bench::ProcessorSeconds();
+    for (std::size_t i = 1; i <= count; ++i) peers[0]->Send(peers[i]->endpoint(), CancelCalls{});
+    TimePoint end = SteadyClock().Now() + std::chrono::seconds(10);
+    while (answers < count && SteadyClock().Now() < end) loop.run_for(milliseconds(1));
+    return 1e3 * (bench::ProcessorSeconds() - start);
+  };
+  double first = round();
+  double connects = 0;
+  for (const auto& peer : peers) connects += static_cast<double>(peer->counters().connects);
+  double lost = size - static_cast<double>(answers);
+  double memory = HeapMegabytes() - heap;
+  double second = round();
+  return {{"ask all and be answered, connections closed before", "ms", first},
+          {"ask all and be answered, connections open", "ms", second},
+          {"connections opened", "connections", connects},
+          {"opening a connection, both ends", "us", 1e3 * (first - second) / connects},
+          {"heap of all connections, both ends", "MB", memory},
+          {"questions without answer", "messages", lost}};
+}
+
+// A store whose calls take a network round trip.
+class DistantStore {
+ public:
+  explicit DistantStore(MemoryStore& store) : store_(&store) {}
+  absl::StatusOr<StoredValue> Get(const std::string& key) {
+    std::this_thread::sleep_for(kRoundTrip);
+    return store_->Get(key);
+  }
+  absl::StatusOr<std::uint64_t> CompareAndSwap(const std::string& key, std::uint64_t version,
+                                               const std::string& value) {
+    std::this_thread::sleep_for(kRoundTrip);
+    return store_->CompareAndSwap(key, version, value);
+  }
+  absl::StatusOr<StoredValue> Watch(const std::string& key, std::uint64_t after,
+                                    milliseconds timeout) {
+    return store_->Watch(key, after, timeout);
+  }
+
+ private:
+  static constexpr milliseconds kRoundTrip{2};
+  MemoryStore* store_;
+};
+
+// All nodes start at once and add their seats to the roster.
+Values MeasureSeats(double size) {
+  MemoryStore store;
+  std::atomic<std::size_t> seated{0};
+  std::vector<std::unique_ptr<StoreAgent<DistantStore>>> agents;
+  Roster roster = bench::MakeTargetRoster(static_cast<int>(size));
+  TimePoint start = SteadyClock().Now();
+  for (const Seat& seat : roster.seats) {
+    StoreAgentHooks hooks;
+    hooks.is_reader = [] { return false; };
+    hooks.on_config = [](Revision, const std::string&) {};
+    hooks.on_roster = [](Revision, const std::string&) {};
+    hooks.on_contact = [] {};
+    hooks.on_seat = [&](bool) { ++seated; };
+    agents.push_back(
+        std::make_unique<StoreAgent<DistantStore>>(DistantStore(store), seat, std::move(hooks)));
+    agents.back()->Start();
+  }
+  while (seated < agents.size()) std::this_thread::sleep_for(milliseconds(1));
+  std::chrono::duration<double> elapsed = SteadyClock().Now() - start;
+  StoreCallCounts calls = store.counts();
+  for (auto& agent : agents) agent->Stop();
+  return {{"reads per seat", "calls", static_cast<double>(calls.reads) / size},
+          {"writes per seat", "calls", static_cast<double>(calls.writes) / size},
+          {"writes that failed, of all", "ratio",
+           1 - size / static_cast<double>(calls.writes)},
+          {"time until all have a seat", "s", elapsed.count()}};
+}
+
+struct Part {
+  const char* name;
+  const char* axis;
+  std::vector<double> sizes;
+  double target;
+  std::function<Values(double)> measure;
+};
+
+std::vector<Part> Parts() {
+  std::vector<double> backends{2250, 4500, 9000, 18000, kBackends};
+  std::vector<double> seats{475, 950, 1900, 3800, kFleet};
+  return {{"config", "backend servers", backends, kBackends, MeasureConfig},
+          {"operators", "backend servers", backends, kBackends, MeasureOperators},
+          {"roster", "seats", seats, kFleet, MeasureRoster},
+          {"claims", "seats", seats, kFleet, MeasureClaims},
+          {"peers", "peers", {32, 64, 128, 256}, kFleet, MeasurePeers},
+          {"seats", "nodes", {4, 16, 32, 64, 128}, kFleet, MeasureSeats}};
+}
+
+struct Measured {
+  const Part* part;
+  std::vector<Values> columns;  // By size.
+  double load = 0;              // Load average of the machine at the end.
+
+  bench::LinearFit Fit(std::size_t row) const {
+    std::vector<double> y;
+    for (const Values& column : columns) y.push_back(column[row].value);
+    return {part->sizes, y};
+  }
+};
+
+void PrintTable(const Measured& measured) {
+  const Part& part = *measured.part;
+  fmt::print("\n### {}, by {} (load average {:.1f})\n\n| figure |", part.name, part.axis,
+             measured.load);
+  for (double size : part.sizes) fmt::print(" {} |", size);
+  fmt::print(" per 1,000 | line at {} |\n|---|", part.target);
+  for (std::size_t i = 0; i < part.sizes.size(); ++i) fmt::print("---|");
+  fmt::print("---|---|\n");
+  for (std::size_t row = 0; row < measured.columns[0].size(); ++row) {
+    fmt::print("| {}, {} |", measured.columns[0][row].name, measured.columns[0][row].unit);
+    for (const Values& column : measured.columns) fmt::print(" {:.4g} |", column[row].value);
+    bench::LinearFit fit = measured.Fit(row);
+    fmt::print(" {:.3g} | {:.4g} ± {:.2g} |\n", 1000 * fit.slope(), fit.At(part.target),
+               fit.ErrorAt(part.target));
+  }
+  std::fflush(stdout);
+}
+
+void PrintJson(const Measured& measured, bool first) {
+  const Part& part = *measured.part;
+  fmt::print(R"({}{{"name":"{}","axis":"{}","load_average":{:.2f},"sizes":[{}],"figures":[)",
+             first ? "" : ",", part.name, part.axis, measured.load, fmt::join(part.sizes, ","));
+  for (std::size_t row = 0; row < measured.columns[0].size(); ++row) {
+    std::vector<double> values;
+    for (const Values& column : measured.columns) values.push_back(column[row].value);
+    bench::LinearFit fit = measured.Fit(row);
+    fmt::print(
+        R"({}{{"name":"{}","unit":"{}","values":[{}],"intercept":{:.6g},"slope":{:.6g},)"
+        R"("at_target":{:.6g},"error":{:.3g}}})",
+        row == 0 ? "" : ",", measured.columns[0][row].name, measured.columns[0][row].unit,
+        fmt::join(values, ","), fit.intercept(), fit.slope(), fit.At(part.target),
+        fit.ErrorAt(part.target));
+  }
+  fmt::print("]}}");
+}
+
+int Main() {
+  std::string format = absl::GetFlag(FLAGS_format);
+  int runs = absl::GetFlag(FLAGS_runs);
+  int per_service = absl::GetFlag(FLAGS_backends_per_service);
+  if ((format != "table" && format != "json") || runs < 3 || runs > 99 || per_service < 2 ||
+      per_service > kBackends) {
+    fmt::print(stderr, "a flag is out of its range, see --help\n");
+    return 2;
+  }
+  bool table = format == "table";
+  std::string wanted = "," + absl::GetFlag(FLAGS_parts) + ",";
+  std::vector<Part> parts = Parts();
+  if (!table) fmt::print(R"({{"program":"capacity","parts":[)");
+  bool first = true;
+  for (const Part& part : parts) {
+    if (wanted.find(fmt::format(",{},", part.name)) == std::string::npos) continue;
+    Measured measured{&part, {}};
+    (void)part.measure(part.sizes[0]);  // The first run also pays for the growth of the heap.
+    for (double size : part.sizes) measured.columns.push_back(part.measure(size));
+    measured.load = bench::LoadAverage();
+    if (table) {
+      PrintTable(measured);
+    } else {
+      PrintJson(measured, std::exchange(first, false));
+    }
+  }
+  if (!table) fmt::print("]}}\n");
+  return 0;
+}
+
+}  // namespace
+}  // namespace damaskroute
+
+int main(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  return damaskroute::Main();
+}
