Send backend reports to new coordinators only, and repeat them in turn

Cause: each change of configuration or roster made a node send all its reports to all coordinators: 846 messages with 114 KB at the target size, about one change a second. The repetition every 10 s sent the same to all again. Both exceed the 7 KB/s of the control plane by far. Also the setting backends_per_node had no effect on the placement. Change: a change sends reports to processes that have not been told; a lost connection or a node found alive makes it tell them again. The repetition reaches 8 coordinators of a service in each period. The placement starts with the configured number of backend servers per node.

--- a/include/damaskroute/node/control_plane.h
+++ b/include/damaskroute/node/control_plane.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include "damaskroute/config/config_document.h"
 #include "damaskroute/core/snapshot.h"
@@ -61,6 +62,12 @@
   /// A node left, failed or restarted: its reports no longer count.
   void OnNodeLost(const NodeName& node);
 
+  /// A node is alive again after it was called dead: it has dropped the reports of this one.
+  void OnNodeFound(const NodeName& node);
+
+  /// Messages to the peer may be lost; reports are sent to it again.
+  void OnPeerLost(const Endpoint& peer);
+
   void OnShareMessage(const NodeName& from, const ShareMessage& message);
   void OnWithinLimit(const BackendName& backend, std::uint64_t sequence);
 
@@ -77,6 +84,8 @@
   void MarkDirty(const ServiceName& service);
   void FlushViews();
   void SendReport(const BackendReport& report);
+  void TellNewCoordinators();
+  void RepeatReports();
   void ArmReportTimer();
 
   EventLoop& loop_;
@@ -96,6 +105,9 @@
   std::map<FrontName, std::shared_ptr<FrontMetrics>> fronts_;
   std::map<BackendName, SetLimit> limits_;
   std::map<BackendName, BackendReport> own_reports_;
+  // Processes that have been sent all own reports of the service.
+  std::map<ServiceName, std::set<std::pair<Endpoint, Incarnation>>> told_;
+  std::uint64_t repeat_round_ = 0;
   std::uint64_t report_sequence_;
   std::set<ServiceName> dirty_;
   asio::steady_timer flush_timer_;
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -10,8 +10,12 @@
 // Reports that arrive together lead to one new view of a service.
 constexpr std::chrono::milliseconds kFlushDelay{2};
 
-// Repeats all reports, so that a coordinator that missed one learns it in the end.
+// Repeats reports, so that a coordinator that missed one learns it in the end. In one period they
+// go to so many coordinators of a service, in turn: at the target size a node has 9 backend servers
+// whose services have 94 coordinators, and all in each period cost twice the control traffic that a
+// node may have.
 constexpr std::chrono::seconds kReportPeriod{10};
+constexpr std::size_t kRepeatedCoordinators = 8;
 
 TimePoint Now() { return SteadyClock().Now(); }
 
@@ -24,7 +28,8 @@
       view_(view),
       hooks_(std::move(hooks)),
       node_copies_(kNodeCopyRatio, kNodeCopyBurst),
-      placement_(std::make_shared<const Placement>()),
+      placement_(std::make_shared<const Placement>(ConfigDocument{}, Roster{},
+                                                   identity_.backends_per_node)),
       report_sequence_(identity_.incarnation),
       flush_timer_(loop.context()),
       report_timer_(loop.context()),
@@ -76,7 +81,7 @@
     Apply(shares_->OnPlacement(placement_, std::make_shared<const Roster>(roster_), Now()));
   }
   RefreshIntents();
-  for (const auto& [name, report] : own_reports_) SendReport(report);
+  TellNewCoordinators();
 }
 
 void ControlPlane::Publish() {
@@ -154,6 +159,54 @@
   }
 }
 
+// A change of the configuration or the roster leaves nearly all coordinators as they are, and there
+// is about one change a second at the target size.
+void ControlPlane::TellNewCoordinators() {
+  std::map<ServiceName, std::set<std::pair<Endpoint, Incarnation>>> told;
+  std::map<ServiceName, std::vector<NodeName>> fresh;
+  for (const auto& [name, report] : own_reports_) {
+    if (told.contains(report.service)) continue;
+    auto& now_told = told[report.service];
+    const auto& before = told_[report.service];
+    for (const NodeName& node : placement_->CoordinatorsOf(report.service)) {
+      const Seat* seat = roster_.Find(node);
+      if (node == identity_.node || seat == nullptr) continue;
+      std::pair<Endpoint, Incarnation> process{seat->peer, seat->incarnation};
+      if (!before.contains(process)) fresh[report.service].push_back(node);
+      now_told.insert(std::move(process));
+    }
+  }
+  told_ = std::move(told);
+  for (const auto& [name, report] : own_reports_) {
+    auto it = fresh.find(report.service);
+    if (it == fresh.end()) continue;
+    for (const NodeName& node : it->second) hooks_.to_node(node, report);
+  }
+}
+
+void ControlPlane::RepeatReports() {
+  ++repeat_round_;
+  for (const auto& [name, report] : own_reports_) {
+    std::vector<NodeName> nodes = placement_->CoordinatorsOf(report.service);
+    std::size_t rounds = (nodes.size() + kRepeatedCoordinators - 1) / kRepeatedCoordinators;
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      if (nodes[i] == identity_.node || i % rounds != repeat_round_ % rounds) continue;
+      hooks_.to_node(nodes[i], report);
+    }
+  }
+}
+
+void ControlPlane::OnNodeFound(const NodeName& node) {
+  if (const Seat* seat = roster_.Find(node)) OnPeerLost(seat->peer);
+  TellNewCoordinators();
+}
+
+void ControlPlane::OnPeerLost(const Endpoint& peer) {
+  for (auto& [service, processes] : told_) {
+    std::erase_if(processes, [&](const auto& process) { return process.first == peer; });
+  }
+}
+
 void ControlPlane::OnPeerReport(const BackendReport& report) {
   if (reports_.Apply(report)) MarkDirty(report.service);
 }
@@ -194,7 +247,8 @@
   report_timer_.expires_after(kReportPeriod);
   report_timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
-    for (const auto& [name, report] : own_reports_) SendReport(report);
+    TellNewCoordinators();
+    RepeatReports();
     loads_.Prune();
     ArmReportTimer();
   });
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -156,7 +156,10 @@
   };
   hooks.install_roster = [this](Roster roster) { control_->InstallRoster(std::move(roster)); };
   hooks.member_changed = [this](const Member& member) {
-    if (member.IsLive()) return;
+    if (member.IsLive()) {
+      control_->OnNodeFound(member.node);
+      return;
+    }
     LogLine(LogLevel::kWarning, "peer is gone").Field("node", member.node);
     control_->OnNodeLost(member.node);
     transport_->Disconnect(member.endpoint);
@@ -497,6 +500,7 @@
 
 void EntryNode::OnPeerLost(const Endpoint& endpoint) {
   replication_->OnPeerLost(endpoint);
+  control_->OnPeerLost(endpoint);
   auto view = view_.Load();
   NodeName lost;
   for (const Seat& seat : view->roster.seats) {
--- a/tests/control_plane_test.cc
+++ b/tests/control_plane_test.cc
@@ -11,21 +11,21 @@
 // One control plane whose loop does not run, with the reports that it sends.
 class ControlWorld {
  public:
-  ControlWorld() : loop_(1), control_(loop_, {"node-0", "z", 1, 1.0}, view_, Hooks()) {
+  ControlWorld() : loop_(1), control_(loop_, {"node-0", "zone-a", 1, 1.0}, view_, Hooks()) {
     config_.revision = 1;
-    config_.zones.push_back({"z", "r", {}});
+    config_.zones.push_back({"zone-a", "region", {}});
     Service service;
-    service.name = "s";
+    service.name = "service";
     for (int i = 0; i < 4; ++i) {
       BackendServer backend;
       backend.name = fmt::format("backend-{}", i);
-      backend.zone = "z";
+      backend.zone = "zone-a";
       service.backends.push_back(backend);
     }
     config_.services.push_back(service);
     for (int i = 0; i < 4; ++i) {
       roster_.seats.push_back({fmt::format("node-{}", i),
-                               "z",
+                               "zone-a",
                                {"127.0.0.1", static_cast<std::uint16_t>(7000 + i)},
                                1,
                                false});
@@ -33,7 +33,7 @@
     InstallRoster();
     InstallConfig();
     BackendReport report;
-    report.service = "s";
+    report.service = "service";
     report.backend = "backend-0";
     control_.OnLocalReport(report);
   }
@@ -87,7 +87,7 @@
   world.InstallConfig();
   CHECK(world.TakeSent() == Sent{});
 
-  world.roster().seats.push_back({"node-4", "z", {"127.0.0.1", 7004}, 1, false});
+  world.roster().seats.push_back({"node-4", "zone-a", {"127.0.0.1", 7004}, 1, false});
   Service& service = world.config().services[0];
   BackendServer added = service.backends.front();
   added.name = "backend-4";
