--- a/src/node/replication.cc
+++ b/src/node/replication.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "damaskroute/config/config_codec.h"
 #include "damaskroute/core/error_text.h"
 #include "damaskroute/core/hash.h"
 #include "damaskroute/dissemination/config_reader.h"
@@ -43,6 +42,7 @@
               },
               [this](const RevisionsSeen& seen) { OnRevisions(seen); },
               [this](const SelfSuperseded&) { hooks_.superseded(); },
+              hooks_.drop_datagram,
           }),
       timer_(loop.context()) {}
 
@@ -117,7 +117,7 @@
     status = roster.status();
     if (roster.ok()) hooks_.install_roster(*std::move(roster));
   } else {
-    auto config = DecodeConfig(*installed.document);
+    auto config = config_decoder_.Decode(installed.document);
     status = config.status();
     if (config.ok()) {
       config->revision = installed.revision;
