--- a/benchmark/damaskbench.cc
+++ b/benchmark/damaskbench.cc
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,6 +21,7 @@
 ABSL_FLAG(std::string, query, "{}", "Query object as JSON.");
 ABSL_FLAG(double, rate, 100, "Queries per second.");
 ABSL_FLAG(absl::Duration, duration, absl::Seconds(5), "Time over which queries arrive.");
+ABSL_FLAG(absl::Duration, warm_up, absl::ZeroDuration(), "Load before, which is not counted.");
 ABSL_FLAG(absl::Duration, deadline, absl::Seconds(1), "Deadline of each query.");
 ABSL_FLAG(double, urgent, 0, "Fraction of urgent queries, 0 to 1.");
 ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the arrivals.");
@@ -29,6 +31,10 @@
 ABSL_FLAG(std::string, declaration, "", "Declaration file or directory, for the baseline.");
 ABSL_FLAG(std::string, format, "text", "text or json.");
 ABSL_FLAG(std::string, label, "load", "Name of the run in the output.");
+ABSL_FLAG(
+    std::string, samples, "",
+    "File to which a line per query is appended: arrival in ms, latency in ms, status, coverage, "
+    "urgent.");
 ABSL_FLAG(bool, timeline, false, "Also prints a line per second.");
 
 namespace damaskroute::bench {
@@ -49,6 +55,7 @@
   options.query = absl::GetFlag(FLAGS_query);
   options.rate = absl::GetFlag(FLAGS_rate);
   options.duration = absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_duration));
+  options.warm_up = absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_warm_up));
   options.deadline = absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_deadline));
   options.urgent_fraction = absl::GetFlag(FLAGS_urgent);
   options.seed = absl::GetFlag(FLAGS_seed);
@@ -120,6 +127,17 @@
   }
 }
 
+// Returns false if the file cannot be written.
+bool AppendSamples(const LoadResult& result, const std::string& path) {
+  std::ofstream file(path, std::ios::app);
+  for (const QuerySample& sample : result.samples) {
+    file << fmt::format("{} {:.3f} {} {:.6f} {}\n", sample.scheduled.count(),
+                        Millis(sample.latency), sample.status, sample.coverage,
+                        sample.urgent ? 1 : 0);
+  }
+  return static_cast<bool>(file.flush());
+}
+
 int Run() {
   auto options = ReadOptions();
   if (!options.ok()) {
@@ -138,6 +156,11 @@
     PrintText(result, *options);
   }
   if (absl::GetFlag(FLAGS_timeline)) PrintTimeline(result, *options);
+  std::string samples = absl::GetFlag(FLAGS_samples);
+  if (!samples.empty() && !AppendSamples(result, samples)) {
+    fmt::print(stderr, "damaskbench: cannot write {}\n", samples);
+    return 1;
+  }
   return 0;
 }
 
--- a/benchmark/support/load_generator.cc
+++ b/benchmark/support/load_generator.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <future>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace damaskroute::bench {
@@ -37,7 +38,7 @@
 
  private:
   void Schedule(double rate) {
-    double end = std::chrono::duration<double>(options_.duration).count();
+    double end = std::chrono::duration<double>(options_.warm_up + options_.duration).count();
     for (double at = 0;;) {
       at += -std::log(1 - loop_.random().Unit()) / rate;
       if (at >= end) break;
@@ -107,7 +108,11 @@
   LoadResult result;
   for (auto& load : loads) {
     auto samples = load->Wait();
-    result.samples.insert(result.samples.end(), samples.begin(), samples.end());
+    for (QuerySample& sample : samples) {
+      if (sample.scheduled < options.warm_up) continue;
+      sample.scheduled -= options.warm_up;
+      result.samples.push_back(std::move(sample));
+    }
   }
   return result;
 }
--- a/benchmark/support/load_generator.h
+++ b/benchmark/support/load_generator.h
@@ -15,7 +15,8 @@
 using TargetFactory = std::function<std::unique_ptr<QueryTarget>(EventLoop&)>;
 
 /// Sends an open-loop load: each query has an arrival time that does not depend on earlier
-/// answers, and its latency counts from that time. Ends when all queries have ended.
+/// answers, and its latency counts from that time. Ends when all queries have ended. The times in
+/// the samples count from the end of the warm-up.
 LoadResult RunLoad(const LoadOptions& options, const TargetFactory& make_target);
 
 }  // namespace damaskroute::bench
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,14 +2,19 @@
 # Functions that start a small deployment on loopback: stand-ins for platform and backend servers,
 # and four entry nodes in three availability zones. Sourced by demo.sh and bench.sh.
 #
-# Settings, as variables: SHARDS, REPLICAS, SLOTS, SERVICE_TIME, RECORDS, BASE_PORT, LOOPS.
+# Settings, as variables: SHARDS, REPLICAS, SLOTS, SERVICE_TIME, JITTER, RECORDS, WARM_UP, BASE_PORT,
+# LOOPS, STANDIN_THREADS.
 
 SHARDS=${SHARDS:-12}
 REPLICAS=${REPLICAS:-2}
 SLOTS=${SLOTS:-3}
 SERVICE_TIME=${SERVICE_TIME:-2ms}
 RECORDS=${RECORDS:-100000}
-BASE_PORT=${BASE_PORT:-$((20000 + ($$ % 200) * 100))}
+# Below the range from which the kernel takes ports of outgoing connections.
+BASE_PORT=${BASE_PORT:-$((12000 + ($$ % 40) * 500))}
+JITTER=${JITTER:-1ms}
+WARM_UP=${WARM_UP:-500ms}
+STANDIN_THREADS=${STANDIN_THREADS:-2}
 LOOPS=${LOOPS:-2}
 BIN=${BIN:-build/release}
 ZONES=(bogota-a bogota-b bogota-c)
@@ -32,16 +37,16 @@
     echo "services:"
     echo "  - name: accessions"
     echo "    customer: semillero"
-    echo "    warm_up: 500ms"
+    echo "    warm_up: $WARM_UP"
     echo "    backend_defaults: {slots: $SLOTS, cold_slots: 1, connections: 30}"
     echo "    backends:"
   } >"$dir/declaration.yaml"
   {
-    echo "threads: 2"
+    echo "threads: $STANDIN_THREADS"
     echo "control: 127.0.0.1:$(standin_port)"
     echo "platform: {endpoint: \"127.0.0.1:$(platform_port)\"}"
     echo "defaults: {slots: $SLOTS, connections: 30, connect_cost: 6ms," \
-      "service_time: $SERVICE_TIME, service_jitter: 1ms, records: $RECORDS," \
+      "service_time: $SERVICE_TIME, service_jitter: $JITTER, records: $RECORDS," \
       "starts_cold: true, cold_calls: 20}"
     echo "backends:"
   } >"$dir/standin.yaml"
@@ -126,11 +131,23 @@
 
 # Sends a control message to all backend stand-ins.
 control_all() {
-  local index
-  for ((index = 0; index < SHARDS * REPLICAS; ++index)); do
-    curl -s -m 2 -X POST "http://127.0.0.1:$(standin_port)/s$((index / REPLICAS))-r$((index % REPLICAS))/control" \
-      -H 'Content-Type: application/json' -d "$1" >/dev/null
+  curl -s -f -m 5 -X POST "http://127.0.0.1:$(standin_port)/control" -d "$1" >/dev/null
+}
+
+# Sends the control message $2 to the backend stand-in $1.
+control_one() {
+  curl -s -f -m 5 -X POST "http://127.0.0.1:$(standin_port)/$1/control" -d "$2" >/dev/null
+}
+
+# Names of the backend servers in the zone with index $1 in ZONES.
+backends_in_zone() {
+  local shard replica
+  for ((shard = 0; shard < SHARDS; ++shard)); do
+    for ((replica = 0; replica < REPLICAS; ++replica)); do
+      (((shard + replica) % 3 == $1)) && echo "s$shard-r$replica"
+    done
   done
+  return 0
 }
 
 # Sum of a counter over all backend stand-ins.
--- a/standins/control_standin.cc
+++ b/standins/control_standin.cc
@@ -39,6 +39,12 @@
     connection.Respond(200, "", all.empty() ? "[]" : all + "]");
     return;
   }
+  if (!is_get && path == "/control") {
+    absl::Status status;
+    for (BackendStandin* backend : backends_) status.Update(backend->Control(request.body()));
+    connection.Respond(status.ok() ? 200 : 400, "", std::string{status.message()});
+    return;
+  }
   std::size_t slash = path.find('/', 1);
   std::string_view name = path.substr(1, slash == std::string_view::npos ? slash : slash - 1);
   std::string_view resource = slash == std::string_view::npos ? "" : path.substr(slash);
--- a/standins/control_standin.h
+++ b/standins/control_standin.h
@@ -16,8 +16,8 @@
 
 /// One port for the control of many backend servers, which works while they are down or at their
 /// connection limit: `POST /NAME/control`, `GET /NAME/control/stats`, `GET /NAME/control/log`,
-/// and `GET /control/stats`, a JSON array of all. It needs a loop of its own, as it waits for the
-/// loops of the backend servers.
+/// and for all of them `POST /control` and `GET /control/stats`, a JSON array. It needs a loop of
+/// its own, as it waits for the loops of the backend servers.
 class ControlStandin {
  public:
   /// `backends` must outlive this object.
