--- a/include/damaskroute/crashguard/crash_guard.h
+++ b/include/damaskroute/crashguard/crash_guard.h
@@ -38,8 +38,17 @@
   /// A backend server broke the connection during a call of a query without rows, as seen here or
   /// in the `CrashReport` of a peer. Reports may arrive repeatedly and in any order. Two different
   /// starts of backend servers without a success between them block the request.
+  ///
+  /// `after_success`: the request had succeeded before, and this was no canary. Such a report makes
+  /// it suspect but does not complete a block, because a lost zone breaks all calls of an innocent
+  /// query with a small fan-out at once. Its canary decides.
   void OnCrash(const ServiceName& service, std::uint64_t fingerprint, const BackendName& backend,
-               BootId boot_id, TimePoint now);
+               BootId boot_id, TimePoint now, bool after_success = false);
+
+  /// Whether the request succeeded here and was not displaced since. Lock-free.
+  bool HasSucceeded(const ServiceName& service, std::uint64_t fingerprint) const {
+    return IsKnownGood(KeyOf(service, fingerprint));
+  }
 
   /// A backend server broke the connection during an action, which blocks it.
   void OnActionCrash(const ServiceName& service, std::uint64_t fingerprint, TimePoint now);
--- a/include/damaskroute/http/exchange_request.h
+++ b/include/damaskroute/http/exchange_request.h
@@ -10,6 +10,7 @@
 struct ExchangeRequest {
   std::string bytes;                      ///< Request line, headers and body.
   std::chrono::microseconds time_left{};  ///< The exchange ends after this time.
+  std::string request_id;                 ///< `Damask-Request-Id` in it; empty if it has none.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/http/http_server.h
+++ b/include/damaskroute/http/http_server.h
@@ -36,6 +36,10 @@
   /// Stops accepting; each connection is closed after the response to its current request.
   void BeginDrain();
 
+  /// From now on each response closes its connection, so that callers move to other nodes while
+  /// requests are still accepted. Thread-safe.
+  void CloseAfterResponses();
+
   /// Number of requests whose response has not been sent yet.
   std::size_t active_requests() const;
 
--- a/include/damaskroute/membership/membership_driver.h
+++ b/include/damaskroute/membership/membership_driver.h
@@ -28,6 +28,9 @@
   std::function<void(const MemberForgotten&)> on_forgotten;
   std::function<void(const RevisionsSeen&)> on_revisions;
   std::function<void(const SelfSuperseded&)> on_superseded;
+
+  /// Whether datagrams to and from the endpoint are dropped; for tests of partitions.
+  std::function<bool(const Endpoint&)> is_cut;
 };
 
 /// Runs a `SwimState` on a UDP socket and a timer. All members are for the loop's thread.
--- a/include/damaskroute/node/action_service.h
+++ b/include/damaskroute/node/action_service.h
@@ -56,6 +56,9 @@
   /// Messages sent to this peer may have arrived, but nothing comes back.
   void OnPeerLost(const NodeName& node);
 
+  /// Actions of this issuer that run now.
+  std::size_t running() const { return ledger_.running(); }
+
  private:
   struct Attempt;
   struct Waiting;
--- a/include/damaskroute/node/control_plane.h
+++ b/include/damaskroute/node/control_plane.h
@@ -24,6 +24,7 @@
   std::function<void(const HolderLoop::Limit&)> set_limit;
   std::function<void(const ServiceName&)> view_changed;  ///< New replicas were published.
   std::function<void(const NodeName&, Message)> to_node;
+  std::function<void(Revision)> config_installed;  ///< May be empty.
 };
 
 /// Identity and parameters of the node that a `ControlPlane` works for.
@@ -61,6 +62,9 @@
   /// A node left, failed or restarted: its reports no longer count.
   void OnNodeLost(const NodeName& node);
 
+  /// This node shuts down: its channels take no new work and report so.
+  void StopWork();
+
   void OnShareMessage(const NodeName& from, const ShareMessage& message);
   void OnWithinLimit(const BackendName& backend, std::uint64_t sequence);
 
@@ -88,6 +92,7 @@
   ConfigDocument config_;
   Roster roster_;
   std::shared_ptr<const Placement> placement_;
+  bool leaving_ = false;
   std::optional<bool> had_predecessor_;  // Set once the seat is in the roster.
   const TimePoint started_ = SteadyClock().Now();
   std::optional<ShareTable> shares_;
--- a/include/damaskroute/node/entry_node.h
+++ b/include/damaskroute/node/entry_node.h
@@ -2,7 +2,10 @@
 #define DAMASKROUTE_NODE_ENTRY_NODE_H_
 
 #include <atomic>
+#include <functional>
+#include <future>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -42,14 +45,34 @@
   /// Graceful shutdown: readiness fails first, running work ends, then the threads stop. Blocks.
   void Drain();
 
-  /// Installs documents without a store, for tests. Thread-safe. The node then has a seat that had
-  /// no predecessor.
+  /// Installs documents without a store, for tests. Thread-safe. The node then has a seat;
+  /// `had_predecessor` counts only until shares were given out.
   void InstallConfig(ConfigDocument config);
-  void InstallRoster(Roster roster);
+  void InstallRoster(Roster roster, bool had_predecessor = false);
+
+  /// Drops all messages to and from these peers, as a network partition does; for tests.
+  /// Thread-safe. An empty set ends the partition.
+  void CutFrom(std::set<Endpoint> peers) { cut_.Publish(std::move(peers)); }
+
+  /// Stops all event loops until `Resume`, as a paused VM does; for tests. Not from a loop.
+  void Pause();
+  void Resume();
+
+  /// Called on the control loop for each configuration that is installed; for tests. Set before
+  /// `Start`.
+  void SetOnConfigInstalled(std::function<void(Revision)> callback) {
+    on_config_installed_ = std::move(callback);
+  }
+
+  /// The documents in force. Thread-safe.
+  std::shared_ptr<const NodeView> view() const { return view_.Load(); }
 
  private:
   struct Worker;
 
+  bool IsCut(const Endpoint& peer) const { return cut_.Load()->contains(peer); }
+  std::size_t OpenWork();
+  void AwaitNoWork(TimePoint limit);
   void MakeWorkers();
   void MakeActions();
   void OnCrash(const QuerySpec& spec, const BackendName& backend, BootId boot_id);
@@ -73,6 +96,9 @@
   const Incarnation incarnation_;
   QueryIds ids_;
   Snapshot<NodeView> view_;
+  Snapshot<std::set<Endpoint>> cut_;
+  std::function<void(Revision)> on_config_installed_;
+  std::promise<void> resumed_;
   ReplicaSelector selector_;
   CrashGuard crash_guard_;
   EventLoop control_loop_;
--- a/include/damaskroute/node/replication.h
+++ b/include/damaskroute/node/replication.h
@@ -24,7 +24,8 @@
   std::function<void(ConfigDocument)> install_config;
   std::function<void(Roster)> install_roster;
   std::function<void(const Member&)> member_changed;
-  std::function<void()> superseded;  ///< Another process runs under this node's name.
+  std::function<void()> superseded;             ///< Another process runs under this node's name.
+  std::function<bool(const Endpoint&)> is_cut;  ///< See `MembershipHandlers::is_cut`.
 };
 
 /// Membership, configuration and roster as this node shares them with its peers. Belongs to the
--- a/include/damaskroute/peer/crash_report.h
+++ b/include/damaskroute/peer/crash_report.h
@@ -14,6 +14,7 @@
   ServiceName service;
   BackendName backend;
   BootId boot_id = 0;
+  bool after_success = false;  ///< See `CrashGuard::OnCrash`.
 };
 
 }  // namespace damaskroute
--- a/src/crashguard/crash_guard.cc
+++ b/src/crashguard/crash_guard.cc
@@ -47,13 +47,14 @@
 }
 
 void CrashGuard::OnCrash(const ServiceName& service, std::uint64_t fingerprint,
-                         const BackendName& backend, BootId boot_id, TimePoint now) {
+                         const BackendName& backend, BootId boot_id, TimePoint now,
+                         bool after_success) {
   std::lock_guard lock(mutex_);
   Suspect& suspect = Remember(service, KeyOf(service, fingerprint), now);
   std::uint64_t crash = std::max<std::uint64_t>(Hash64(backend, boot_id), 1);
   if (suspect.first_crash == 0) {
     suspect.first_crash = crash;
-  } else if (suspect.first_crash != crash) {
+  } else if (suspect.first_crash != crash && !after_success) {
     suspect.blocked = true;
   }
 }
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -163,6 +163,8 @@
     if (connected == ExchangeEnd::kAnswered) {
       result = co_await Exchange(*connection, request.bytes, reusable);
     }
+    // After the answer to another request the next one would be crossed as well.
+    if (!result.request_id.empty() && result.request_id != request.request_id) reusable = false;
     state->running.erase(id);
     state->Return(std::move(connection), reusable);
   }
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -24,6 +24,7 @@
   HttpHandler handler;
   std::unique_ptr<Tcp::acceptor> acceptor;
   std::atomic<bool> draining{false};
+  std::atomic<bool> close_after_responses{false};
   std::atomic<std::size_t> active_requests{0};
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> buffered_bytes{0};
@@ -132,6 +133,8 @@
       if (error) co_return false;
       buffer_.commit(bytes);
     }
+    // Counted from its first byte, so that a shutdown waits for a request that is being received.
+    Counted active(shared_->active_requests, 1);
     stream_.expires_after(options.header_timeout);
     co_await http::async_read_header(stream_, buffer_, parser, Redirect(error));
     if (error) co_return co_await Reject(ProblemOf(error), error);
@@ -157,10 +160,9 @@
     stream_.expires_after(options.body_timeout);
     co_await http::async_read(stream_, buffer_, parser, Redirect(error));
     if (error) co_return co_await Reject(ProblemOf(error), error);
-    Counted active(shared_->active_requests, 1);
     bool keep_alive = parser.get().keep_alive();
     HttpResponse response = co_await Handle(parser.release(), received);
-    keep_alive = keep_alive && !shared_->draining;
+    keep_alive = keep_alive && !shared_->draining && !shared_->close_after_responses;
     co_return co_await Write(std::move(response), keep_alive);
   }
 
@@ -282,7 +284,12 @@
   shared_->handler = std::move(handler);
 }
 
-HttpServer::~HttpServer() { shared_->draining = true; }
+HttpServer::~HttpServer() {
+  shared_->draining = true;
+  // Sessions on other loops keep the shared state longer than the first loop lives, to which the
+  // acceptor belongs.
+  if (!shared_->loops.empty() && shared_->loops.front()->stopped()) shared_->acceptor.reset();
+}
 
 absl::Status HttpServer::Start() {
   error_code error;
@@ -311,6 +318,8 @@
   });
 }
 
+void HttpServer::CloseAfterResponses() { shared_->close_after_responses = true; }
+
 std::size_t HttpServer::active_requests() const { return shared_->active_requests; }
 
 std::size_t HttpServer::open_connections() const { return shared_->connections; }
--- a/src/membership/membership_driver.cc
+++ b/src/membership/membership_driver.cc
@@ -79,6 +79,7 @@
 }
 
 void MembershipDriver::SendTo(const Endpoint& to, const PeerDatagram& datagram) {
+  if (handlers_.is_cut && handlers_.is_cut(to)) return;
   absl::StatusOr<std::string> bytes = codec_.Encode(datagram);
   boost::system::error_code error;
   auto address = asio::ip::make_address(to.address, error);
@@ -121,6 +122,7 @@
     ++(absl::IsPermissionDenied(datagram.status()) ? counters_.forged : counters_.malformed);
     return;
   }
+  if (handlers_.is_cut && handlers_.is_cut(datagram->sender.endpoint)) return;
   if (!window_.Accept(datagram->sender.node, datagram->sender.incarnation, datagram->sequence)) {
     ++counters_.replayed;
     return;
--- a/src/node/action_service.cc
+++ b/src/node/action_service.cc
@@ -24,6 +24,9 @@
 // A result that arrives this long after the deadline is still recorded.
 constexpr std::chrono::seconds kKeepLateAttempts{60};
 
+// For a repeat at a front that this node does not know.
+constexpr std::chrono::seconds kDeadlineWithoutFront{5};
+
 TimePoint Now() { return SteadyClock().Now(); }
 
 microseconds TimeLeft(TimePoint deadline) {
@@ -130,11 +133,13 @@
                            Respond respond) {
   auto view = context_.view->Load();
   const SearchFront* declared = view->config.FindFront(front);
-  if (declared == nullptr) {
+  if (declared == nullptr && request.action_id.empty()) {
     respond(UnknownFront(front));
     return;
   }
-  TimePoint deadline = received + request.deadline.value_or(declared->default_deadline);
+  TimePoint deadline =
+      received + request.deadline.value_or(declared != nullptr ? declared->default_deadline
+                                                               : kDeadlineWithoutFront);
   ActionId id;
   if (request.action_id.empty()) {
     id = ledger_.Issue(Now());
@@ -144,7 +149,9 @@
     respond(MakeProblem(400, "invalid_action_id", "this id was not issued by damaskroute"));
     return;
   }
-  const Seat* seat = view->roster.Find(id.issuer);
+  // Without the front, which a node that has just started may not know yet, this id may still have
+  // run through another node.
+  const Seat* seat = declared != nullptr ? view->roster.Find(id.issuer) : nullptr;
   std::optional<Incarnation> known;
   if (seat != nullptr) known = seat->incarnation;
   switch (DecideForeign(id, context_.node, context_.incarnation, known)) {
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -38,6 +38,7 @@
   LogLine(LogLevel::kInfo, "configuration installed")
       .Field("revision", config_.revision)
       .Field("change_id", config_.change_id);
+  if (hooks_.config_installed) hooks_.config_installed(config_.revision);
   Rebuild();
 }
 
@@ -124,7 +125,7 @@
     change.service = service->name;
     change.backend = *backend;
     change.warm_up = service->warm_up;
-    change.accepts_work = AcceptsWork(config_, *backend);
+    change.accepts_work = !leaving_ && AcceptsWork(config_, *backend);
   } else {
     change.backend.name = limit.backend;
   }
@@ -163,6 +164,11 @@
   for (const auto& [name, runtime] : services_) MarkDirty(name);
 }
 
+void ControlPlane::StopWork() {
+  leaving_ = true;
+  RefreshIntents();
+}
+
 void ControlPlane::OnShareMessage(const NodeName& from, const ShareMessage& message) {
   if (shares_) Apply(shares_->OnMessage(from, message, Now()));
 }
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -19,6 +19,10 @@
 
 // Requests that the balancer sent before it saw the failing readiness check are still accepted.
 constexpr std::chrono::milliseconds kDrainPoll{20};
+
+// Peers that have not yet heard of the shutdown may send calls for some round trips; these are
+// refused, and the refusals must leave before the process ends.
+constexpr int kQuietPolls = 10;
 constexpr std::chrono::seconds kLongestDrain{65};
 constexpr std::chrono::milliseconds kStoreCallDeadline{2000};
 
@@ -86,9 +90,15 @@
 
 EntryNode::~EntryNode() {
   operator_api_.reset();
-  if (store_agent_) store_agent_->Stop();
   control_loop_.Stop();
   for (auto& worker : workers_) worker->loop.Stop();
+  // Before the store agent, which may wait for a call of some seconds: peers and callers must not
+  // find open connections to a node that serves nothing any more.
+  callers_.reset();
+  transport_.reset();
+  actions_.reset();
+  workers_.clear();
+  if (store_agent_) store_agent_->Stop();
 }
 
 void EntryNode::MakeWorkers() {
@@ -109,6 +119,9 @@
   hooks.to_node = [this](const NodeName& node, Message message) {
     SendToNode(node, std::move(message));
   };
+  hooks.config_installed = [this](Revision revision) {
+    if (on_config_installed_) on_config_installed_(revision);
+  };
   control_ = std::make_unique<ControlPlane>(
       control_loop_,
       ControlIdentity{settings_.node, settings_.zone, incarnation_, settings_.backends_per_node},
@@ -136,12 +149,14 @@
   LogLine(LogLevel::kWarning, "backend server lost its connection during a query")
       .Field("request_id", spec.request_id)
       .Field("backend", backend);
-  crash_guard_.OnCrash(spec.service, spec.fingerprint, backend, boot_id, Now());
+  bool after_success = !spec.canary && crash_guard_.HasSucceeded(spec.service, spec.fingerprint);
+  crash_guard_.OnCrash(spec.service, spec.fingerprint, backend, boot_id, Now(), after_success);
   CrashReport report;
   report.fingerprint = spec.fingerprint;
   report.service = spec.service;
   report.backend = backend;
   report.boot_id = boot_id;
+  report.after_success = after_success;
   auto view = view_.Load();
   for (const NodeName& node : view->placement.CoordinatorsOf(spec.service)) {
     if (node != settings_.node) SendToNode(node, report);
@@ -159,8 +174,10 @@
     if (member.IsLive()) return;
     LogLine(LogLevel::kWarning, "peer is gone").Field("node", member.node);
     control_->OnNodeLost(member.node);
-    transport_->Disconnect(member.endpoint);
+    // A member that left finishes the work it has; its connections end with its process.
+    if (member.state == MemberState::kDead) transport_->Disconnect(member.endpoint);
   };
+  hooks.is_cut = [this](const Endpoint& peer) { return IsCut(peer); };
   hooks.superseded = [this] {
     LogLine(LogLevel::kError, "another process runs under the name of this node")
         .Field("node", settings_.node);
@@ -246,7 +263,7 @@
 absl::Status EntryNode::Start() {
   PeerHandlers handlers;
   handlers.on_message = [this](const PeerContext& from, Message message) {
-    Deliver(from.node, from.endpoint, std::move(message));
+    if (!IsCut(from.endpoint)) Deliver(from.node, from.endpoint, std::move(message));
   };
   handlers.on_peer_lost = [this](const Endpoint& endpoint) { OnPeerLost(endpoint); };
   transport_ = std::make_unique<PeerTransport>(
@@ -287,6 +304,7 @@
 void EntryNode::Drain() {
   draining_ = true;
   LogLine(LogLevel::kInfo, "draining");
+  callers_->CloseAfterResponses();
   std::this_thread::sleep_for(settings_.drain_time);
   callers_->BeginDrain();
   TimePoint limit = Now() + kLongestDrain;
@@ -298,18 +316,60 @@
       LogLine(LogLevel::kWarning, "cannot remove the seat").Field("error", ErrorText(left));
     }
   }
-  control_loop_.Post([this] { replication_->Leave(); });
-  LogLine(LogLevel::kInfo, "drained").Field("unfinished", callers_->active_requests());
+  // Calls that run here for other coordinators end before the process does.
+  control_loop_.Post([this] {
+    control_->StopWork();
+    replication_->Leave();
+  });
+  AwaitNoWork(limit);
+  LogLine(LogLevel::kInfo, "drained").Field("unfinished", callers_->active_requests() + OpenWork());
+}
+
+std::size_t EntryNode::OpenWork() {
+  std::size_t total = 0;
+  for (auto& worker : workers_) {
+    std::promise<std::size_t> count;
+    worker->loop.Post([this, &worker, &count] {
+      std::size_t actions = worker == workers_.front() ? actions_->running() : 0;
+      count.set_value(worker->holder.load() + worker->coordinator.open_queries() + actions);
+    });
+    total += count.get_future().get();
+  }
+  return total;
 }
 
+void EntryNode::AwaitNoWork(TimePoint limit) {
+  for (int quiet = 0; quiet < kQuietPolls && Now() < limit;) {
+    quiet = OpenWork() == 0 ? quiet + 1 : 0;
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+}
+
+void EntryNode::Pause() {
+  resumed_ = std::promise<void>();
+  std::shared_future<void> resumed = resumed_.get_future().share();
+  std::vector<EventLoop*> loops{&control_loop_};
+  for (auto& worker : workers_) loops.push_back(&worker->loop);
+  for (EventLoop* loop : loops) {
+    auto stopped = std::make_shared<std::promise<void>>();
+    loop->Post([stopped, resumed] {
+      stopped->set_value();
+      resumed.wait();
+    });
+    stopped->get_future().wait();
+  }
+}
+
+void EntryNode::Resume() { resumed_.set_value(); }
+
 void EntryNode::InstallConfig(ConfigDocument config) {
   control_loop_.Post(
       [this, config = std::move(config)]() mutable { control_->InstallConfig(std::move(config)); });
 }
 
-void EntryNode::InstallRoster(Roster roster) {
-  control_loop_.Post([this, roster = std::move(roster)]() mutable {
-    control_->OnSeat(false);
+void EntryNode::InstallRoster(Roster roster, bool had_predecessor) {
+  control_loop_.Post([this, had_predecessor, roster = std::move(roster)]() mutable {
+    control_->OnSeat(had_predecessor);
     control_->InstallRoster(std::move(roster));
   });
 }
@@ -390,14 +450,14 @@
   auto view = view_.Load();
   const Seat* seat = view->roster.Find(node);
   if (seat == nullptr) return false;
-  transport_->Send(seat->peer, message);
+  if (!IsCut(seat->peer)) transport_->Send(seat->peer, message);
   return true;
 }
 
 void EntryNode::SendTo(const Endpoint& endpoint, Message message) {
   if (endpoint == settings_.peers) {
     Deliver(settings_.node, endpoint, std::move(message));
-  } else {
+  } else if (!IsCut(endpoint)) {
     transport_->Send(endpoint, message);
   }
 }
@@ -480,7 +540,8 @@
             if (m.is_action) {
               crash_guard_.OnActionCrash(m.service, m.fingerprint, Now());
             } else {
-              crash_guard_.OnCrash(m.service, m.fingerprint, m.backend, m.boot_id, Now());
+              crash_guard_.OnCrash(m.service, m.fingerprint, m.backend, m.boot_id, Now(),
+                                   m.after_success);
             }
           },
           [&](ShareRelease& m) { to_control(std::move(m)); },
--- a/src/node/replication.cc
+++ b/src/node/replication.cc
@@ -38,6 +38,7 @@
               },
               [this](const RevisionsSeen& seen) { OnRevisions(seen); },
               [this](const SelfSuperseded&) { hooks_.superseded(); },
+              hooks_.is_cut,
           }),
       timer_(loop.context()) {}
 
--- a/src/node/shard_exchange.cc
+++ b/src/node/shard_exchange.cc
@@ -85,28 +85,32 @@
                    FormatKeyRange(call.call.range));
   }
   request.bytes += body;
+  request.request_id = WireRequestId(call);
   return request;
 }
 
 ExchangeRequest MakeCancelRequest(const HolderCall& call, const Endpoint& backend) {
   return {fmt::format("DELETE /shard/calls/{}/{} HTTP/1.1\r\nHost: {}\r\n\r\n", WireRequestId(call),
                       call.call.call_id, FormatEndpoint(backend)),
-          kCancelTimeout};
+          kCancelTimeout,
+          {}};
 }
 
 ExchangeRequest MakeHealthRequest(const Endpoint& backend) {
   return {fmt::format("GET /health HTTP/1.1\r\nHost: {}\r\n\r\n", FormatEndpoint(backend)),
-          kHealthTimeout};
+          kHealthTimeout,
+          {}};
 }
 
 ShardOutcome JudgeExchange(const HolderCall& call, const ExchangeResult& result,
                            std::string& rows) {
   if (result.end != ExchangeEnd::kAnswered) return OutcomeOfEnd(result.end);
+  bool own = result.request_id == WireRequestId(call) && result.attempt == call.call.call_id;
+  // A refusal of another call says nothing about this one, which may run. One that names no call
+  // comes from a part of the backend server that has not looked at the request.
+  if (!result.request_id.empty() && !own) return ShardOutcome::kBadAnswer;
   if (auto outcome = OutcomeOfStatus(result.status)) return *outcome;
-  if (result.status != 200 || result.request_id != WireRequestId(call) ||
-      result.attempt != call.call.call_id) {
-    return ShardOutcome::kBadAnswer;
-  }
+  if (result.status != 200 || !own) return ShardOutcome::kBadAnswer;
   if (call.action) return ShardOutcome::kRows;
   if (result.version != call.batch->version || result.range.IsEmpty() ||
       !call.call.range.Contains(result.range)) {
--- a/src/peer/message_fields.h
+++ b/src/peer/message_fields.h
@@ -125,7 +125,8 @@
 
 template <typename Archive>
 void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, CrashReport& value) {
-  archive(value.fingerprint, value.is_action, value.service, value.backend, value.boot_id);
+  archive(value.fingerprint, value.is_action, value.service, value.backend, value.boot_id,
+          value.after_success);
 }
 
 template <typename Archive>
--- a/standins/backend_core.cc
+++ b/standins/backend_core.cc
@@ -309,6 +309,10 @@
     call->connection->Reset();
   } else if (faults_.Hits(Fault::kNoAnswer, random_)) {
     return;
+  } else if (faults_.Hits(Fault::kCrossedRefusal, random_)) {
+    std::string headers = fmt::format("{}Damask-Request-Id: {}-other\r\nDamask-Attempt: {}\r\n",
+                                      CommonHeaders(), call->request_id, call->attempt);
+    call->connection->Respond(503, headers, "");
   } else if (faults_.Hits(Fault::kLateAnswer, random_)) {
     call->timer.expires_after(options_.late_delay);
     call->timer.async_wait(
--- a/standins/fault.h
+++ b/standins/fault.h
@@ -24,13 +24,14 @@
   kWrongAttempt,      ///< Another Damask-Attempt.
   kWrongVersion,      ///< Another Damask-Index-Version.
   kWrongRange,        ///< A Damask-Range beyond the asked one.
+  kCrossedRefusal,    ///< Runs, and answers with the 503 of another request.
   kMalformedJson,     ///< The body is cut off within the JSON text.
 };
 
-inline constexpr std::array<std::string_view, 11> kFaultNames = {
+inline constexpr std::array<std::string_view, 12> kFaultNames = {
     "shed",          "reset_before_run",  "reset_after_run",  "no_answer",
     "late_answer",   "duplicate_headers", "wrong_request_id", "wrong_attempt",
-    "wrong_version", "wrong_range",       "malformed_json"};
+    "wrong_version", "wrong_range",       "crossed_refusal",  "malformed_json"};
 
 /// Fault with that name, nullopt if there is none.
 std::optional<Fault> ParseFault(std::string_view name);
--- a/tests/crash_guard_test.cc
+++ b/tests/crash_guard_test.cc
@@ -141,5 +141,18 @@
   CHECK(guard.Check("s", 1, clock.Now()) == CrashMode::kBlocked);
 }
 
+// Guards against a block of ten minutes for a frequent query whose few calls ran in a lost zone.
+TEST_CASE("a request that has succeeded is blocked by its canary only") {
+  ManualClock clock;
+  CrashGuard guard{CrashGuardSettings{}};
+  guard.OnSuccess("s", 1, clock.Now());
+  CHECK(guard.HasSucceeded("s", 1));
+  guard.OnCrash("s", 1, "b1", 1, clock.Now(), /*after_success=*/true);
+  guard.OnCrash("s", 1, "b2", 1, clock.Now(), /*after_success=*/true);
+  CHECK(guard.Check("s", 1, clock.Now()) == CrashMode::kCanary);
+  guard.OnCrash("s", 1, "b3", 1, clock.Now());
+  CHECK(guard.Check("s", 1, clock.Now()) == CrashMode::kBlocked);
+}
+
 }  // namespace
 }  // namespace damaskroute
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -1,15 +1,23 @@
 #ifndef DAMASKROUTE_TESTS_SUPPORT_CLUSTER_H_
 #define DAMASKROUTE_TESTS_SUPPORT_CLUSTER_H_
 
+#include <unistd.h>
+
+#include <atomic>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "damaskroute/intent/config_log.h"
 #include "damaskroute/node/entry_node.h"
+#include "damaskroute/store/http_threads.h"
 #include "rapidjson/document.h"
 #include "standins/backend_standin.h"
 #include "standins/loop.h"
+#include "standins/platform_standin.h"
 #include "tests/support/http_call.h"
 
 namespace damaskroute::testing {
@@ -25,8 +33,27 @@
   return false;
 }
 
+/// A port that is free for TCP and UDP and below the range from which the kernel takes the ports of
+/// outgoing connections, so that a node that restarts finds its port free.
+inline Endpoint StableEndpoint() {
+  static std::atomic<int> next{static_cast<int>(getpid()) * 131 % 16000};
+  for (;;) {
+    auto port = static_cast<std::uint16_t>(12000 + next++ % 16000);
+    asio::io_context context;
+    boost::system::error_code error;
+    asio::ip::tcp::acceptor tcp(context);
+    asio::ip::udp::socket udp(context);
+    tcp.open(asio::ip::tcp::v4());
+    tcp.bind({asio::ip::make_address("127.0.0.1"), port}, error);
+    if (!error) udp.open(asio::ip::udp::v4(), error);
+    if (!error) udp.bind({asio::ip::make_address("127.0.0.1"), port}, error);
+    if (!error) return {"127.0.0.1", port};
+  }
+}
+
 /// Entry nodes and stand-in backend servers in one process, over real sockets on loopback. The
-/// configuration and the roster are installed directly, without a store.
+/// configuration and the roster are installed directly, or with `UseStore` come from a stand-in of
+/// the platform.
 class Cluster {
  public:
   Cluster() {
@@ -37,6 +64,16 @@
   ~Cluster() {
     nodes_.clear();
     backends_.clear();
+    platform_.reset();
+  }
+
+  /// Configuration and roster go through a store. Call before `AddNode`.
+  standins::PlatformStandin& UseStore(const standins::PlatformOptions& options = {}) {
+    InitializeHttpThreads();
+    platform_ =
+        std::make_unique<standins::PlatformStandin>(platform_loop_, StableEndpoint(), options);
+    (void)platform_->Start();
+    return *platform_;
   }
 
   void AddZone(const std::string& name) { config_.zones.push_back({name, "r", {}}); }
@@ -46,9 +83,11 @@
     settings.node = name;
     settings.zone = zone;
     settings.loops = 2;
-    settings.callers = FreeEndpoint();
-    settings.operators = FreeEndpoint();
-    settings.peers = FreeEndpoint();
+    settings.callers = StableEndpoint();
+    settings.operators = StableEndpoint();
+    settings.operator_token = "operators-secret-0123";
+    settings.peers = StableEndpoint();
+    if (platform_) settings.store = platform_->endpoint();
     settings.peer_keys.current = {1, "0123456789abcdef0123456789abcdef"};
     settings.drain_time = std::chrono::milliseconds(0);
     settings_.push_back(settings);
@@ -86,28 +125,112 @@
 
   /// Starts all nodes with the present configuration.
   absl::Status Start() {
-    Roster roster;
-    roster.revision = 1;
-    Incarnation incarnation = 100;
-    for (const NodeSettings& settings : settings_) {
-      roster.seats.push_back({settings.node, settings.zone, settings.peers, incarnation});
-      nodes_.push_back(std::make_unique<EntryNode>(settings, incarnation++));
-      absl::Status status = nodes_.back()->Start();
+    nodes_.resize(settings_.size());
+    incarnations_.resize(settings_.size());
+    installed_ = std::vector<std::vector<Revision>>(settings_.size());
+    if (platform_) {
+      CommitOutcome outcome = Commit([](ConfigDocument&) {});
+      if (outcome.result != CommitResult::kCommitted) return absl::UnavailableError(outcome.detail);
+    }
+    for (std::size_t i = 0; i < settings_.size(); ++i) {
+      absl::Status status = StartNode(i, false);
       if (!status.ok()) return status;
     }
-    for (auto& node : nodes_) {
-      node->InstallRoster(roster);
-      node->InstallConfig(config_);
+    return absl::OkStatus();
+  }
+
+  /// Starts a node that does not run, as a process with a new incarnation.
+  absl::Status StartNode(std::size_t index, bool had_predecessor = true) {
+    NodeSettings settings = settings_[index];
+    for (const NodeSettings& other : settings_) {
+      if (other.node != settings.node) settings.seeds.push_back(other.peers);
+    }
+    incarnations_[index] = next_incarnation_++;
+    {
+      std::lock_guard lock(installed_mutex_);
+      installed_[index].clear();
     }
+    auto node = std::make_unique<EntryNode>(settings, incarnations_[index]);
+    node->SetOnConfigInstalled([this, index](Revision revision) {
+      std::lock_guard lock(installed_mutex_);
+      installed_[index].push_back(revision);
+    });
+    absl::Status status = node->Start();
+    if (!status.ok()) return status;
+    nodes_[index] = std::move(node);
+    if (platform_) return absl::OkStatus();
+    InstallRoster();
+    if (had_predecessor) nodes_[index]->InstallRoster(roster_, true);
+    nodes_[index]->InstallConfig(config_);
     return absl::OkStatus();
   }
 
+  /// Ends a node without notice and starts it again under the same name and ports.
+  absl::Status RestartNode(std::size_t index) {
+    RemoveNode(index);
+    return StartNode(index);
+  }
+
+  /// No message passes between the two sets of nodes.
+  void Cut(const std::vector<std::size_t>& left, const std::vector<std::size_t>& right) {
+    CutOneSide(left, right);
+    CutOneSide(right, left);
+  }
+
+  /// Ends all partitions.
+  void Heal() {
+    for (auto& node : nodes_) {
+      if (node) node->CutFrom({});
+    }
+  }
+
+  /// Commits the next revision to the store as the intent API does, through as many tries as an
+  /// outage takes.
+  template <typename Change>
+  CommitOutcome Commit(Change change) {
+    ConfigDocument next = config_;
+    change(next);
+    next.revision = committed_ + 1;
+    next.change_id = "change-" + std::to_string(next.revision);
+    CommitRequest request;
+    request.base_revision = committed_;
+    request.change_id = next.change_id;
+    request.summary = "test";
+    request.committed_at = std::chrono::system_clock::now();
+    request.chunks = SplitChunks(*EncodeConfig(next));
+    HttpStore store(platform_->endpoint(), std::chrono::milliseconds(500));
+    CommitOutcome outcome = RunCommit(store, CommitResolver(request, 100), [](int) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    });
+    if (outcome.result == CommitResult::kCommitted) {
+      config_ = next;
+      committed_ = next.revision;
+    }
+    return outcome;
+  }
+
+  /// Revisions that the present process of a node installed, in order.
+  std::vector<Revision> Installed(std::size_t index) {
+    std::lock_guard lock(installed_mutex_);
+    return installed_[index];
+  }
+
+  /// Whether all nodes that run have the latest configuration in force.
+  bool InForceEverywhere() {
+    for (auto& node : nodes_) {
+      if (node && node->view()->config.revision != config_.revision) return false;
+    }
+    return true;
+  }
+
   /// Installs the next revision of the configuration after `change` was applied to it.
   template <typename Change>
   void Reconfigure(Change change) {
     change(config_);
     ++config_.revision;
-    for (auto& node : nodes_) node->InstallConfig(config_);
+    for (auto& node : nodes_) {
+      if (node) node->InstallConfig(config_);
+    }
   }
 
   HttpCallResult Query(std::size_t node, const std::string& front, const std::string& body) {
@@ -121,18 +244,53 @@
   }
 
   EntryNode& node(std::size_t index) { return *nodes_[index]; }
+  bool runs(std::size_t index) const { return nodes_[index] != nullptr; }
+  std::size_t node_count() const { return nodes_.size(); }
+
+  /// Ends a node without notice.
   void RemoveNode(std::size_t index) { nodes_[index].reset(); }
   const NodeSettings& settings(std::size_t index) const { return settings_[index]; }
   standins::BackendStandin& backend(std::size_t index) { return *backends_[index]; }
   std::size_t backend_count() const { return backends_.size(); }
   const ConfigDocument& config() const { return config_; }
+  standins::PlatformStandin& platform() { return *platform_; }
 
  private:
+  void InstallRoster() {
+    Roster roster;
+    roster.revision = roster_.revision + 1;
+    for (std::size_t i = 0; i < settings_.size(); ++i) {
+      const NodeSettings& settings = settings_[i];
+      if (incarnations_[i] == 0) continue;
+      roster.seats.push_back({settings.node, settings.zone, settings.peers, incarnations_[i]});
+    }
+    roster_ = roster;
+    for (auto& node : nodes_) {
+      if (node) node->InstallRoster(roster_);
+    }
+  }
+
+  void CutOneSide(const std::vector<std::size_t>& from, const std::vector<std::size_t>& to) {
+    std::set<Endpoint> peers;
+    for (std::size_t index : to) peers.insert(settings_[index].peers);
+    for (std::size_t index : from) {
+      if (nodes_[index]) nodes_[index]->CutFrom(peers);
+    }
+  }
+
   standins::Loop loop_;
+  standins::Loop platform_loop_;
+  std::unique_ptr<standins::PlatformStandin> platform_;
   std::vector<std::unique_ptr<standins::BackendStandin>> backends_;
   std::vector<BackendServer> pending_;
   ConfigDocument config_;
   std::vector<NodeSettings> settings_;
+  std::vector<Incarnation> incarnations_;
+  Incarnation next_incarnation_ = 100;
+  Roster roster_;
+  Revision committed_ = 0;
+  std::mutex installed_mutex_;
+  std::vector<std::vector<Revision>> installed_;
   std::vector<std::unique_ptr<EntryNode>> nodes_;
 };
 
