--- a/benchmark/capacity.cc
+++ b/benchmark/capacity.cc
@@ -448,22 +448,34 @@
   MemoryStore* store_;
 };
 
-// All nodes start at once and add their seats to the roster.
+// The removal of seats is not measured, so no list is needed.
+struct NoVmList {
+  absl::StatusOr<VmList> Read() { return absl::UnavailableError("no VM list"); }
+};
+
+// All nodes start at once and add their seats to the roster. Two are readers, which add the seats
+// of all live members in one write.
 Values MeasureSeats(double size) {
   MemoryStore store;
   std::atomic<std::size_t> seated{0};
-  std::vector<std::unique_ptr<StoreAgent<DistantStore>>> agents;
+  using Agent = StoreAgent<DistantStore, NoVmList>;
+  std::vector<std::unique_ptr<Agent>> agents;
   Roster roster = bench::MakeTargetRoster(static_cast<int>(size));
   TimePoint start = SteadyClock().Now();
   for (const Seat& seat : roster.seats) {
     StoreAgentHooks hooks;
-    hooks.is_reader = [] { return false; };
+    bool is_reader = agents.size() < 2;
+    hooks.is_reader = [is_reader] { return is_reader; };
     hooks.on_config = [](Revision, const std::string&) {};
     hooks.on_roster = [](Revision, const std::string&) {};
     hooks.on_contact = [] {};
     hooks.on_seat = [&](bool) { ++seated; };
+    hooks.live_members = [&roster] { return roster.seats; };
+    hooks.roster = [] { return std::make_shared<const Roster>(); };
+    RosterUpdaterOptions options;
+    options.self = seat;
     agents.push_back(
-        std::make_unique<StoreAgent<DistantStore>>(DistantStore(store), seat, std::move(hooks)));
+        std::make_unique<Agent>(DistantStore(store), NoVmList{}, options, std::move(hooks)));
     agents.back()->Start();
   }
   while (seated < agents.size()) std::this_thread::sleep_for(milliseconds(1));
--- a/benchmark/light_nodes.cc
+++ b/benchmark/light_nodes.cc
@@ -126,6 +126,11 @@
 };
 
 // The store as the agents see it; all share one.
+// The removal of seats is not measured, so no list is needed.
+struct NoVmList {
+  absl::StatusOr<VmList> Read() { return absl::UnavailableError("no VM list"); }
+};
+
 class StoreHandle {
  public:
   explicit StoreHandle(MemoryStore& store) : store_(&store) {}
@@ -220,7 +225,12 @@
     };
     hooks.on_contact = [this] { loop_.Post([this] { replication_->OnStoreContact(); }); };
     hooks.on_seat = [](bool) {};
-    agent_ = std::make_unique<StoreAgent<StoreHandle>>(StoreHandle(store), seat_, std::move(hooks));
+    hooks.live_members = [] { return std::vector<Seat>(); };
+    hooks.roster = [] { return std::make_shared<const Roster>(); };
+    RosterUpdaterOptions options;
+    options.self = seat_;
+    agent_ = std::make_unique<StoreAgent<StoreHandle, NoVmList>>(StoreHandle(store), NoVmList{},
+                                                                 options, std::move(hooks));
     agent_->Start();
   }
 
@@ -239,7 +249,7 @@
   Seat seat_;
   std::unique_ptr<PeerTransport> transport_;
   std::unique_ptr<Replication> replication_;
-  std::unique_ptr<StoreAgent<StoreHandle>> agent_;
+  std::unique_ptr<StoreAgent<StoreHandle, NoVmList>> agent_;
   bool open_ = false;
 };
 
--- a/include/damaskroute/node/control_plane.h
+++ b/include/damaskroute/node/control_plane.h
@@ -25,6 +25,7 @@
   std::function<void(const HolderLoop::Limit&)> set_limit;
   std::function<void(const ServiceName&)> view_changed;  ///< New replicas were published.
   std::function<void(const NodeName&, Message)> to_node;
+  std::function<void(Revision)> config_installed;  ///< May be empty.
 };
 
 /// Identity and parameters of the node that a `ControlPlane` works for.
--- a/src/membership/membership_driver.cc
+++ b/src/membership/membership_driver.cc
@@ -80,6 +80,7 @@
 
 void MembershipDriver::SendTo(const Endpoint& to, const PeerDatagram& datagram) {
   if (handlers_.drop_datagram && handlers_.drop_datagram()) return;
+  if (handlers_.is_cut && handlers_.is_cut(to)) return;
   absl::StatusOr<std::string> bytes = codec_.Encode(datagram);
   boost::system::error_code error;
   auto address = asio::ip::make_address(to.address, error);
@@ -122,6 +123,7 @@
     ++(absl::IsPermissionDenied(datagram.status()) ? counters_.forged : counters_.malformed);
     return;
   }
+  if (handlers_.is_cut && handlers_.is_cut(datagram->sender.endpoint)) return;
   if (!window_.Accept(datagram->sender.node, datagram->sender.incarnation, datagram->sequence)) {
     ++counters_.replayed;
     return;
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -42,6 +42,7 @@
   LogLine(LogLevel::kInfo, "configuration installed")
       .Field("revision", config_.revision)
       .Field("change_id", config_.change_id);
+  if (hooks_.config_installed) hooks_.config_installed(config_.revision);
   Rebuild();
 }
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kDrainPoll{20};
+constexpr std::chrono::milliseconds kLoopPoll{50};
 // Above the longest deadline of a caller.
 constexpr std::chrono::seconds kLongestDrain{65};
 // Time for the store to take a change of the seat: two calls with their deadlines and a retry.
@@ -96,9 +97,15 @@
 
 EntryNode::~EntryNode() {
   operator_api_.reset();
-  if (store_agent_) store_agent_->Stop();
   control_loop_.Stop();
   for (auto& worker : workers_) worker->loop.Stop();
+  // Before the store agent, which may wait for a call of some seconds: peers and callers must not
+  // find open connections to a node that serves nothing any more.
+  callers_.reset();
+  transport_.reset();
+  actions_.reset();
+  workers_.clear();
+  if (store_agent_) store_agent_->Stop();
 }
 
 void EntryNode::MakeWorkers() {
@@ -119,6 +126,9 @@
   hooks.to_node = [this](const NodeName& node, Message message) {
     SendToNode(node, std::move(message));
   };
+  hooks.config_installed = [this](Revision revision) {
+    if (on_config_installed_) on_config_installed_(revision);
+  };
   control_ = std::make_unique<ControlPlane>(
       control_loop_,
       ControlIdentity{settings_.node, settings_.zone, incarnation_, settings_.backends_per_node,
@@ -147,12 +157,14 @@
   LogLine(LogLevel::kWarning, "backend server lost its connection during a query")
       .Field("request_id", spec.request_id)
       .Field("backend", backend);
-  crash_guard_.OnCrash(spec.service, spec.fingerprint, backend, boot_id, Now());
+  bool after_success = !spec.canary && crash_guard_.HasSucceeded(spec.service, spec.fingerprint);
+  crash_guard_.OnCrash(spec.service, spec.fingerprint, backend, boot_id, Now(), after_success);
   CrashReport report;
   report.fingerprint = spec.fingerprint;
   report.service = spec.service;
   report.backend = backend;
   report.boot_id = boot_id;
+  report.after_success = after_success;
   auto view = view_.Load();
   for (const NodeName& node : view->placement.CoordinatorsOf(spec.service)) {
     if (node != settings_.node) SendToNode(node, report);
@@ -173,8 +185,10 @@
     }
     LogLine(LogLevel::kWarning, "peer is gone").Field("node", member.node);
     control_->OnNodeLost(member.node);
-    transport_->Disconnect(member.endpoint);
+    // A member that left finishes the work it has; its connections end with its process.
+    if (member.state == MemberState::kDead) transport_->Disconnect(member.endpoint);
   };
+  hooks.is_cut = [this](const Endpoint& peer) { return IsCut(peer); };
   hooks.superseded = [this] {
     LogLine(LogLevel::kError, "another process runs under the name of this node")
         .Field("node", settings_.node);
@@ -194,7 +208,11 @@
   // Shared, because the promise is still in use on the loop when the waiting thread goes on.
   auto result = std::make_shared<std::promise<decltype(function())>>();
   auto future = result->get_future();
-  control_loop_.Post([result, &function] { result->set_value(function()); });
+  control_loop_.Post([result, function] { result->set_value(function()); });
+  while (future.wait_for(kLoopPoll) != std::future_status::ready) {
+    // The loop ends before the store agent's threads, which may still ask.
+    if (control_loop_.context().stopped()) return decltype(function()){};
+  }
   return future.get();
 }
 
@@ -291,7 +309,7 @@
 absl::Status EntryNode::Start() {
   PeerHandlers handlers;
   handlers.on_message = [this](const PeerContext& from, Message message) {
-    Deliver(from.node, from.endpoint, std::move(message));
+    if (!IsCut(from.endpoint)) Deliver(from.node, from.endpoint, std::move(message));
   };
   handlers.on_peer_lost = [this](const Endpoint& endpoint) { OnPeerLost(endpoint); };
   transport_ = std::make_unique<PeerTransport>(
@@ -400,14 +418,31 @@
   LogLine(LogLevel::kInfo, "drained").Field("released", released).Field("finished", finished);
 }
 
+void EntryNode::Pause() {
+  resumed_ = std::promise<void>();
+  std::shared_future<void> resumed = resumed_.get_future().share();
+  std::vector<EventLoop*> loops{&control_loop_};
+  for (auto& worker : workers_) loops.push_back(&worker->loop);
+  for (EventLoop* loop : loops) {
+    auto stopped = std::make_shared<std::promise<void>>();
+    loop->Post([stopped, resumed] {
+      stopped->set_value();
+      resumed.wait();
+    });
+    stopped->get_future().wait();
+  }
+}
+
+void EntryNode::Resume() { resumed_.set_value(); }
+
 void EntryNode::InstallConfig(ConfigDocument config) {
   control_loop_.Post(
       [this, config = std::move(config)]() mutable { control_->InstallConfig(std::move(config)); });
 }
 
-void EntryNode::InstallRoster(Roster roster) {
-  control_loop_.Post([this, roster = std::move(roster)]() mutable {
-    control_->OnSeat(false);
+void EntryNode::InstallRoster(Roster roster, bool had_predecessor) {
+  control_loop_.Post([this, had_predecessor, roster = std::move(roster)]() mutable {
+    control_->OnSeat(had_predecessor);
     control_->InstallRoster(std::move(roster));
   });
 }
@@ -488,14 +523,14 @@
   auto view = view_.Load();
   const Seat* seat = view->roster.Find(node);
   if (seat == nullptr) return false;
-  transport_->Send(seat->peer, message);
+  if (!IsCut(seat->peer)) transport_->Send(seat->peer, message);
   return true;
 }
 
 void EntryNode::SendTo(const Endpoint& endpoint, Message message) {
   if (endpoint == settings_.peers) {
     Deliver(settings_.node, endpoint, std::move(message));
-  } else {
+  } else if (!IsCut(endpoint)) {
     transport_->Send(endpoint, message);
   }
 }
@@ -578,7 +613,8 @@
             if (m.is_action) {
               crash_guard_.OnActionCrash(m.service, m.fingerprint, Now());
             } else {
-              crash_guard_.OnCrash(m.service, m.fingerprint, m.backend, m.boot_id, Now());
+              crash_guard_.OnCrash(m.service, m.fingerprint, m.backend, m.boot_id, Now(),
+                                   m.after_success);
             }
           },
           [&](ShareRelease& m) { to_control(std::move(m)); },
