--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -123,7 +123,7 @@
     config_.fronts.push_back({name, name, std::chrono::milliseconds(5000), {}});
   }
 
-  /// Starts all nodes with the present configuration.
+  /// Starts all nodes with the present configuration; with a store, with what the store holds.
   absl::Status Start() {
     nodes_.resize(settings_.size());
     incarnations_.resize(settings_.size());
