Compare before building a backend report; read the clock once per holder event

Each finished call built a BackendReport (three strings and the held ranges) only to find it equal to the last one, and read the clock six times.

--- a/include/damaskroute/node/backend_channel.h
+++ b/include/damaskroute/node/backend_channel.h
@@ -65,21 +65,23 @@
     TimePoint started;
   };
 
-  void Apply(std::vector<QueueAction> actions);
-  void Start(std::uint64_t token);
+  void Apply(const std::vector<QueueAction>& actions, TimePoint now);
+  void Start(std::uint64_t token, TimePoint now);
   void Finish(std::uint64_t token, const ExchangeResult& result);
   void Refuse(std::uint64_t token, ShardOutcome outcome);
   void Reply(const HolderCall& call, ShardOutcome outcome, const ExchangeResult& result,
              std::string rows);
   void RequestCancel(std::uint64_t token);
-  void Learn(const Entry& entry, const ExchangeResult& result);
-  void UpdateLimit();
+  void Learn(const Entry& entry, const ExchangeResult& result, TimePoint now);
+  int Allowed(TimePoint now) const;
+  void UpdateLimit(TimePoint now);
   void CheckWithinLimit();
   void ArmTick();
   void Tick();
   void PollHealth();
   void OnHealth(const ExchangeResult& result);
-  void Report();
+  BackendState StateAt(TimePoint now) const;
+  void Report(TimePoint now);
 
   EventLoop& loop_;
   const ServiceName service_;
--- a/src/node/backend_channel.cc
+++ b/src/node/backend_channel.cc
@@ -38,21 +38,23 @@
 
 void BackendChannel::SetLimit(const Share& share, std::uint64_t sequence, bool accepts_work,
                               NodeName first_holder) {
+  TimePoint now = Now();
   bool returned = accepts_work && !accepts_work_;
   share_ = share;
   accepts_work_ = accepts_work;
   first_holder_ = std::move(first_holder);
   limit_sequence_ = sequence;
-  warmth_.SetShare(share, Now());
-  if (returned) warmth_.OnContrary(Now());
+  warmth_.SetShare(share, now);
+  if (returned) warmth_.OnContrary(now);
   client_.SetMaxConnections(share.connections);
-  UpdateLimit();
+  UpdateLimit(now);
   CheckWithinLimit();
-  Report();
+  Report(now);
   if (share_.connections > 0 && !health_running_) PollHealth();
 }
 
 void BackendChannel::Submit(HolderCall call) {
+  TimePoint now = Now();
   std::uint64_t token = next_token_++;
   CallTicket ticket{token, call.priority(), call.deadline};
   if (!call.action) {
@@ -60,8 +62,8 @@
   }
   calls_.emplace(token, Entry{std::move(call), 0, {}});
   // The allowance of the second holder ends by time alone, so it is read before each start.
-  UpdateLimit();
-  Apply(queue_.Enqueue(ticket, Now()));
+  UpdateLimit(now);
+  Apply(queue_.Enqueue(ticket, now), now);
 }
 
 void BackendChannel::Cancel(const Endpoint& from, std::uint64_t query_id, std::uint32_t call_id) {
@@ -69,16 +71,17 @@
   if (it == tokens_.end()) return;
   std::uint64_t token = it->second;
   bool waits = calls_.at(token).exchange == 0;
-  Apply(queue_.Cancel(token, Now()));
+  TimePoint now = Now();
+  Apply(queue_.Cancel(token, now), now);
   if (!waits) return;
   tokens_.erase(it);
   calls_.erase(token);
 }
 
-void BackendChannel::Apply(std::vector<QueueAction> actions) {
+void BackendChannel::Apply(const std::vector<QueueAction>& actions, TimePoint now) {
   for (const QueueAction& action : actions) {
     if (const auto* start = std::get_if<StartCall>(&action)) {
-      Start(start->token);
+      Start(start->token, now);
     } else if (const auto* refuse = std::get_if<RefuseCall>(&action)) {
       Refuse(refuse->token, refuse->reason == RefuseReason::kNoSlots ? ShardOutcome::kNoShare
                                                                      : ShardOutcome::kShed);
@@ -89,17 +92,19 @@
     } else if (const auto* timer = std::get_if<SetQueueTimer>(&action)) {
       queue_timer_.expires_at(timer->at);
       queue_timer_.async_wait([this](const boost::system::error_code& error) {
-        if (!error) Apply(queue_.OnTimer(Now()));
+        if (error) return;
+        TimePoint fired = Now();
+        Apply(queue_.OnTimer(fired), fired);
       });
     }
   }
 }
 
-void BackendChannel::Start(std::uint64_t token) {
+void BackendChannel::Start(std::uint64_t token, TimePoint now) {
   auto it = calls_.find(token);
   if (it == calls_.end()) return;
   Entry& entry = it->second;
-  entry.started = Now();
+  entry.started = now;
   entry.exchange = client_.Start(MakeExchangeRequest(entry.call, backend_.endpoint, entry.started),
                                  [this, token](ExchangeResult result) { Finish(token, result); });
 }
@@ -112,14 +117,15 @@
   if (!entry.call.action) {
     tokens_.erase({entry.call.reply_to, entry.call.query_id(), entry.call.call.call_id});
   }
-  Learn(entry, result);
+  TimePoint now = Now();
+  Learn(entry, result, now);
   std::string rows;
   ShardOutcome outcome = JudgeExchange(entry.call, result, rows);
   Reply(entry.call, outcome, result, std::move(rows));
-  Apply(queue_.OnDone(token, outcome == ShardOutcome::kRows, Now()));
-  UpdateLimit();
+  Apply(queue_.OnDone(token, outcome == ShardOutcome::kRows, now), now);
+  UpdateLimit(now);
   CheckWithinLimit();
-  Report();
+  Report(now);
 }
 
 void BackendChannel::Refuse(std::uint64_t token, ShardOutcome outcome) {
@@ -170,8 +176,7 @@
                 });
 }
 
-void BackendChannel::Learn(const Entry& entry, const ExchangeResult& result) {
-  TimePoint now = Now();
+void BackendChannel::Learn(const Entry& entry, const ExchangeResult& result, TimePoint now) {
   if (result.end == ExchangeEnd::kAnswered) {
     BackendState state = ParseBackendState(result.state);
     draining_ = state == BackendState::kDraining;
@@ -183,9 +188,13 @@
   }
 }
 
-void BackendChannel::UpdateLimit() {
-  int allowed = accepts_work_ ? std::min(share_.slots, warmth_.Allowed(Now())) : 0;
-  Apply(queue_.SetLimit(static_cast<std::uint32_t>(std::max(allowed, 0)), Now()));
+int BackendChannel::Allowed(TimePoint now) const {
+  int allowed = accepts_work_ ? std::min(share_.slots, warmth_.Allowed(now)) : 0;
+  return std::max(allowed, 0);
+}
+
+void BackendChannel::UpdateLimit(TimePoint now) {
+  Apply(queue_.SetLimit(static_cast<std::uint32_t>(Allowed(now)), now), now);
 }
 
 void BackendChannel::CheckWithinLimit() {
@@ -197,15 +206,17 @@
 }
 
 void BackendChannel::OnWarmQuery(const NodeName& from, const WarmQuery& query) {
-  auto grant = warmth_.OnQuery(query, Now());
-  UpdateLimit();
+  TimePoint now = Now();
+  auto grant = warmth_.OnQuery(query, now);
+  UpdateLimit(now);
   if (grant) hooks_.to_node(from, *grant);
 }
 
 void BackendChannel::OnWarmGrant(const WarmGrant& grant) {
-  warmth_.OnGrant(grant, Now());
-  UpdateLimit();
-  Report();
+  TimePoint now = Now();
+  warmth_.OnGrant(grant, now);
+  UpdateLimit(now);
+  Report(now);
 }
 
 void BackendChannel::ArmTick() {
@@ -218,13 +229,14 @@
 }
 
 void BackendChannel::Tick() {
-  if (auto query = warmth_.OnTimer(Now()); query && accepts_work_ && !first_holder_.empty()) {
+  TimePoint now = Now();
+  if (auto query = warmth_.OnTimer(now); query && accepts_work_ && !first_holder_.empty()) {
     hooks_.to_node(first_holder_, *query);
   }
-  UpdateLimit();
+  UpdateLimit(now);
   CheckWithinLimit();
-  if (Now() >= next_health_ && !health_running_ && share_.connections > 0) PollHealth();
-  Report();
+  if (now >= next_health_ && !health_running_ && share_.connections > 0) PollHealth();
+  Report(now);
 }
 
 void BackendChannel::PollHealth() {
@@ -244,27 +256,31 @@
     draining_ = health->state == BackendState::kDraining;
   }
   CheckWithinLimit();
-  Report();
+  Report(Now());
 }
 
-void BackendChannel::Report() {
-  BackendReport report;
-  report.service = service_;
-  report.backend = backend_.name;
-  report.boot_id = warmth_.boot_id();
-  int allowed = accepts_work_ ? std::min(share_.slots, warmth_.Allowed(Now())) : 0;
-  report.share = static_cast<std::uint32_t>(std::max(allowed, 0));
-  if (failed_polls_ >= kFailedPollsUntilDown) {
-    report.state = BackendState::kDown;
-  } else if (draining_) {
-    report.state = BackendState::kDraining;
-  } else {
-    report.state = warmth_.Warm(Now()) ? BackendState::kWarm : BackendState::kCold;
+BackendState BackendChannel::StateAt(TimePoint now) const {
+  if (failed_polls_ >= kFailedPollsUntilDown) return BackendState::kDown;
+  if (draining_) return BackendState::kDraining;
+  return warmth_.Warm(now) ? BackendState::kWarm : BackendState::kCold;
+}
+
+// Runs after each call and seldom finds a change, so it compares before it builds a report.
+void BackendChannel::Report(TimePoint now) {
+  BackendState state = StateAt(now);
+  auto share = static_cast<std::uint32_t>(Allowed(now));
+  bool reported_before = !last_report_.backend.empty();
+  if (reported_before && last_report_.boot_id == warmth_.boot_id() && last_report_.state == state &&
+      last_report_.share == share && last_report_.held == held_) {
+    return;
   }
-  report.held = held_;
-  if (report == last_report_) return;
-  last_report_ = report;
-  hooks_.report(std::move(report));
+  last_report_.service = service_;
+  last_report_.backend = backend_.name;
+  last_report_.boot_id = warmth_.boot_id();
+  last_report_.state = state;
+  last_report_.share = share;
+  last_report_.held = held_;
+  hooks_.report(last_report_);
 }
 
 }  // namespace damaskroute
