Start a call that finds a slot without passing through the waiting lines

Most calls find a free slot and an empty queue, and yet were inserted into a line and two tables.

Order and refusals are unchanged: a call that does not wait has passed the check of the remaining time, and would have been first in line.

--- a/src/admission/call_queue.cc
+++ b/src/admission/call_queue.cc
@@ -23,7 +23,15 @@
   if (ticket.deadline - now <= wait + Median()) {
     return refuse(RefuseReason::kNoTime);
   }
-  if (must_wait && !MakeRoomFor(ticket, actions)) return refuse(RefuseReason::kQueueFull);
+  if (!must_wait) {
+    // Most calls find a slot; these leave the lines alone.
+    if (ticket.priority != Priority::kUrgent) normal_in_a_row_ = 0;
+    running_.insert({ticket.token, {now, ticket.deadline}});
+    actions.emplace_back(StartCall{ticket.token});
+    ArmTimer(actions);
+    return actions;
+  }
+  if (!MakeRoomFor(ticket, actions)) return refuse(RefuseReason::kQueueFull);
   auto it = LineOf(ticket.priority).insert({ticket.deadline, next_sequence_++, ticket.token}).first;
   waiting_.insert({ticket.token, {ticket.priority, it}});
   StartWaiting(now, actions);
