Update the peers once for all members that change together

Cause: each changed member rebuilt the lists of peers and chose the readers again. A joining node learns of all members at once, so its control loop was blocked for 29.1 s at 7,600 members. Change: the update runs once for all changes of one turn of the loop.

--- a/include/damaskroute/node/replication.h
+++ b/include/damaskroute/node/replication.h
@@ -75,6 +75,7 @@
   void Install(const DocumentInstalled& installed, bool is_roster);
   void OnRevisions(const RevisionsSeen& seen);
   void MembersChanged();
+  void UpdatePeers();
   void TellRevisions();
   void ArmTimer();
 
@@ -85,6 +86,8 @@
   MembershipDriver membership_;
   std::map<NodeName, Revision> peer_revisions_;
   asio::steady_timer timer_;
+  bool members_changed_ = false;
+  asio::steady_timer members_timer_;
   std::atomic<bool> is_reader_{true};
 };
 
--- a/src/node/replication.cc
+++ b/src/node/replication.cc
@@ -39,11 +39,12 @@
               [this](const SelfSuperseded&) { hooks_.superseded(); },
               hooks_.drop_datagram,
           }),
-      timer_(loop.context()) {}
+      timer_(loop.context()),
+      members_timer_(loop.context()) {}
 
 void Replication::Start(std::vector<Endpoint> seeds) {
   membership_.Start(std::move(seeds));
-  MembersChanged();
+  UpdatePeers();
   ArmTimer();
 }
 
@@ -152,7 +153,18 @@
   TellRevisions();
 }
 
+// Changes that arrive together lead to one update: a joining node learns of all members at once,
+// and an update for each of 7,600 blocked the control loop for 29 s.
 void Replication::MembersChanged() {
+  if (std::exchange(members_changed_, true)) return;
+  members_timer_.expires_after(Duration::zero());
+  members_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) UpdatePeers();
+  });
+}
+
+void Replication::UpdatePeers() {
+  members_changed_ = false;
   std::vector<Member> live = membership_.state().LiveMembers();
   std::vector<Endpoint> peers;
   peers.reserve(live.size());
