--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -123,8 +123,8 @@
     config_.fronts.push_back({name, name, std::chrono::milliseconds(5000), {}});
   }
 
-  /// Starts all nodes with the present configuration; with a store, with what the store holds.
-  absl::Status Start() {
+  /// Starts all nodes, with the present configuration unless the store is to stay empty.
+  absl::Status Start(bool commit_first = true) {
     nodes_.resize(settings_.size());
     incarnations_.resize(settings_.size());
     installed_ = std::vector<std::vector<Revision>>(settings_.size());
