--- a/src/roster/roster_codec.cc
+++ b/src/roster/roster_codec.cc
@@ -50,7 +50,8 @@
 std::string ReadAddress(BoundedInputArchive& input) {
   typename Address::bytes_type bytes;
   input(cereal::binary_data(bytes.data(), bytes.size()));
-  return Address(bytes).to_string();
+  Address address(bytes);
+  return address.to_string();
 }
 
 void WriteSeat(Output& output, const Seat& seat, const NodeName& previous, std::uint8_t zone) {
