--- a/include/damaskroute/membership/membership_driver.h
+++ b/include/damaskroute/membership/membership_driver.h
@@ -31,6 +31,8 @@
 
   /// Message loss for measurements: a datagram for which it returns true is not sent. May be empty.
   std::function<bool()> drop_datagram;
+  /// Whether datagrams to and from the endpoint are dropped; for tests of partitions.
+  std::function<bool(const Endpoint&)> is_cut;
 };
 
 /// Runs a `SwimState` on a UDP socket and a timer. All members are for the loop's thread.
--- a/include/damaskroute/node/entry_node.h
+++ b/include/damaskroute/node/entry_node.h
@@ -2,7 +2,10 @@
 #define DAMASKROUTE_NODE_ENTRY_NODE_H_
 
 #include <atomic>
+#include <functional>
+#include <future>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -25,6 +28,7 @@
 #include "damaskroute/scatter/replica_selector.h"
 #include "damaskroute/settings/node_settings.h"
 #include "damaskroute/store/http_store.h"
+#include "damaskroute/store/http_vm_list.h"
 
 namespace damaskroute {
 
@@ -39,26 +43,56 @@
   /// Opens all ports and starts the threads. Unavailable if a port is taken.
   absl::Status Start();
 
-  /// Graceful shutdown: readiness fails first, running work ends, then the threads stop. Blocks.
+  /// Graceful shutdown (docs/design.md, 3.11). Blocks until the node can be destroyed without
+  /// cutting off a request, or until the bounds of the single steps have passed: `drain_time`, the
+  /// longest deadline of a caller, and some seconds for the platform if it does not answer. A
+  /// further call returns at once.
   void Drain();
 
-  /// Installs documents without a store, for tests. Thread-safe. The node then has a seat that had
-  /// no predecessor.
+  /// Sum of the slots of backend servers that this node may use now. Between `Start` and the
+  /// destructor, from any thread but the node's own.
+  int HeldSlots();
+
+  /// Installs documents without a store, for tests. Thread-safe. The node then has a seat;
+  /// `had_predecessor` counts only until shares were given out.
   void InstallConfig(ConfigDocument config);
-  void InstallRoster(Roster roster);
+  void InstallRoster(Roster roster, bool had_predecessor = false);
+
+  /// Drops all messages to and from these peers, as a network partition does; for tests.
+  /// Thread-safe. An empty set ends the partition.
+  void CutFrom(std::set<Endpoint> peers) { cut_.Publish(std::move(peers)); }
+
+  /// Stops all event loops until `Resume`, as a paused VM does; for tests. Not from a loop.
+  void Pause();
+  void Resume();
+
+  /// Called on the control loop for each configuration that is installed; for tests. Set before
+  /// `Start`.
+  void SetOnConfigInstalled(std::function<void(Revision)> callback) {
+    on_config_installed_ = std::move(callback);
+  }
+
+  /// The documents in force. Thread-safe.
+  std::shared_ptr<const NodeView> view() const { return view_.Load(); }
 
  private:
   struct Worker;
 
+  bool IsCut(const Endpoint& peer) const { return cut_.Load()->contains(peer); }
   void MakeWorkers();
   void MakeActions();
   void OnCrash(const QuerySpec& spec, const BackendName& backend, BootId boot_id);
   void MakeReplication();
   void MakeStoreAgent();
+  bool PassShares();
+  bool WaitForWork(Duration limit);
+  std::size_t CountWork();
+  template <typename Function>
+  auto OnControlLoop(Function function);
   void MakeOperatorApi();
   std::string RenderStatus();
   void HandleCaller(HttpRequest request, HttpResponder respond);
-  void HandleAction(const FrontTarget& target, HttpRequest request, HttpResponder respond);
+  void HandleAction(const FrontTarget& target, const HttpRequest& request, HttpResponder respond);
   HttpResponse AnswerReadiness() const;
   bool SendToNode(const NodeName& node, Message message);
   void SendTo(const Endpoint& endpoint, Message message);
@@ -73,6 +107,9 @@
   const Incarnation incarnation_;
   QueryIds ids_;
   Snapshot<NodeView> view_;
+  Snapshot<std::set<Endpoint>> cut_;
+  std::function<void(Revision)> on_config_installed_;
+  std::promise<void> resumed_;
   ReplicaSelector selector_;
   CrashGuard crash_guard_;
   EventLoop control_loop_;
@@ -81,7 +118,7 @@
   std::unique_ptr<ControlPlane> control_;
   std::unique_ptr<Replication> replication_;
   std::unique_ptr<PeerTransport> transport_;
-  std::unique_ptr<StoreAgent<HttpStore>> store_agent_;
+  std::unique_ptr<StoreAgent<HttpStore, HttpVmList>> store_agent_;
   std::unique_ptr<OperatorApi> operator_api_;
   std::unique_ptr<HttpServer> callers_;
   std::atomic<std::size_t> next_worker_{0};
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -34,8 +34,7 @@
 
 ControlPlane::ControlPlane(EventLoop& loop, ControlIdentity identity, Snapshot<NodeView>& view,
                            ControlHooks hooks)
-    : loop_(loop),
-      identity_(std::move(identity)),
+    : identity_(std::move(identity)),
       view_(view),
       hooks_(std::move(hooks)),
       node_copies_(kNodeCopyRatio, kNodeCopyBurst),
@@ -54,6 +53,7 @@
   LogLine(LogLevel::kInfo, "configuration installed")
       .Field("revision", config_.revision)
       .Field("change_id", config_.change_id);
+  if (hooks_.config_installed) hooks_.config_installed(config_.revision);
   Rebuild();
 }
 
@@ -111,6 +111,7 @@
   options.incarnation = identity_.incarnation;
   options.started = started_;
   options.had_predecessor = *had_predecessor_;
+  options.longest_call = identity_.longest_call;
   shares_.emplace(options);
 }
 
@@ -138,7 +139,7 @@
     change.service = service->name;
     change.backend = *backend;
     change.warm_up = service->warm_up;
-    change.accepts_work = AcceptsWork(config_, *backend);
+    change.accepts_work = holding_ && AcceptsWork(config_, *backend);
   } else {
     change.backend.name = limit.backend;
   }
@@ -154,6 +155,19 @@
   for (const auto& [name, limit] : limits_) ApplyLimit(limit);
 }
 
+void ControlPlane::StopHolding() {
+  holding_ = false;
+  RefreshIntents();
+}
+
+int ControlPlane::HeldSlots() const {
+  int total = 0;
+  for (const auto& [name, limit] : limits_) total += limit.limit.slots;
+  return total;
+}
+
+bool ControlPlane::Released() const { return !shares_ || shares_->Idle(Now()); }
+
 void ControlPlane::OnLocalReport(BackendReport report) {
   report.holder = identity_.node;
   report.sequence = ++report_sequence_;
