--- a/include/damaskroute/node/control_plane.h
+++ b/include/damaskroute/node/control_plane.h
@@ -84,7 +84,7 @@
   int HeldSlots() const;
 
   /// Own seat in the installed roster, or null.
-  const Seat* FindOwnSeat() const { return roster_.Find(identity_.node); }
+  const Seat* FindOwnSeat() const { return roster_->Find(identity_.node); }
 
   Revision config_revision() const { return config_.revision; }
   Revision roster_revision() const { return roster_->revision; }
