--- a/include/damaskroute/node/control_plane.h
+++ b/include/damaskroute/node/control_plane.h
@@ -84,10 +84,10 @@
   int HeldSlots() const;
 
   /// Own seat in the installed roster, or null.
-  const Seat* FindOwnSeat() const { return roster_.Find(identity_.node); }
+  const Seat* FindOwnSeat() const { return roster_->Find(identity_.node); }
 
   Revision config_revision() const { return config_.revision; }
-  Revision roster_revision() const { return roster_.revision; }
+  Revision roster_revision() const { return roster_->revision; }
 
  private:
   void Rebuild();
@@ -110,7 +110,7 @@
   TokenBudget node_copies_;
   LoadTable loads_;
   ConfigDocument config_;
-  Roster roster_;
+  std::shared_ptr<const Roster> roster_ = std::make_shared<const Roster>();
   std::shared_ptr<const Placement> placement_;
   bool holding_ = true;
   std::optional<bool> had_predecessor_;  // Set once the seat is in the roster.
