--- a/src/settings/yaml_reader.cc
+++ b/src/settings/yaml_reader.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "damaskroute/core/error_text.h"
+#include "damaskroute/core/name_character.h"
 #include "fmt/format.h"
 #include "fmt/ranges.h"
 
@@ -31,11 +32,6 @@
                                       {"ms", 1'000'000},
                                       {"us", 1'000}}};
 
-bool IsNameCharacter(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' ||
-         c == '_' || c == '-';
-}
-
 template <typename T>
 std::optional<T> ParseNumber(const std::string& text) {
   T value{};
@@ -107,7 +103,8 @@
 }
 
 void YamlReader::FailAt(const YAML::Mark& mark, const std::string& expected) const {
-  errors_->Add(file_, mark.line + 1, mark.column + 1, expected);
+  // A mapping that is not in the text has no mark, which yaml-cpp states as -1.
+  errors_->Add(file_, std::max(mark.line, 0) + 1, std::max(mark.column, 0) + 1, expected);
 }
 
 void YamlReader::Fail(const char* key, const std::string& expected) const {
