--- a/benchmark/shard_call_cost.cc
+++ b/benchmark/shard_call_cost.cc
@@ -206,7 +206,7 @@
     hooks.to_node = [](const NodeName&, const Message&) {};
     hooks.report = [](const BackendReport&) {};
     hooks.within_limit = [](const BackendName&, std::uint64_t) {};
-    holder_ = std::make_unique<HolderLoop>(loop_, std::move(hooks), 1);
+    holder_ = std::make_unique<HolderLoop>(loop_, std::move(hooks), 1, seconds(60));
     coordinator_ = std::make_unique<QueryCoordinator>(
         loop_, selector_,
         [this](const NodeName&, Message message) {
--- a/include/damaskroute/node/action_service.h
+++ b/include/damaskroute/node/action_service.h
@@ -47,12 +47,18 @@
   void HandleIssue(const FrontName& front, const Respond& respond);
 
   /// `POST /v1/fronts/F/actions`.
-  void Handle(const FrontName& front, ActionRequest request, TimePoint received, Respond respond);
+  void Handle(const FrontName& front, const ActionRequest& request, TimePoint received,
+              Respond respond);
 
   void OnForwardAction(const Endpoint& from, const ForwardAction& message);
   void OnActionReply(const ActionReply& message);
   void OnActionResult(const ActionResult& message);
 
+  /// Actions that run or wait here.
+  std::size_t open_actions() const {
+    return waiting_.size() + attempts_.size() + forwarded_.size();
+  }
+
   /// Messages sent to this peer may have arrived, but nothing comes back.
   void OnPeerLost(const NodeName& node);
 
@@ -61,12 +67,12 @@
   struct Waiting;
   struct Forwarded;
 
-  void Serve(const FrontName& front, const ActionId& id, ActionRequest request, TimePoint deadline,
-             Respond respond);
+  void Serve(const FrontName& front, const ActionId& id, const ActionRequest& request,
+             TimePoint deadline, Respond respond);
   void Run(const FrontName& front, const ActionId& id, const ActionRequest& request,
            TimePoint deadline);
   void SendAttempt(std::unique_ptr<Attempt> attempt);
-  void Conclude(const ActionId& id, ActionOutcome outcome);
+  void Conclude(const ActionId& id, const ActionOutcome& outcome);
   void Forward(const FrontName& front, const ActionId& id, const ActionRequest& request,
                TimePoint deadline, Respond respond);
   void EndForward(std::uint64_t id, HttpResponse response);
--- a/include/damaskroute/node/backend_channel.h
+++ b/include/damaskroute/node/backend_channel.h
@@ -83,7 +83,6 @@
   BackendState StateAt(TimePoint now) const;
   void Report(TimePoint now);
 
-  EventLoop& loop_;
   const ServiceName service_;
   const BackendServer backend_;
   BackendChannelHooks hooks_;
--- a/include/damaskroute/node/control_plane.h
+++ b/include/damaskroute/node/control_plane.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include "damaskroute/config/config_document.h"
 #include "damaskroute/core/snapshot.h"
@@ -32,6 +33,7 @@
   ZoneName zone;
   Incarnation incarnation = 0;
   double backends_per_node = Placement::kDefaultBackendsPerNode;
+  Duration longest_call = std::chrono::seconds(10);  ///< See `NodeSettings::longest_call`.
 };
 
 /// Turns configuration, roster and backend reports into the snapshots that the request path reads
@@ -61,9 +63,28 @@
   /// A node left, failed or restarted: its reports no longer count.
   void OnNodeLost(const NodeName& node);
 
+  /// A node is alive again after it was called dead: it has dropped the reports of this one.
+  void OnNodeFound(const NodeName& node);
+
+  /// Messages to the peer may be lost; reports are sent to it again.
+  void OnPeerLost(const Endpoint& peer);
+
   void OnShareMessage(const NodeName& from, const ShareMessage& message);
   void OnWithinLimit(const BackendName& backend, std::uint64_t sequence);
 
+  /// Lets no call to backend servers start any more; for a node that ends and cannot pass its
+  /// shares on.
+  void StopHolding();
+
+  /// No share is in use or on its way to another node, so the own seat may be removed.
+  bool Released() const;
+
+  /// Sum of the slots that this node may use.
+  int HeldSlots() const;
+
+  /// Own seat in the installed roster, or null.
+  const Seat* FindOwnSeat() const { return roster_.Find(identity_.node); }
+
   Revision config_revision() const { return config_.revision; }
   Revision roster_revision() const { return roster_.revision; }
 
@@ -77,9 +98,10 @@
   void MarkDirty(const ServiceName& service);
   void FlushViews();
   void SendReport(const BackendReport& report);
+  void TellNewCoordinators();
+  void RepeatReports();
   void ArmReportTimer();
 
-  EventLoop& loop_;
   const ControlIdentity identity_;
   Snapshot<NodeView>& view_;
   ControlHooks hooks_;
@@ -88,6 +110,7 @@
   ConfigDocument config_;
   Roster roster_;
   std::shared_ptr<const Placement> placement_;
+  bool holding_ = true;
   std::optional<bool> had_predecessor_;  // Set once the seat is in the roster.
   const TimePoint started_ = SteadyClock().Now();
   std::optional<ShareTable> shares_;
@@ -96,6 +119,9 @@
   std::map<FrontName, std::shared_ptr<FrontMetrics>> fronts_;
   std::map<BackendName, SetLimit> limits_;
   std::map<BackendName, BackendReport> own_reports_;
+  // Processes that have been sent all own reports of the service.
+  std::map<ServiceName, std::set<std::pair<Endpoint, Incarnation>>> told_;
+  std::uint64_t repeat_round_ = 0;
   std::uint64_t report_sequence_;
   std::set<ServiceName> dirty_;
   asio::steady_timer flush_timer_;
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -72,6 +72,7 @@
   std::size_t position = 0;      // In `State::running`.
   std::uint64_t id = 0;
   std::string request;
+  std::string request_id;
   std::size_t sent = 0;
   TimePoint deadline;
   bool connecting = false;
@@ -203,7 +204,10 @@
     return Read();
   }
   bool reusable = !abort_reason.has_value() && !error && reader->keep_alive() && buffer.size() == 0;
-  Finish(reader->TakeResult(), reusable);
+  ExchangeResult result = reader->TakeResult();
+  // After the answer to another request the next one would be crossed as well.
+  if (!result.request_id.empty() && result.request_id != request_id) reusable = false;
+  Finish(std::move(result), reusable);
 }
 
 void BackendClient::Connection::FailLater(const error_code& error) {
@@ -233,7 +237,7 @@
   if (!closed) callback(std::move(result));
 }
 
-BackendClient::BackendClient(asio::io_context& loop, Endpoint endpoint, int max_connections)
+BackendClient::BackendClient(asio::io_context& loop, const Endpoint& endpoint, int max_connections)
     : state_(std::make_shared<State>(loop, max_connections)) {
   error_code error;
   auto address = asio::ip::make_address(endpoint.address, error);
@@ -266,6 +270,7 @@
   }
   connection->id = id;
   connection->request = std::move(request.bytes);
+  connection->request_id = std::move(request.request_id);
   connection->sent = 0;
   connection->deadline = Now() + request.time_left;
   connection->reader.emplace();
--- a/src/node/backend_channel.cc
+++ b/src/node/backend_channel.cc
@@ -22,8 +22,7 @@
 BackendChannel::BackendChannel(EventLoop& loop, const ServiceName& service, BackendServer backend,
                                WarmthOptions warmth, LatencyQuantiles& latency,
                                BackendChannelHooks hooks)
-    : loop_(loop),
-      service_(service),
+    : service_(service),
       backend_(std::move(backend)),
       hooks_(std::move(hooks)),
       warmth_(std::move(warmth)),
@@ -105,8 +104,9 @@
   if (it == calls_.end()) return;
   Entry& entry = it->second;
   entry.started = now;
-  entry.exchange = client_.Start(MakeExchangeRequest(entry.call, backend_.endpoint, entry.started),
-                                 [this, token](ExchangeResult result) { Finish(token, result); });
+  entry.exchange =
+      client_.Start(MakeExchangeRequest(entry.call, backend_.endpoint, entry.started),
+                    [this, token](const ExchangeResult& result) { Finish(token, result); });
 }
 
 void BackendChannel::Finish(std::uint64_t token, const ExchangeResult& result) {
