Render the id of a shard request once

Instructions per shard call at a fan-out of 60 (callgrind, thread of the loop, 24,000 calls): 25,130 before, 24,660 after (-2%).

--- a/src/node/shard_exchange.cc
+++ b/src/node/shard_exchange.cc
@@ -73,6 +73,7 @@
                                     TimePoint now) {
   ExchangeRequest request;
   request.time_left = TimeLeft(call, now);
+  request.request_id = WireRequestId(call);
   const std::string& body = call.action ? call.action->body : call.batch->body;
   request.bytes.reserve(kHeaderBytes + body.size());
   fmt::format_to(
@@ -80,7 +81,7 @@
       FMT_COMPILE("POST /shard/{} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n"
                   "Content-Length: {}\r\nDamask-Request-Id: {}\r\nDamask-Attempt: {}\r\n"
                   "Damask-Deadline-Ms: {}\r\n"),
-      call.action ? "action" : "query", FormatEndpoint(backend), body.size(), WireRequestId(call),
+      call.action ? "action" : "query", FormatEndpoint(backend), body.size(), request.request_id,
       call.call.call_id, DeadlineHeader(request.time_left));
   if (call.action) {
     fmt::format_to(std::back_inserter(request.bytes), FMT_COMPILE("Damask-Action-Id: {}\r\n\r\n"),
@@ -91,7 +92,6 @@
                    call.batch->version, call.call.range.low, call.call.range.high);
   }
   request.bytes += body;
-  request.request_id = WireRequestId(call);
   return request;
 }
 
