--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -29,8 +29,8 @@
     asio::basic_waitable_timer<TimePoint::clock, asio::wait_traits<TimePoint::clock>, Executor>;
 
 // Most answers are shorter than the first; a longer one is read in steps of growing size.
-constexpr std::size_t kFirstReadSize = 4 * 1024;
-constexpr std::size_t kLargestReadSize = 64 * 1024;
+constexpr std::size_t kFirstReadSize = 4 << 10;
+constexpr std::size_t kLargestReadSize = 64 << 10;
 
 TimePoint Now() { return SteadyClock().Now(); }
 
--- a/src/http/response_reader.cc
+++ b/src/http/response_reader.cc
@@ -9,10 +9,10 @@
 namespace {
 
 // A response body above this size ends the exchange, as it would fill the node's memory.
-constexpr std::uint64_t kMaxResponseBytes = 8 * 1024 * 1024;
+constexpr std::uint64_t kMaxResponseBytes = 8 << 20;
 
 // A stated length is not trusted beyond this size.
-constexpr std::uint64_t kMaxReservedBytes = 256 * 1024;
+constexpr std::uint64_t kMaxReservedBytes = 256 << 10;
 
 constexpr std::string_view kPrefix = "Damask-";
 
