--- a/tests/support/action_world.h
+++ b/tests/support/action_world.h
@@ -76,6 +76,7 @@
 /// What went wrong; all zero if the guarantees hold.
 struct ActionTally {
   std::uint64_t actions = 0;
+  std::uint64_t executed = 0;  ///< By the counts of the backend servers.
   std::uint64_t ran = 0;
   std::uint64_t not_run = 0;
   std::uint64_t may_have_run = 0;
@@ -98,6 +99,7 @@
     if (record.last == "ran") ++ran;
     if (record.last == "not_run") ++not_run;
     if (record.last == "may_have_run") ++may_have_run;
+    if (runs > 0) ++executed;
     if (runs > 1) ++doubled;
     if (runs > 0 && record.last != "ran" && record.last != "may_have_run") ++lost;
     if (runs > 0 && said_not_run) ++false_not_run;
@@ -106,10 +108,12 @@
 
   std::string Text() const {
     return fmt::format(
-        "{} actions: {} ran, {} not_run, {} may_have_run; {} calls unanswered; {} doubled, {} "
+        "{} actions, {} executed; last answers: {} ran, {} not_run, {} may_have_run; {} calls "
+        "unanswered; {} doubled, {} "
         "lost, "
         "{} false not_run, {} false ran",
-        actions, ran, not_run, may_have_run, unanswered, doubled, lost, false_not_run, false_ran);
+        actions, executed, ran, not_run, may_have_run, unanswered, doubled, lost, false_not_run,
+        false_ran);
   }
 };
 
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -62,7 +62,10 @@
   }
 
   ~Cluster() {
-    nodes_.clear();
+    // At the same time, as each may wait for a call to the store that runs to its timeout.
+    std::vector<std::thread> ends;
+    for (auto& node : nodes_) ends.emplace_back([&node] { node.reset(); });
+    for (std::thread& end : ends) end.join();
     backends_.clear();
     platform_.reset();
   }
