--- a/include/damaskroute/node/replication.h
+++ b/include/damaskroute/node/replication.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "damaskroute/config/config_decoder.h"
 #include "damaskroute/config/config_document.h"
 #include "damaskroute/dissemination/config_replica.h"
 #include "damaskroute/membership/membership_driver.h"
@@ -24,7 +25,9 @@
   std::function<void(ConfigDocument)> install_config;
   std::function<void(Roster)> install_roster;
   std::function<void(const Member&)> member_changed;
-  std::function<void()> superseded;  ///< Another process runs under this node's name.
+  std::function<void()> superseded;             ///< Another process runs under this node's name.
+  std::function<bool()> drop_datagram;          ///< See `MembershipHandlers`. May be empty.
+  std::function<bool(const Endpoint&)> is_cut;  ///< See `MembershipHandlers::is_cut`.
 };
 
 /// Membership, configuration and roster as this node shares them with its peers. Belongs to the
@@ -65,20 +68,27 @@
   std::vector<Member> LiveMembers() const { return membership_.state().LiveMembers(); }
   const SwimState& members() const { return membership_.state(); }
 
+  /// Traffic of the membership. Readable from any thread.
+  const MembershipCounters& membership_counters() const { return membership_.counters(); }
+
  private:
   void Do(const ReplicaActions& actions, bool is_roster);
   void Install(const DocumentInstalled& installed, bool is_roster);
   void OnRevisions(const RevisionsSeen& seen);
   void MembersChanged();
+  void UpdatePeers();
   void TellRevisions();
   void ArmTimer();
 
   ReplicationHooks hooks_;
   ConfigReplica config_;
+  ConfigDecoder config_decoder_;
   ConfigReplica roster_;
   MembershipDriver membership_;
   std::map<NodeName, Revision> peer_revisions_;
   asio::steady_timer timer_;
+  bool members_changed_ = false;
+  asio::steady_timer members_timer_;
   std::atomic<bool> is_reader_{true};
 };
 
--- a/src/core/endpoint.cc
+++ b/src/core/endpoint.cc
@@ -3,14 +3,15 @@
 #include <charconv>
 
 #include "damaskroute/core/asio.h"
+#include "fmt/compile.h"
 #include "fmt/format.h"
 
 namespace damaskroute {
 
 std::string FormatEndpoint(const Endpoint& endpoint) {
   bool is_v6 = endpoint.address.find(':') != std::string::npos;
-  return is_v6 ? fmt::format("[{}]:{}", endpoint.address, endpoint.port)
-               : fmt::format("{}:{}", endpoint.address, endpoint.port);
+  return is_v6 ? fmt::format(FMT_COMPILE("[{}]:{}"), endpoint.address, endpoint.port)
+               : fmt::format(FMT_COMPILE("{}:{}"), endpoint.address, endpoint.port);
 }
 
 absl::StatusOr<Endpoint> ParseEndpoint(std::string_view text) {
@@ -23,12 +24,13 @@
     address = address.substr(1, address.size() - 2);
   }
   boost::system::error_code error;
-  asio::ip::make_address(std::string(address), error);
+  auto number = asio::ip::make_address(std::string(address), error);
   if (error) {
     return absl::InvalidArgumentError(
         fmt::format("expected an IP number before the port, got \"{}\"", text));
   }
-  Endpoint endpoint{std::string(address), 0};
+  // One form for each address, as endpoints are compared.
+  Endpoint endpoint{number.to_string(), 0};
   std::string_view port = text.substr(colon + 1);
   auto parsed = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
   if (parsed.ec != std::errc() || parsed.ptr != port.data() + port.size() || endpoint.port == 0) {
--- a/src/node/action_service.cc
+++ b/src/node/action_service.cc
@@ -24,6 +24,9 @@
 // A result that arrives this long after the deadline is still recorded.
 constexpr std::chrono::seconds kKeepLateAttempts{60};
 
+// For a repeat at a front that this node does not know.
+constexpr std::chrono::seconds kDeadlineWithoutFront{5};
+
 TimePoint Now() { return SteadyClock().Now(); }
 
 microseconds TimeLeft(TimePoint deadline) {
@@ -118,15 +121,17 @@
   respond(std::move(response));
 }
 
-void ActionService::Handle(const FrontName& front, ActionRequest request, TimePoint received,
+void ActionService::Handle(const FrontName& front, const ActionRequest& request, TimePoint received,
                            Respond respond) {
   auto view = context_.view->Load();
   const SearchFront* declared = view->config.FindFront(front);
-  if (declared == nullptr) {
+  if (declared == nullptr && request.action_id.empty()) {
     respond(UnknownFront(front));
     return;
   }
-  TimePoint deadline = received + request.deadline.value_or(declared->default_deadline);
+  TimePoint deadline =
+      received + request.deadline.value_or(declared != nullptr ? declared->default_deadline
+                                                               : kDeadlineWithoutFront);
   ActionId id;
   if (request.action_id.empty()) {
     id = ledger_.Issue(Now());
@@ -136,12 +141,14 @@
     respond(MakeProblemResponse(400, "invalid_action_id", "this id was not issued by damaskroute"));
     return;
   }
-  const Seat* seat = view->roster.Find(id.issuer);
+  // Without the front, which a node that has just started may not know yet, this id may still have
+  // run through another node.
+  const Seat* seat = declared != nullptr ? view->roster.Find(id.issuer) : nullptr;
   std::optional<Incarnation> known;
   if (seat != nullptr) known = seat->incarnation;
   switch (DecideForeign(id, context_.node, context_.incarnation, known)) {
     case ForeignDecision::kOwn:
-      Serve(front, id, std::move(request), deadline, std::move(respond));
+      Serve(front, id, request, deadline, std::move(respond));
       return;
     case ForeignDecision::kForward:
       Forward(front, id, request, deadline, std::move(respond));
@@ -152,7 +159,7 @@
   }
 }
 
-void ActionService::Serve(const FrontName& front, const ActionId& id, ActionRequest request,
+void ActionService::Serve(const FrontName& front, const ActionId& id, const ActionRequest& request,
                           TimePoint deadline, Respond respond) {
   std::string text = FormatActionId(id);
   std::uint64_t fingerprint = Hash64(request.action, Hash64(front));
@@ -282,7 +289,7 @@
   Conclude(attempt->action, {Verdict::kMayHaveRun, std::nullopt});
 }
 
-void ActionService::Conclude(const ActionId& id, ActionOutcome outcome) {
+void ActionService::Conclude(const ActionId& id, const ActionOutcome& outcome) {
   std::string text = FormatActionId(id);
   for (ActionLedger::Waiter waiter : ledger_.Finish(id, outcome, Now())) {
     auto it = waiting_.find(waiter);
@@ -344,7 +351,7 @@
     reply(MakeActionAnswer({Verdict::kMayHaveRun, std::nullopt}, message.action_id));
     return;
   }
-  Serve(message.front, *id, *std::move(request), Now() + message.time_left, std::move(reply));
+  Serve(message.front, *id, *request, Now() + message.time_left, std::move(reply));
 }
 
 void ActionService::OnActionReply(const ActionReply& message) {
--- a/src/node/replication.cc
+++ b/src/node/replication.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "damaskroute/config/config_codec.h"
 #include "damaskroute/core/error_text.h"
 #include "damaskroute/core/hash.h"
 #include "damaskroute/dissemination/config_reader.h"
@@ -17,6 +16,11 @@
 
 TimePoint Now() { return SteadyClock().Now(); }
 
+// The roster has messages of its own; there is one roster, so the zone stays empty.
+Message AboutRoster(const ConfigAnnounce& message) { return RosterAnnounce{{}, message}; }
+Message AboutRoster(const ConfigPull& message) { return RosterPull{{}, message}; }
+Message AboutRoster(const ConfigData& message) { return RosterData{{}, message}; }
+
 }  // namespace
 
 Replication::Replication(EventLoop& loop, const Member& self, const PeerKeys& keys,
@@ -38,12 +42,15 @@
               },
               [this](const RevisionsSeen& seen) { OnRevisions(seen); },
               [this](const SelfSuperseded&) { hooks_.superseded(); },
+              hooks_.drop_datagram,
+              hooks_.is_cut,
           }),
-      timer_(loop.context()) {}
+      timer_(loop.context()),
+      members_timer_(loop.context()) {}
 
 void Replication::Start(std::vector<Endpoint> seeds) {
   membership_.Start(std::move(seeds));
-  MembersChanged();
+  UpdatePeers();
   ArmTimer();
 }
 
@@ -98,16 +105,7 @@
     const auto& send = std::get<SendToPeer>(action);
     std::visit(
         [&](const auto& message) {
-          using T = std::decay_t<decltype(message)>;
-          if (!is_roster) {
-            hooks_.send(send.to, message);
-          } else if constexpr (std::is_same_v<T, ConfigAnnounce>) {
-            hooks_.send(send.to, RosterAnnounce{{}, message});
-          } else if constexpr (std::is_same_v<T, ConfigPull>) {
-            hooks_.send(send.to, RosterPull{{}, message});
-          } else {
-            hooks_.send(send.to, RosterData{{}, message});
-          }
+          hooks_.send(send.to, is_roster ? AboutRoster(message) : Message(message));
         },
         send.message);
   }
@@ -121,7 +119,7 @@
     status = roster.status();
     if (roster.ok()) hooks_.install_roster(*std::move(roster));
   } else {
-    auto config = DecodeConfig(*installed.document);
+    auto config = config_decoder_.Decode(installed.document);
     status = config.status();
     if (config.ok()) {
       config->revision = installed.revision;
@@ -152,7 +150,18 @@
   TellRevisions();
 }
 
+// Changes that arrive together lead to one update: a joining node learns of all members at once,
+// and an update for each of 7,600 blocked the control loop for 29 s.
 void Replication::MembersChanged() {
+  if (std::exchange(members_changed_, true)) return;
+  members_timer_.expires_after(Duration::zero());
+  members_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) UpdatePeers();
+  });
+}
+
+void Replication::UpdatePeers() {
+  members_changed_ = false;
   std::vector<Member> live = membership_.state().LiveMembers();
   std::vector<Endpoint> peers;
   peers.reserve(live.size());
--- a/tests/operations_doc_test.cc
+++ b/tests/operations_doc_test.cc
@@ -61,7 +61,7 @@
     }
     WriteText(directory_ / "declaration.yaml", declaration);
     WriteText(directory_ / "declaration-2.yaml", declaration + extra_);
-    REQUIRE(cluster_.Start().ok());
+    REQUIRE(cluster_.Start(/*commit_first=*/false).ok());
   }
 
   Cluster& cluster() { return cluster_; }
