--- a/benchmark/capacity.cc
+++ b/benchmark/capacity.cc
@@ -203,7 +203,7 @@
   double apply = MedianMs([&] { (void)Hash64(*ApplyDelta(bytes, delta)); });
   Placement placement(config, roster);
   double next = MedianMs([&] { placement.Next(changed, roster); });
-  double copy = MedianMs([&] { ConfigDocument again = config; });
+  double copy = MedianMs([&] { (void)std::make_unique<ConfigDocument>(config); });
 
   // Documents that are held besides the control plane: the encoded text and the last differences.
   double heap = HeapMegabytes();
--- a/benchmark/shard_call_cost.cc
+++ b/benchmark/shard_call_cost.cc
@@ -92,7 +92,7 @@
     return Run(static_cast<int>(queries), start) / (queries * fan_out());
   }
 
-  void StartQuery(std::function<void()> done) {
+  void StartQuery(const std::function<void()>& done) {
     QuerySpec spec;
     spec.query_id = next_id_++ << 8;
     spec.request_id = std::string(kRequestId);
@@ -117,7 +117,7 @@
     }
   }
 
-  void StartExchanges(std::function<void()> done) {
+  void StartExchanges(const std::function<void()>& done) {
     auto open = std::make_shared<std::size_t>(calls_.size());
     std::uint64_t id = next_id_++ << 8;
     auto batch = std::make_shared<const ShardBatch>(MakeBatch(id));
--- a/include/damaskroute/node/entry_node.h
+++ b/include/damaskroute/node/entry_node.h
@@ -91,7 +91,7 @@
   auto OnControlLoop(Function function);
   void MakeOperatorApi();
   std::string RenderStatus();
-  void HandleCaller(HttpRequest request, HttpResponder respond);
+  void HandleCaller(const HttpRequest& request, HttpResponder respond);
   void HandleAction(const FrontTarget& target, const HttpRequest& request, HttpResponder respond);
   HttpResponse AnswerReadiness() const;
   bool SendToNode(const NodeName& node, Message message);
--- a/include/damaskroute/node/seat_keeper.h
+++ b/include/damaskroute/node/seat_keeper.h
@@ -37,7 +37,10 @@
  public:
   /// `hooks` must outlive the keeper.
   SeatKeeper(Store store, Vms vms, RosterUpdaterOptions options, const StoreAgentHooks& hooks)
-      : store_(std::move(store)), vms_(std::move(vms)), hooks_(hooks), updater_(options) {}
+      : store_(std::move(store)),
+        vms_(std::move(vms)),
+        hooks_(hooks),
+        updater_(std::move(options)) {}
   ~SeatKeeper() { Stop(); }
   SeatKeeper(const SeatKeeper&) = delete;
   SeatKeeper& operator=(const SeatKeeper&) = delete;
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -447,7 +447,7 @@
   return {200, "application/json", "{\"ready\":true}\n"};
 }
 
-void EntryNode::HandleCaller(HttpRequest request, HttpResponder respond) {
+void EntryNode::HandleCaller(const HttpRequest& request, HttpResponder respond) {
   if (request.method == "GET" && request.target == "/healthz") {
     respond({200, "application/json", "{\"healthy\":true}\n"});
     return;
@@ -499,7 +499,7 @@
   }
   loop.Post([this, front = target.front, action = *std::move(action), received = request.received,
              respond = std::move(respond)]() mutable {
-    actions_->Handle(front, std::move(action), received, std::move(respond));
+    actions_->Handle(front, action, received, std::move(respond));
   });
 }
 
