Try one call again when a query that succeeded before loses all connections

Cause: a query whose few calls all ran in a lost zone was refused with 422 although other replicas were alive; and at 20% of connections reset, four frequent queries were blocked for ten minutes, because one unlucky canary completes a block. Change: such a query sends one more call, whose rows resume the rest; a request that has succeeded is blocked after three further crashes in a row instead of one. A request that never succeeded is treated as before. A query that begins to crash backend servers takes one more per query. Ruled out: retrying all parts, which would take the second replica of every shard.

--- a/include/damaskroute/crashguard/crash_guard.h
+++ b/include/damaskroute/crashguard/crash_guard.h
@@ -66,6 +66,8 @@
   struct Suspect {
     TimePoint until;
     std::uint64_t first_crash = 0;  // Hash of backend server and boot id.
+    std::uint64_t last_crash = 0;
+    int further_crashes = 0;  // Without a success between them.
     bool blocked = false;
     bool canary_runs = false;
     TimePoint canary_since;
--- a/include/damaskroute/scatter/query_spec.h
+++ b/include/damaskroute/scatter/query_spec.h
@@ -18,7 +18,10 @@
   Priority priority = Priority::kNormal;
   TimePoint deadline;  ///< When the caller stops waiting.
   std::uint64_t fingerprint = 0;
-  std::string body;     ///< Query as JSON.
+  std::string body;  ///< Query as JSON.
+  /// The same query has succeeded before. If all of its calls lose their connections at once, for
+  /// example with a zone, one of them is tried again before the query is given up.
+  bool known_good = false;
   bool canary = false;  ///< One call first, the rest after it gave rows; no copies.
 };
 
--- a/include/damaskroute/scatter/scatter_gather.h
+++ b/include/damaskroute/scatter/scatter_gather.h
@@ -93,6 +93,7 @@
   bool MayRetryNow(ShardOutcome outcome, TimePoint now) const;
   bool HasTimeForCall(TimePoint now) const;
   bool Retry(std::uint32_t part_index, TimePoint now, Pending& pending);
+  void Probe(TimePoint now, Pending& pending);
   void ResumeParts(PartState state, TimePoint now, Pending& pending);
   bool TryRestart(TimePoint now, Pending& pending);
   void RecordLatency(const Call& call, TimePoint now);
@@ -129,6 +130,7 @@
   bool version_gone_ = false;
   bool canary_pending_ = false;
   bool has_rows_ = false;
+  bool probed_ = false;
   bool may_have_run_ = false;
   bool finished_ = false;
   bool policies_held_ = false;
--- a/src/crashguard/crash_guard.cc
+++ b/src/crashguard/crash_guard.cc
@@ -11,6 +11,11 @@
 // longest deadline of a caller.
 constexpr Duration kLongestCanary = std::chrono::seconds(60);
 
+// A request that has succeeded before is blocked after this many further crashes in a row. With
+// connections that break by themselves in one of five calls, one would block every frequent
+// request within minutes.
+constexpr int kFurtherCrashesAfterSuccess = 3;
+
 }  // namespace
 
 CrashGuard::CrashGuard(const CrashGuardSettings& settings)
@@ -50,13 +55,18 @@
                          const BackendName& backend, BootId boot_id, TimePoint now,
                          bool after_success) {
   std::lock_guard lock(mutex_);
-  Suspect& suspect = Remember(service, KeyOf(service, fingerprint), now);
+  std::uint64_t key = KeyOf(service, fingerprint);
+  Suspect& suspect = Remember(service, key, now);
   std::uint64_t crash = std::max<std::uint64_t>(Hash64(backend, boot_id), 1);
   if (suspect.first_crash == 0) {
     suspect.first_crash = crash;
-  } else if (suspect.first_crash != crash && !after_success) {
-    suspect.blocked = true;
+    suspect.last_crash = crash;
+  } else if (suspect.first_crash != crash && suspect.last_crash != crash && !after_success) {
+    suspect.last_crash = crash;
+    ++suspect.further_crashes;
   }
+  int needed = IsKnownGood(key) ? kFurtherCrashesAfterSuccess : 1;
+  if (suspect.further_crashes >= needed) suspect.blocked = true;
 }
 
 void CrashGuard::OnActionCrash(const ServiceName& service, std::uint64_t fingerprint,
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -319,7 +319,7 @@
   for (auto& worker : workers_) loops.push_back(&worker->loop.context());
   callers_ = std::make_unique<HttpServer>(loops, options,
                                           [this](HttpRequest request, HttpResponder respond) {
-                                            HandleCaller(std::move(request), std::move(respond));
+                                            HandleCaller(request, std::move(respond));
                                           });
   status = callers_->Start();
   if (!status.ok()) return status;
--- a/src/node/query_service.cc
+++ b/src/node/query_service.cc
@@ -143,6 +143,7 @@
   spec.deadline = deadline;
   spec.fingerprint = fingerprint;
   spec.canary = mode == CrashMode::kCanary;
+  spec.known_good = context_.crash_guard->HasSucceeded(service->name, fingerprint);
   spec.body = std::move(request.query);
   auto done = [respond = std::move(respond), request_id = request.request_id, service, metrics,
                guard = context_.crash_guard, fingerprint, started = Now(),
--- a/src/scatter/scatter_gather.cc
+++ b/src/scatter/scatter_gather.cc
@@ -360,6 +360,19 @@
   return true;
 }
 
+// One call, so that a query that has begun to crash backend servers takes one more at most. Rows
+// resume the other parts.
+void ScatterGather::Probe(TimePoint now, Pending& pending) {
+  probed_ = true;
+  if (now >= finish_at_ || !HasTimeForCall(now) || !policies_.retries.TryTake()) return;
+  for (std::uint32_t index = 0; index < parts_.size(); ++index) {
+    if (parts_[index].state != PartState::kWaitingRows) continue;
+    if (Retry(index, now, pending)) return;
+    break;
+  }
+  policies_.retries.GiveBack();
+}
+
 void ScatterGather::ResumeParts(PartState state, TimePoint now, Pending& pending) {
   std::size_t count = parts_.size();
   for (std::uint32_t index = 0; index < count; ++index) {
@@ -458,6 +471,7 @@
       map_ != nullptr && HasTimeForCall(now)) {
     AskAll(CallKind::kFirst, now, pending);
   }
+  if (spec_.known_good && !probed_ && IsSuspect() && open_calls_ == 0) Probe(now, pending);
   bool can_wait = now < finish_at_ && (open_calls_ > 0 || waiting_view);
   if (!can_wait) FinishNow(now, pending);
 
--- a/tests/scatter_gather_test.cc
+++ b/tests/scatter_gather_test.cc
@@ -94,6 +94,30 @@
   }
 }
 
+// Guards against a query that is given up with its zone although other replicas are alive.
+TEST_CASE("a query that succeeded before tries one call again when all connections are lost") {
+  Fleet fleet(3, 2);
+  QueryRun run(fleet, /*canary=*/false, {}, /*known_good=*/true);
+  run.Start();
+  for (std::uint32_t id = 0; id < 3; ++id) run.Answer(id, O::kConnectionLost);
+  REQUIRE(run.calls.size() == 4);
+  CHECK_FALSE(run.result.has_value());
+  SUBCASE("rows resume the other parts") {
+    run.AnswerAll();
+    REQUIRE(run.result.has_value());
+    CHECK(run.result->covered.Covers(kWholeKeySpace));
+    CHECK(run.calls.size() == 6);
+    CHECK_FALSE(run.result->blocked);
+  }
+  SUBCASE("a query that has begun to crash backend servers takes one more") {
+    run.Answer(3, O::kConnectionLost);
+    CHECK(run.calls.size() == 4);
+    REQUIRE(run.result.has_value());
+    CHECK(run.result->blocked);
+    CHECK(run.crashes.size() == 4);
+  }
+}
+
 TEST_CASE("a lost zone does not make an innocent query suspect; an abandoned crasher is reported") {
   Fleet fleet(9, 3);
   QueryRun run(fleet);
