--- a/include/damaskroute/intent/intent_service.h
+++ b/include/damaskroute/intent/intent_service.h
@@ -15,6 +15,7 @@
 #include "damaskroute/intent/plan_cache.h"
 #include "damaskroute/intent/plan_request.h"
 #include "damaskroute/intent/planner.h"
+#include "fmt/format.h"
 
 namespace damaskroute {
 
@@ -60,7 +61,7 @@
                       PlanRequest(std::vector<DeclarationFile>{{"declaration", body}}))
                 : ParsePlanRequest(body);
     if (!request.ok()) return StatusReply(request.status());
-    absl::StatusOr<VersionedHead> head = ReadHead(*store_);
+    absl::StatusOr<VersionedHead> head = ReadCurrentHead();
     if (!head.ok()) return StatusReply(head.status());
     absl::StatusOr<Plan> plan = BuildPlan(*request, head->head);
     if (!plan.ok()) return StatusReply(plan.status());
@@ -71,7 +72,7 @@
   HttpResponse Confirm(const std::string& plan_id, const std::string& body) {
     absl::StatusOr<ConfirmRequest> confirm = ParseConfirmRequest(body);
     if (!confirm.ok()) return StatusReply(confirm.status());
-    absl::StatusOr<VersionedHead> head = ReadHead(*store_);
+    absl::StatusOr<VersionedHead> head = ReadCurrentHead();
     if (!head.ok()) return StatusReply(head.status());
     // A repeated confirmation, perhaps through another node, gets the same answer.
     for (const HeadEntry& entry : head->head.entries) {
@@ -105,6 +106,20 @@
   HttpResponse Config() { return ConfigReply(*hooks_.current()); }
 
  private:
+  // The head of the store. A store that was restored to an older state is refused: no node would
+  // install a revision below the one in force, so a commit to it would have no effect.
+  absl::StatusOr<VersionedHead> ReadCurrentHead() {
+    absl::StatusOr<VersionedHead> head = ReadHead(*store_);
+    if (!head.ok()) return head;
+    Revision in_force = hooks_.current()->revision;
+    if (head->head.revision() < in_force) {
+      return absl::UnavailableError(fmt::format(
+          "the store holds revision {}, older than revision {} in force; restore a newer state",
+          head->head.revision(), in_force));
+    }
+    return head;
+  }
+
   // The document in force. The node's own copy spares reading the chunks.
   absl::StatusOr<ConfigDocument> ReadBase(const ConfigHead& head) {
     if (head.entries.empty()) return ConfigDocument{};
--- a/tests/intent_server_test.cc
+++ b/tests/intent_server_test.cc
@@ -146,6 +146,21 @@
   CHECK(node.service.MakePlan(PlanRequestJson(RollbackRequest{9}), false).status == 404);
 }
 
+// Guards against a commit that is reported as done and that no node installs.
+TEST_CASE("a store restored to an older state takes no change") {
+  FakeLogStore store;
+  Node node(&store);
+  Apply(node, Files());
+  std::string plan = PlanOf(node, ZoneRequest{"a", ZoneState::kOut});
+  ConfigDocument newer = *node.snapshot.Load();
+  newer.revision = 5;
+  node.snapshot.Publish(newer);
+  CHECK(node.service.MakePlan(PlanRequestJson(ZoneRequest{"a", ZoneState::kOut}), false).status ==
+        503);
+  CHECK(node.service.Confirm(plan, ConfirmRequestJson({true, false, {}})).status == 503);
+  CHECK(node.service.History().status == 200);
+}
+
 TEST_CASE("a store that is down gives 503, and mistakes give 400 with their place") {
   FakeLogStore store;
   Node node(&store);
