--- a/benchmark/shard_call_cost.cc
+++ b/benchmark/shard_call_cost.cc
@@ -321,7 +321,7 @@
       if (round > 0) best = std::min(best, seconds);
     };
     measure("query", query, [&] {
-      return setup.Measure([&](std::function<void()> done) { setup.StartQuery(std::move(done)); });
+      return setup.Measure([&](const std::function<void()>& done) { setup.StartQuery(done); });
     });
     measure("holder", holder, [&] {
       return setup.Measure(
@@ -329,7 +329,7 @@
     });
     measure("http", http, [&] {
       return setup.Measure(
-          [&](std::function<void()> done) { setup.StartExchanges(std::move(done)); });
+          [&](const std::function<void()>& done) { setup.StartExchanges(done); });
     });
     measure("codec", codec, [&] { return setup.CodecSeconds(); });
   }
