--- a/scripts/hostile_clients.sh
+++ b/scripts/hostile_clients.sh
@@ -8,6 +8,7 @@
 d=$(mktemp -d)
 trap 'stop_cluster; rm -rf "$d"' EXIT
 start_cluster "$d"
+for ((i = 0; i < 100; ++i)); do ctl status >/dev/null 2>&1 && break; sleep 0.1; done
 ctl --yes apply -f "$d/declaration.yaml" >/dev/null; wait_ready
 pid=${NODE_PIDS[0]}
 rss() { grep -E "VmRSS|VmHWM" /proc/$pid/status | tr '\n' ' '; echo; }
