Do not call a repeated action not run when the HTTP server itself refuses

Cause: 413, 431 and 503 answers of the HTTP layer stated `not_run` also for an action id that may have run through an earlier request; such a verdict must be true for good. Change: the server asks for the verdict by the target; actions get `may_have_run`.

--- a/include/damaskroute/http/http_server_options.h
+++ b/include/damaskroute/http/http_server_options.h
@@ -3,8 +3,11 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
+#include <string_view>
 
 #include "damaskroute/core/endpoint.h"
+#include "damaskroute/core/verdict.h"
 
 namespace damaskroute {
 
@@ -15,10 +18,16 @@
   std::size_t max_body_bytes = std::size_t{1} << 20;
   std::size_t max_buffered_bytes = std::size_t{32} << 20;  ///< Bodies of all connections together.
   std::size_t max_connections = 4096;
-  std::chrono::milliseconds idle_timeout{30'000};     ///< Between requests.
-  std::chrono::milliseconds header_timeout{5'000};    ///< From the first byte to the last header.
-  std::chrono::milliseconds body_timeout{10'000};     ///< From the header to the whole body.
-  std::chrono::milliseconds write_timeout{10'000};    ///< For sending one response.
+  std::chrono::milliseconds idle_timeout{30'000};   ///< Between requests.
+  std::chrono::milliseconds header_timeout{5'000};  ///< From the first byte to the last header.
+  std::chrono::milliseconds body_timeout{10'000};   ///< From the header to the whole body.
+  std::chrono::milliseconds write_timeout{10'000};  ///< For sending one response.
+
+  /// Verdict of a refusal that the server makes itself after it has read the request line, by the
+  /// target. Without it the verdict is `kNotRun`. An action may have run through an earlier
+  /// request.
+  std::function<Verdict(std::string_view target)> refusal_verdict;
+
   std::chrono::milliseconds handler_timeout{70'000};  ///< For the handler; above all deadlines.
 };
 
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -240,7 +240,13 @@
     Reject(ProblemOf(error));
   }
 
-  void Reject(const Problem& problem) {
+  void Reject(Problem problem) {
+    // The request line is read before the headers that are at fault.
+    auto target = parser_->get().target();
+    if (!target.empty() && shared_->options.refusal_verdict) {
+      problem.verdict =
+          shared_->options.refusal_verdict(std::string_view(target.data(), target.size()));
+    }
     rejected_ = true;
     keep_alive_ = false;
     Write(MakeProblemResponse(problem));
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -315,6 +315,10 @@
   HttpServerOptions options;
   options.listen = settings_.callers;
   options.max_connections = settings_.max_caller_connections;
+  options.refusal_verdict = [](std::string_view target) {
+    auto parsed = ParseFrontTarget(target);
+    return parsed && parsed->operation == "actions" ? Verdict::kMayHaveRun : Verdict::kNotRun;
+  };
   std::vector<asio::io_context*> loops;
   for (auto& worker : workers_) loops.push_back(&worker->loop.context());
   callers_ = std::make_unique<HttpServer>(loops, options,
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -155,6 +155,22 @@
   CHECK(answer.find("\"verdict\":\"not_run\"") != std::string::npos);
 }
 
+// Guards against a false `not_run` for a repeated action that ran through an earlier request.
+TEST_CASE("a refusal by the server itself has the verdict of its target") {
+  Fixture fixture([](HttpServerOptions& options) {
+    options.max_body_bytes = 10;
+    options.refusal_verdict = [](std::string_view target) {
+      return target == "/x" ? Verdict::kMayHaveRun : Verdict::kNotRun;
+    };
+  });
+  std::string long_body = "Content-Length: 11\r\n";
+  CHECK(fixture.Exchange(Post(long_body, "")).find("\"verdict\":\"may_have_run\"") !=
+        std::string::npos);
+  std::string other = Post(long_body, "");
+  other.replace(other.find("/x"), 2, "/y");
+  CHECK(fixture.Exchange(other).find("\"verdict\":\"not_run\"") != std::string::npos);
+}
+
 TEST_CASE("a drain answers the running request and closes the connection") {
   HttpResponder held;
   std::atomic<bool> arrived{false};
