--- a/benchmark/shard_call_cost.cc
+++ b/benchmark/shard_call_cost.cc
@@ -328,8 +328,7 @@
           [&](std::function<void()> done) { setup.StartHolderCalls(std::move(done)); });
     });
     measure("http", http, [&] {
-      return setup.Measure(
-          [&](const std::function<void()>& done) { setup.StartExchanges(done); });
+      return setup.Measure([&](const std::function<void()>& done) { setup.StartExchanges(done); });
     });
     measure("codec", codec, [&] { return setup.CodecSeconds(); });
   }
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -321,10 +321,10 @@
   };
   std::vector<asio::io_context*> loops;
   for (auto& worker : workers_) loops.push_back(&worker->loop.context());
-  callers_ = std::make_unique<HttpServer>(loops, options,
-                                          [this](HttpRequest request, HttpResponder respond) {
-                                            HandleCaller(request, std::move(respond));
-                                          });
+  callers_ = std::make_unique<HttpServer>(
+      loops, options, [this](const HttpRequest& request, HttpResponder respond) {
+        HandleCaller(request, std::move(respond));
+      });
   status = callers_->Start();
   if (!status.ok()) return status;
   for (auto& worker : workers_) worker->loop.Start();
