Share the store watch and the forwarded answer

Cause: the watches of roster and configuration were the same loop twice, and two services built the response from another node's answer in the same way. Change: StoreAgent::WatchKey and MakeForwardedAnswer serve both.

--- a/include/damaskroute/node/store_agent.h
+++ b/include/damaskroute/node/store_agent.h
@@ -68,18 +68,19 @@
     return stopping_;
   }
 
-  void WatchRoster() {
+  // Watches a key while the node is a reader. `apply` takes the value; it returns false if the
+  // value cannot be taken now, and then gets it again after a pause.
+  template <typename Apply>
+  void WatchKey(const std::string& key, Apply apply) {
     std::uint64_t version = 0;
     while (!stopping()) {
       if (!hooks_.is_reader()) {
         if (!Pause()) return;
         continue;
       }
-      auto stored = store_.Watch(kRosterKey, version, kWatchTime);
-      if (stored.ok()) {
+      auto stored = store_.Watch(key, version, kWatchTime);
+      if (stored.ok() && apply(stored->value)) {
         version = stored->version;
-        auto roster = DecodeRoster(stored->value);
-        if (roster.ok()) hooks_.on_roster(roster->revision, stored->value);
         hooks_.on_contact();
       } else if (absl::IsDeadlineExceeded(stored.status())) {
         hooks_.on_contact();
@@ -90,24 +91,16 @@
     }
   }
 
+  void WatchRoster() {
+    WatchKey(kRosterKey, [this](const std::string& value) {
+      auto roster = DecodeRoster(value);
+      if (roster.ok()) hooks_.on_roster(roster->revision, value);
+      return true;  // A malformed roster stays so until it is written again.
+    });
+  }
+
   void WatchConfig() {
-    std::uint64_t version = 0;
-    while (!stopping()) {
-      if (!hooks_.is_reader()) {
-        if (!Pause()) return;
-        continue;
-      }
-      auto stored = store_.Watch(kConfigHeadKey, version, kWatchTime);
-      if (stored.ok() && ReadConfig(stored->value)) {
-        version = stored->version;
-        hooks_.on_contact();
-      } else if (absl::IsDeadlineExceeded(stored.status())) {
-        hooks_.on_contact();
-      } else {
-        version = 0;
-        if (!Pause()) return;
-      }
-    }
+    WatchKey(kConfigHeadKey, [this](const std::string& value) { return ReadConfig(value); });
   }
 
   // False if the document cannot be read now.
--- a/src/node/action_service.cc
+++ b/src/node/action_service.cc
@@ -5,6 +5,7 @@
 
 #include "damaskroute/actions/foreign_decision.h"
 #include "damaskroute/api/action_answer.h"
+#include "damaskroute/api/forwarded_answer.h"
 #include "damaskroute/core/hash.h"
 #include "damaskroute/http/problem.h"
 #include "damaskroute/log/log_line.h"
@@ -355,11 +356,7 @@
 }
 
 void ActionService::OnActionReply(const ActionReply& message) {
-  HttpResponse response;
-  response.status = message.status;
-  if (message.status >= 400) response.content_type = "application/problem+json";
-  response.body = message.body;
-  EndForward(message.query_id, std::move(response));
+  EndForward(message.query_id, MakeForwardedAnswer(message.status, message.body));
 }
 
 void ActionService::OnPeerLost(const NodeName& node) {
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -100,7 +100,6 @@
   view.placement = *placement_;
   view.services = services_;
   view.fronts = fronts_;
-
   view_.Publish(std::move(view));
 }
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -61,13 +61,11 @@
             node.OnCrash(spec, backend, boot_id);
           }),
       holder(loop, node.MakeChannelHooks(), node.incarnation_, node.settings_.longest_call),
-      queries(
-          loop, coordinator,
-          {node.settings_.node, node.settings_.zone, index, &node.ids_, &node.view_,
-           &node.crash_guard_,
-
-           [&node](const Endpoint& to, Message message) { node.SendTo(to, std::move(message)); }}) {
-}
+      queries(loop, coordinator,
+              {node.settings_.node, node.settings_.zone, index, &node.ids_, &node.view_,
+               &node.crash_guard_, [&node](const Endpoint& to, Message message) {
+                 node.SendTo(to, std::move(message));
+               }}) {}
 
 EntryNode::EntryNode(NodeSettings settings, Incarnation incarnation)
     : settings_(std::move(settings)),
@@ -75,12 +73,10 @@
       ids_(incarnation),
       selector_(settings_.zone),
       crash_guard_(CrashGuardSettings{}),
-
       control_loop_(incarnation) {
   MakeWorkers();
   MakeActions();
   MakeReplication();
-
   if (settings_.store.port != 0) {
     MakeStoreAgent();
     MakeOperatorApi();
--- a/src/node/query_service.cc
+++ b/src/node/query_service.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "damaskroute/api/forwarded_answer.h"
 #include "damaskroute/api/query_answer.h"
 #include "damaskroute/core/hash.h"
 #include "damaskroute/http/problem.h"
@@ -250,11 +251,7 @@
 }
 
 void QueryService::OnForwardReply(const ForwardReply& message) {
-  HttpResponse response;
-  response.status = message.status;
-  if (message.status >= 400) response.content_type = "application/problem+json";
-  response.body = message.body;
-  EndForward(message.query_id, std::move(response));
+  EndForward(message.query_id, MakeForwardedAnswer(message.status, message.body));
 }
 
 void QueryService::OnPeerLost(const Endpoint& peer) {
