--- /dev/null
+++ b/include/damaskroute/forward/backend.h
@@ -0,0 +1,22 @@
+#ifndef DAMASKROUTE_FORWARD_BACKEND_H_
+#define DAMASKROUTE_FORWARD_BACKEND_H_
+
+#include "damaskroute/forward/backend_evidence.h"
+#include "damaskroute/forward/cold_gate.h"
+#include "damaskroute/routing/backend_entry.h"
+
+namespace damaskroute {
+
+/// One incarnation of a backend server with all that this node believes of it. Shared with the
+/// calls that are on their way to it, which may outlive its entry.
+struct Backend {
+  BackendEntry entry;
+  BackendEvidence evidence;
+  ColdGate cold;
+  int max_outstanding = 1;  ///< This node's part of the server's connections.
+  bool gone = false;        ///< Its entry was removed or replaced.
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_FORWARD_BACKEND_H_
--- /dev/null
+++ b/include/damaskroute/forward/backend_evidence.h
@@ -0,0 +1,70 @@
+#ifndef DAMASKROUTE_FORWARD_BACKEND_EVIDENCE_H_
+#define DAMASKROUTE_FORWARD_BACKEND_EVIDENCE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "damaskroute/core/time.h"
+
+namespace damaskroute {
+
+/// How a call to a backend server ended, as far as it tells about the server.
+enum class EvidenceOf : std::uint8_t {
+  kAnswer,        ///< A good answer.
+  kShed,          ///< The server had no room.
+  kFailure,       ///< No answer, a broken one, or one that reports an error of the server.
+  kUnreachable,   ///< No connection.
+  kCancellation,  ///< Cancelled by this node; tells only that it took at least so long.
+};
+
+/// What this node's own calls tell about one backend server. Evidence from calls outweighs what the
+/// server says of its health.
+class BackendEvidence {
+ public:
+  void OnSent(TimePoint now);
+
+  /// A call that was sent at `sent` ended.
+  void OnEnded(TimePoint sent, EvidenceOf kind, TimePoint now);
+
+  /// Calls without an end.
+  int outstanding() const { return static_cast<int>(sent_.size()); }
+
+  /// Whether nothing has been heard from the server for unusually long while calls wait for it, as
+  /// when its process pauses.
+  bool IsStalled(TimePoint now) const { return now >= stalled_at(); }
+
+  /// When the server counts as stalled if nothing is heard until then; `TimePoint::max()` without
+  /// calls.
+  TimePoint stalled_at() const;
+
+  /// Whether recent failures speak against the server.
+  bool IsAvoided(TimePoint now) const { return now < avoid_until_; }
+
+  /// Latency of a call with no other in the way. A high value fades to `usual` while there are no
+  /// new samples, so that a server which was slow is tried again.
+  Duration ExpectedLatency(Duration usual, TimePoint now) const;
+
+  /// Whether `ExpectedLatency` rests on at least one sample.
+  bool has_latency() const { return latency_ > Duration::zero(); }
+
+  /// Fraction of recent calls that failed, 0 to 1; fades while there are no calls.
+  double FailureRate(TimePoint now) const;
+
+ private:
+  void AddLatency(Duration latency, TimePoint now);
+  void AddOutcome(bool failed, TimePoint now);
+
+  std::vector<TimePoint> sent_;  // Ascending.
+  TimePoint last_heard_;
+  TimePoint avoid_until_;
+  TimePoint last_sample_;
+  TimePoint last_outcome_;
+  Duration latency_{};
+  double failure_rate_ = 0;
+  int failures_in_a_row_ = 0;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_FORWARD_BACKEND_EVIDENCE_H_
--- /dev/null
+++ b/include/damaskroute/forward/backend_table.h
@@ -0,0 +1,83 @@
+#ifndef DAMASKROUTE_FORWARD_BACKEND_TABLE_H_
+#define DAMASKROUTE_FORWARD_BACKEND_TABLE_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "damaskroute/core/ids.h"
+#include "damaskroute/core/random.h"
+#include "damaskroute/core/time.h"
+#include "damaskroute/forward/backend.h"
+#include "damaskroute/forward/backend_table_options.h"
+#include "damaskroute/routing/route_table.h"
+
+namespace damaskroute {
+
+/// Which rung of preference a chosen backend server stands on; lower is better.
+enum class BackendStanding : std::uint8_t {
+  kGood,
+  kDoubtful,  ///< Cold, stalled, or shedding or failing recently.
+};
+
+/// A chosen backend server; null if none may be used.
+struct BackendChoice {
+  std::shared_ptr<Backend> backend;
+  BackendStanding standing = BackendStanding::kGood;
+};
+
+/// The backend servers of all services, and the decision to which of them a call goes: a server in
+/// good standing first, and among equals the one with the least expected time to an answer. Another
+/// zone counts as a small delay, because traffic between zones is paid for.
+class BackendTable {
+ public:
+  BackendTable(BackendTableOptions options, std::uint64_t seed);
+
+  /// Adds a server or changes its data. `fresh`: forget what was learnt of its predecessor.
+  void Put(const BackendEntry& entry, bool fresh, TimePoint now);
+
+  /// Removes a server. Calls on their way to it go on.
+  void Remove(const BackendName& id);
+
+  /// Zones that get no calls.
+  void SetClosedZones(std::set<ZoneName> zones) { closed_zones_ = std::move(zones); }
+  const std::set<ZoneName>& closed_zones() const { return closed_zones_; }
+
+  /// Installs the policies of the services. `nodes`: number of nodes that share their limits.
+  void SetPolicies(std::shared_ptr<const RouteTable> routes, int nodes);
+
+  /// Server for a call that must be answered by `deadline`, none of `tried`.
+  BackendChoice Choose(const ServiceName& service,
+                       const std::vector<std::shared_ptr<Backend>>& tried, TimePoint deadline,
+                       TimePoint now);
+
+  /// Whether any server of the service could be chosen now.
+  bool CanServe(const ServiceName& service, TimePoint deadline, TimePoint now);
+
+  /// All servers of a service.
+  const std::vector<std::shared_ptr<Backend>>& Of(const ServiceName& service) const;
+
+  /// Null if the server is not known.
+  std::shared_ptr<Backend> Find(const BackendName& id) const;
+
+  std::size_t size() const { return by_id_.size(); }
+
+ private:
+  bool IsUsable(const Backend& backend, TimePoint deadline, Duration usual, TimePoint now) const;
+  void ApplyPolicy(Backend& backend) const;
+  double NodeColdRate(const ServicePolicy& policy) const;
+
+  const BackendTableOptions options_;
+  Random random_;
+  std::shared_ptr<const RouteTable> routes_;
+  int nodes_ = 1;
+  std::set<ZoneName> closed_zones_;
+  std::map<BackendName, std::shared_ptr<Backend>> by_id_;
+  std::map<ServiceName, std::vector<std::shared_ptr<Backend>>> by_service_;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_FORWARD_BACKEND_TABLE_H_
--- /dev/null
+++ b/include/damaskroute/forward/cold_gate.h
@@ -0,0 +1,33 @@
+#ifndef DAMASKROUTE_FORWARD_COLD_GATE_H_
+#define DAMASKROUTE_FORWARD_COLD_GATE_H_
+
+#include <chrono>
+#include <deque>
+
+#include "damaskroute/core/time.h"
+
+namespace damaskroute {
+
+/// Bounds the calls that this node sends to a backend server in cold start. Each node keeps a fixed
+/// part of the server's limit, so the sum holds without any message between nodes.
+class ColdGate {
+ public:
+  /// The server is cold until `until` and takes `node_rate` calls per second from this node.
+  void SetCold(TimePoint until, double node_rate);
+
+  bool IsCold(TimePoint now) const { return now < cold_until_; }
+
+  /// Whether a call may be sent now.
+  bool Allows(TimePoint now) const;
+
+  void OnSent(TimePoint now);
+
+ private:
+  TimePoint cold_until_;
+  double node_rate_ = 0;
+  std::deque<TimePoint> recent_;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_FORWARD_COLD_GATE_H_
--- /dev/null
+++ b/include/damaskroute/forward/forward_spec.h
@@ -0,0 +1,35 @@
+#ifndef DAMASKROUTE_FORWARD_FORWARD_SPEC_H_
+#define DAMASKROUTE_FORWARD_FORWARD_SPEC_H_
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "damaskroute/core/ids.h"
+#include "damaskroute/core/time.h"
+#include "damaskroute/routing/route.h"
+
+namespace damaskroute {
+
+/// One caller's request as `ForwardRun` sees it.
+struct ForwardSpec {
+  std::vector<ServiceName> services;  ///< One for a plain request, all shards for a query.
+  bool query = false;                 ///< Whether the answer is merged from parts.
+  bool idempotent = false;
+  int max_attempts = 1;       ///< Backend servers that may run it, per service.
+  std::size_t min_parts = 1;  ///< Least number of parts in an answer to a query.
+  TimePoint deadline;         ///< The caller waits no longer.
+  /// When a query is answered without its last parts, so that it keeps its latency objective;
+  /// `TimePoint::max()` without an objective.
+  TimePoint answer_by = TimePoint::max();
+  Duration copy_after = Duration::max();  ///< Age at which a call is late.
+};
+
+/// Spec for a request on `route` that was received at `received`. `service` is the one chosen from
+/// the targets of a route without shards. The caller waits until `deadline`.
+ForwardSpec MakeForwardSpec(const Route& route, const ServiceName& service, TimePoint received,
+                            TimePoint deadline);
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_FORWARD_FORWARD_SPEC_H_
--- a/include/damaskroute/http/backend_client.h
+++ b/include/damaskroute/http/backend_client.h
@@ -9,6 +9,7 @@
 
 #include "damaskroute/core/asio.h"
 #include "damaskroute/core/endpoint.h"
+#include "damaskroute/http/backend_client_options.h"
 #include "damaskroute/http/exchange_request.h"
 #include "damaskroute/http/exchange_result.h"
 
@@ -22,7 +23,8 @@
  public:
   using Callback = std::function<void(ExchangeResult)>;
 
-  BackendClient(asio::io_context& loop, const Endpoint& endpoint, int max_connections);
+  BackendClient(asio::io_context& loop, const Endpoint& endpoint, int max_connections,
+                BackendClientOptions options = {});
 
   /// Ends all exchanges; their callbacks are not called any more.
   ~BackendClient();
@@ -33,6 +35,9 @@
   /// all connections are in use. Returns an id for `Cancel`.
   std::uint64_t Start(ExchangeRequest request, Callback done);
 
+  /// Whether `Start` would find a connection now or open one.
+  bool CanStart() const;
+
   /// Ends the exchange with `kCancelled` by closing its connection. Unknown ids are ignored.
   void Cancel(std::uint64_t id);
 
--- /dev/null
+++ b/include/damaskroute/http/caller_presence.h
@@ -0,0 +1,17 @@
+#ifndef DAMASKROUTE_HTTP_CALLER_PRESENCE_H_
+#define DAMASKROUTE_HTTP_CALLER_PRESENCE_H_
+
+#include <functional>
+
+namespace damaskroute {
+
+/// Tells the handler of a request when its caller closes the connection before the response is
+/// sent. Used on the loop of the connection only.
+struct CallerPresence {
+  bool gone = false;
+  std::function<void()> on_gone;  ///< Called at most once; may be empty.
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_HTTP_CALLER_PRESENCE_H_
--- /dev/null
+++ b/include/damaskroute/http/client_limits.h
@@ -0,0 +1,21 @@
+#ifndef DAMASKROUTE_HTTP_CLIENT_LIMITS_H_
+#define DAMASKROUTE_HTTP_CLIENT_LIMITS_H_
+
+#include <chrono>
+#include <cstddef>
+
+namespace damaskroute {
+
+/// What one client connection may send and how long it may take. Can change while a server runs.
+struct ClientLimits {
+  std::size_t max_header_bytes = std::size_t{16} << 10;
+  std::size_t max_body_bytes = std::size_t{1} << 20;
+  std::chrono::milliseconds header_timeout{5'000};  ///< From the first byte to the last header.
+  std::chrono::milliseconds idle_timeout{30'000};   ///< Between requests.
+
+  friend bool operator==(const ClientLimits&, const ClientLimits&) = default;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_HTTP_CLIENT_LIMITS_H_
--- a/include/damaskroute/http/exchange_result.h
+++ b/include/damaskroute/http/exchange_result.h
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "damaskroute/core/ids.h"
 #include "damaskroute/core/key_range.h"
+#include "damaskroute/http/header_field.h"
 
 namespace damaskroute {
 
@@ -24,13 +26,14 @@
 struct ExchangeResult {
   ExchangeEnd end = ExchangeEnd::kConnectFailed;
   int status = 0;
-  std::string request_id;     ///< `Damask-Request-Id`.
+  std::string request_id;     ///< `BackendClientOptions::request_id_header`.
   std::uint32_t attempt = 0;  ///< `Damask-Attempt`.
   IndexVersion version = 0;   ///< `Damask-Index-Version`.
   KeyRange range;             ///< `Damask-Range`.
   BootId boot_id = 0;         ///< `Damask-Boot-Id`.
   std::string state;          ///< `Damask-State`.
   std::string body;
+  std::vector<HeaderField> headers;  ///< All, if `BackendClientOptions::keep_headers`.
 };
 
 }  // namespace damaskroute
--- /dev/null
+++ b/include/damaskroute/http/header_field.h
@@ -0,0 +1,42 @@
+#ifndef DAMASKROUTE_HTTP_HEADER_FIELD_H_
+#define DAMASKROUTE_HTTP_HEADER_FIELD_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/strings/match.h"
+
+namespace damaskroute {
+
+/// One header of an HTTP message, as it was sent.
+struct HeaderField {
+  std::string name;
+  std::string value;
+};
+
+/// Whether both are the same header name; case does not count.
+inline bool SameHeaderName(std::string_view a, std::string_view b) {
+  return absl::EqualsIgnoreCase(absl::string_view(a.data(), a.size()),
+                                absl::string_view(b.data(), b.size()));
+}
+
+/// First header called `name`; nullptr if there is none.
+inline const HeaderField* FindHeader(const std::vector<HeaderField>& headers,
+                                     std::string_view name) {
+  for (const HeaderField& field : headers) {
+    if (SameHeaderName(field.name, name)) return &field;
+  }
+  return nullptr;
+}
+
+/// Value of the first header called `name`; empty if there is none.
+inline std::string_view HeaderValue(const std::vector<HeaderField>& headers,
+                                    std::string_view name) {
+  const HeaderField* field = FindHeader(headers, name);
+  return field == nullptr ? std::string_view() : std::string_view(field->value);
+}
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_HTTP_HEADER_FIELD_H_
--- a/include/damaskroute/http/http_response.h
+++ b/include/damaskroute/http/http_response.h
@@ -3,14 +3,18 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
+
+#include "damaskroute/http/header_field.h"
 
 namespace damaskroute {
 
 /// Response to be sent to a caller or an operator.
 struct HttpResponse {
   int status = 200;
-  std::string content_type = "application/json";
+  std::string content_type = "application/json";  ///< No header if empty.
   std::string body;
+  std::vector<HeaderField> headers;  ///< Sent in addition; none that frames the message.
   std::chrono::milliseconds retry_after{0};  ///< `HttpServer` sends it as `Retry-After` if above 0.
 };
 
--- a/include/damaskroute/http/http_server.h
+++ b/include/damaskroute/http/http_server.h
@@ -40,6 +40,10 @@
   /// requests are still accepted. Thread-safe.
   void CloseAfterResponses();
 
+  /// Changes the limits for requests that begin from now on. Call on the server's loop; only for a
+  /// server with one loop.
+  void SetClientLimits(const ClientLimits& limits);
+
   /// Number of requests whose response has not been sent yet.
   std::size_t active_requests() const;
 
--- a/include/damaskroute/http/http_server_options.h
+++ b/include/damaskroute/http/http_server_options.h
@@ -8,18 +8,16 @@
 
 #include "damaskroute/core/endpoint.h"
 #include "damaskroute/core/verdict.h"
+#include "damaskroute/http/client_limits.h"
 
 namespace damaskroute {
 
 /// Limits of an `HttpServer`. Together they bound the memory that clients can make it use.
 struct HttpServerOptions {
   Endpoint listen;
-  std::size_t max_header_bytes = std::size_t{16} << 10;
-  std::size_t max_body_bytes = std::size_t{1} << 20;
+  ClientLimits limits;
   std::size_t max_buffered_bytes = std::size_t{32} << 20;  ///< Bodies of all connections together.
   std::size_t max_connections = 4096;
-  std::chrono::milliseconds idle_timeout{30'000};   ///< Between requests.
-  std::chrono::milliseconds header_timeout{5'000};  ///< From the first byte to the last header.
   std::chrono::milliseconds body_timeout{10'000};   ///< From the header to the whole body.
   std::chrono::milliseconds write_timeout{10'000};  ///< For sending one response.
 
@@ -29,6 +27,8 @@
   std::function<Verdict(std::string_view target)> refusal_verdict;
 
   std::chrono::milliseconds handler_timeout{70'000};  ///< For the handler; above all deadlines.
+  bool pass_headers = false;   ///< Whether `HttpRequest::headers` is filled.
+  bool watch_callers = false;  ///< Whether a caller's close is noticed while its request is served.
 };
 
 }  // namespace damaskroute
--- /dev/null
+++ b/include/damaskroute/node/forward_front.h
@@ -0,0 +1,68 @@
+#ifndef DAMASKROUTE_NODE_FORWARD_FRONT_H_
+#define DAMASKROUTE_NODE_FORWARD_FRONT_H_
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "absl/status/status.h"
+#include "damaskroute/core/asio.h"
+#include "damaskroute/http/http_server.h"
+#include "damaskroute/node/forward_node_settings.h"
+#include "damaskroute/node/forward_protocol.h"
+#include "damaskroute/node/forward_service.h"
+#include "damaskroute/store/feed_options.h"
+
+namespace damaskroute {
+
+/// How the node follows the store, so that the bounds in `settings` hold.
+FeedOptions MakeFeedOptions(const ForwardNodeSettings& settings);
+
+/// The ports of a node: callers, readiness and metrics; and its start and end. Used on its loop.
+class ForwardFront {
+ public:
+  ForwardFront(asio::io_context& loop, const ForwardNodeSettings& settings,
+               const ForwardProtocol& protocol, std::uint64_t seed);
+
+  /// Opens the ports. Unavailable if one is taken.
+  absl::Status Start();
+
+  /// Puts settings in force that may change while the node runs.
+  void Apply(const ForwardNodeSettings& settings);
+
+  void InstallRoutes(RoutingDocument document);
+  void SetClosedZones(const std::set<ZoneName>& zones);
+
+  /// Number of nodes that share the limits of the deployment.
+  void SetNodes(int nodes);
+
+  /// Reports the node as not ready, serves what still arrives, and calls `done` once all requests
+  /// are answered or the grace is over.
+  void Stop(std::function<void()> done);
+
+  ForwardService& service() { return service_; }
+
+ private:
+  bool IsReady() const { return service_.has_routes() && !stopping_; }
+  void HandleReady(const HttpRequest& request, const HttpResponder& respond) const;
+  void HandleMetrics(const HttpResponder& respond) const;
+  void StopAccepting();
+  void AwaitEnd();
+
+  asio::io_context& loop_;
+  ForwardNodeSettings settings_;
+  ForwardService service_;
+  HttpServer callers_;
+  HttpServer ready_;
+  std::unique_ptr<HttpServer> metrics_;
+  asio::steady_timer stop_timer_;
+  TimePoint stop_at_;
+  bool stopping_ = false;
+  int nodes_ = 1;
+  std::function<void()> done_;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_NODE_FORWARD_FRONT_H_
--- /dev/null
+++ b/include/damaskroute/node/forward_metrics.h
@@ -0,0 +1,31 @@
+#ifndef DAMASKROUTE_NODE_FORWARD_METRICS_H_
+#define DAMASKROUTE_NODE_FORWARD_METRICS_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "damaskroute/forward/forward_counts.h"
+#include "damaskroute/metrics/exposition.h"
+#include "damaskroute/metrics/latency_histogram.h"
+
+namespace damaskroute {
+
+/// Counters and latencies of the forwarding path of one node.
+struct ForwardMetrics {
+  /// Answers by outcome: `passed_on`, `merged`, `partial`, `refused`, `failed`, `timed_out`,
+  /// `abandoned`, `not_found`, `not_ready`.
+  std::map<std::string, std::uint64_t> answers;
+  std::map<std::string, std::uint64_t> failed_calls;  ///< By reason.
+  ForwardCounts counts;
+  LatencyHistogram request_latency;
+  LatencyHistogram call_latency;
+
+  /// Appends all families to a page.
+  void WriteTo(Exposition& page) const;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_NODE_FORWARD_METRICS_H_
--- /dev/null
+++ b/include/damaskroute/node/forward_node.h
@@ -0,0 +1,150 @@
+#ifndef DAMASKROUTE_NODE_FORWARD_NODE_H_
+#define DAMASKROUTE_NODE_FORWARD_NODE_H_
+
+#include <concepts>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "damaskroute/core/asio.h"
+#include "damaskroute/core/error_text.h"
+#include "damaskroute/core/hash.h"
+#include "damaskroute/log/log_line.h"
+#include "damaskroute/node/forward_front.h"
+#include "damaskroute/node/forward_node_settings.h"
+#include "damaskroute/node/node_count.h"
+#include "damaskroute/node/store_fact.h"
+#include "damaskroute/store/store_feed.h"
+
+namespace damaskroute {
+
+/// A platform on which nodes run: the names of its headers, the format of its store, and what the
+/// store's keys and values mean. It translates and decides nothing.
+template <typename T>
+concept NodePlatform = WatchedStoreCodec<typename T::StoreCodec> &&
+    requires(const T& platform, std::string_view key, const StoreItem& item) {
+  { platform.Protocol() } -> std::same_as<ForwardProtocol>;
+  { platform.Codec() } -> std::same_as<typename T::StoreCodec>;
+  { platform.ParseKey(key) } -> std::same_as<FactKey>;
+  { platform.ParseFact(item) } -> std::same_as<absl::StatusOr<StoreFact>>;
+};
+
+/// One node of the system on a platform: follows the store and serves callers, on one event loop.
+template <NodePlatform Platform>
+class ForwardNode {
+ public:
+  /// `reload` reads the settings again; it is called after SIGHUP.
+  using Reload = std::function<absl::StatusOr<ForwardNodeSettings>()>;
+
+  ForwardNode(asio::io_context& loop, const ForwardNodeSettings& settings, Platform platform,
+              Reload reload)
+      : platform_(std::move(platform)),
+        reload_(std::move(reload)),
+        front_(loop, settings, platform_.Protocol(), Hash64(settings.node)),
+        feed_(loop, settings.store, platform_.Codec(), MakeFeedOptions(settings),
+              Hash64(settings.node), {[this](const auto& items, bool after_outage) {
+                                        OnItems(items, after_outage);
+                                      },
+                                      [this](const auto& keys, bool after_outage) {
+                                        OnAllRead(keys, after_outage);
+                                      }}) {}
+
+  /// Opens the ports and begins to follow the store. Unavailable if a port is taken.
+  absl::Status Start() {
+    if (absl::Status status = front_.Start(); !status.ok()) return status;
+    feed_.Start();
+    return absl::OkStatus();
+  }
+
+  /// Reads the settings again. Settings that cannot be read leave the old ones in force.
+  void OnReload() {
+    auto settings = reload_();
+    if (!settings.ok()) {
+      LogLine(LogLevel::kError, "settings not reloaded")
+          .Field("error", ErrorText(settings.status()));
+      return;
+    }
+    front_.Apply(*settings);
+  }
+
+  /// Leaves gracefully; `done` is called when the process may end.
+  void Stop(std::function<void()> done) { front_.Stop(std::move(done)); }
+
+  ForwardFront& front() { return front_; }
+
+ private:
+  void OnItems(const std::vector<StoreItem>& items, bool after_outage) {
+    for (const StoreItem& item : items) {
+      FactKey key = platform_.ParseKey(item.key);
+      if (item.removed) {
+        OnRemoved(key, after_outage);
+      } else if (key.kind != FactKind::kOther) {
+        OnWritten(key, item, after_outage);
+      }
+    }
+    front_.SetClosedZones(closed_zones_);
+    front_.SetNodes(nodes_.count());
+  }
+
+  void OnWritten(const FactKey& key, const StoreItem& item, bool after_outage) {
+    auto fact = platform_.ParseFact(item);
+    if (!fact.ok()) {
+      LogLine(LogLevel::kWarning, "store item not usable")
+          .Field("key", item.key)
+          .Field("revision", item.revision)
+          .Field("error", ErrorText(fact.status()));
+      // What cannot be read names no server, whatever it was before.
+      if (key.kind == FactKind::kBackend) front_.service().OnBackendRemoved(key.name, after_outage);
+      return;
+    }
+    if (auto* document = std::get_if<RoutingDocument>(&*fact)) {
+      front_.InstallRoutes(std::move(*document));
+    } else if (auto* entry = std::get_if<BackendEntry>(&*fact)) {
+      front_.service().OnBackend(*entry);
+    } else if (auto* closed = std::get_if<ClosedZone>(&*fact)) {
+      closed_zones_.insert(closed->zone);
+    } else if (auto* node = std::get_if<LiveNode>(&*fact)) {
+      nodes_.Add(node->node);
+    }
+  }
+
+  void OnRemoved(const FactKey& key, bool after_outage) {
+    if (key.kind == FactKind::kBackend) front_.service().OnBackendRemoved(key.name, after_outage);
+    if (key.kind == FactKind::kClosedZone) closed_zones_.erase(key.name);
+    if (key.kind == FactKind::kNode) nodes_.Remove(key.name);
+  }
+
+  void OnAllRead(const std::vector<std::string>& keys, bool after_outage) {
+    std::set<BackendName> backends;
+    std::set<ZoneName> zones;
+    std::set<NodeName> nodes;
+    for (const std::string& text : keys) {
+      FactKey key = platform_.ParseKey(text);
+      if (key.kind == FactKind::kBackend) backends.insert(key.name);
+      if (key.kind == FactKind::kClosedZone) zones.insert(key.name);
+      if (key.kind == FactKind::kNode) nodes.insert(key.name);
+    }
+    front_.service().OnAllBackends(backends, after_outage);
+    closed_zones_ = std::move(zones);
+    front_.SetClosedZones(closed_zones_);
+    nodes_.Keep(nodes);
+    front_.SetNodes(nodes_.count());
+  }
+
+  const Platform platform_;
+  const Reload reload_;
+  ForwardFront front_;
+  std::set<ZoneName> closed_zones_;
+  NodeCount nodes_;
+  StoreFeed<typename Platform::StoreCodec> feed_;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_NODE_FORWARD_NODE_H_
--- /dev/null
+++ b/include/damaskroute/routing/route_table.h
@@ -0,0 +1,35 @@
+#ifndef DAMASKROUTE_ROUTING_ROUTE_TABLE_H_
+#define DAMASKROUTE_ROUTING_ROUTE_TABLE_H_
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "damaskroute/routing/routing_document.h"
+
+namespace damaskroute {
+
+/// Immutable index over one version of the routing configuration.
+class RouteTable {
+ public:
+  explicit RouteTable(RoutingDocument document);
+
+  /// Route for a request: among the routes of the host, the one with the longest prefix of the
+  /// path. `host` may have a port and any case; `target` may have a query. nullptr if none matches.
+  const Route* Find(std::string_view host, std::string_view target) const;
+
+  const RoutingDocument& document() const { return document_; }
+
+  /// Policy of a service; the default one if the configuration does not name it.
+  const ServicePolicy& Policy(const ServiceName& service) const;
+
+ private:
+  RoutingDocument document_;
+  // Longest prefix first.
+  std::unordered_map<std::string, std::vector<const Route*>> by_host_;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_ROUTING_ROUTE_TABLE_H_
--- /dev/null
+++ b/include/damaskroute/routing/routing_document.h
@@ -0,0 +1,24 @@
+#ifndef DAMASKROUTE_ROUTING_ROUTING_DOCUMENT_H_
+#define DAMASKROUTE_ROUTING_ROUTING_DOCUMENT_H_
+
+#include <map>
+#include <vector>
+
+#include "damaskroute/core/ids.h"
+#include "damaskroute/http/client_limits.h"
+#include "damaskroute/routing/route.h"
+#include "damaskroute/routing/service_policy.h"
+
+namespace damaskroute {
+
+/// One whole version of the operators' routing configuration.
+struct RoutingDocument {
+  Revision version = 0;
+  std::vector<Route> routes;
+  std::map<ServiceName, ServicePolicy> services;
+  ClientLimits client_limits;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_ROUTING_ROUTING_DOCUMENT_H_
--- /dev/null
+++ b/include/damaskroute/store/feed_options.h
@@ -0,0 +1,27 @@
+#ifndef DAMASKROUTE_STORE_FEED_OPTIONS_H_
+#define DAMASKROUTE_STORE_FEED_OPTIONS_H_
+
+#include <chrono>
+
+namespace damaskroute {
+
+/// Settings of a `FeedSchedule`.
+struct FeedOptions {
+  /// Time for which changes are left to gather after a watch gave some. Each watch is a priced call
+  /// to the store; the shortest bound for changes to be in force limits this time.
+  std::chrono::milliseconds gather{750};
+  /// How long the store holds a watch without changes.
+  std::chrono::milliseconds watch_wait{20'000};
+  /// Deadline of a read, and of a watch beyond `watch_wait`. A read of the whole store takes 8 to
+  /// 16 ms; a slow store takes some 60 times as long.
+  std::chrono::milliseconds call_timeout{1500};
+  /// Pause after a first failure; doubled up to the longest with each further one.
+  std::chrono::milliseconds first_pause{100};
+  std::chrono::milliseconds longest_pause{800};
+  /// For this long after the store's return, missing entries may only have lapsed.
+  std::chrono::milliseconds return_window{1000};
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_STORE_FEED_OPTIONS_H_
--- /dev/null
+++ b/include/damaskroute/store/feed_schedule.h
@@ -0,0 +1,61 @@
+#ifndef DAMASKROUTE_STORE_FEED_SCHEDULE_H_
+#define DAMASKROUTE_STORE_FEED_SCHEDULE_H_
+
+#include <cstdint>
+#include <string>
+
+#include "damaskroute/core/random.h"
+#include "damaskroute/core/time.h"
+#include "damaskroute/store/feed_options.h"
+#include "damaskroute/store/feed_step.h"
+
+namespace damaskroute {
+
+/// Decides how a node follows a store: reads everything once, then watches for changes and lets
+/// them gather; reads everything again when the store has dropped the history; backs off while the
+/// store cannot be reached.
+class FeedSchedule {
+ public:
+  FeedSchedule(const FeedOptions& options, std::uint64_t seed)
+      : options_(options), random_(seed) {}
+
+  /// The next step. Ask after each event and at the end of a pause.
+  FeedStep Next(TimePoint now) const;
+
+  /// A page was read. The changes since the first page are watched afterwards, as pages are not one
+  /// snapshot.
+  void OnPage(const std::string& last_key, bool has_more, std::uint64_t as_of, TimePoint now);
+
+  /// A watch ended with `changes` changes.
+  void OnChanges(std::size_t changes, std::uint64_t as_of, TimePoint now);
+
+  /// The store no longer has the changes after the known revision.
+  void OnHistoryLost(TimePoint now);
+
+  /// A call failed or got no answer. `took`: how long it ran.
+  void OnFailure(Duration took, bool was_watch, TimePoint now);
+
+  /// Whether the store has not answered for a while.
+  bool in_outage() const { return outage_; }
+
+  /// Whether what is missing now may have lapsed during an outage that has just ended.
+  bool just_returned(TimePoint now) const { return outage_ || now < returned_until_; }
+
+ private:
+  void OnSuccess(TimePoint now);
+
+  const FeedOptions options_;
+  Random random_;
+  bool reading_ = true;
+  std::string after_key_;
+  std::uint64_t first_as_of_ = 0;
+  std::uint64_t revision_ = 0;
+  TimePoint pause_until_;
+  int failures_ = 0;
+  bool outage_ = false;
+  TimePoint returned_until_;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_STORE_FEED_SCHEDULE_H_
--- /dev/null
+++ b/src/forward/backend_evidence.cc
@@ -0,0 +1,103 @@
+#include "damaskroute/forward/backend_evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace damaskroute {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Weight of a new sample in the averages; about the last ten calls count.
+constexpr double kSampleWeight = 0.15;
+
+// Latency assumed of a server that has not answered yet.
+constexpr milliseconds kUnknownLatency{15};
+
+// A server is stalled after so many of its usual latencies of silence, and not before this time:
+// scheduling delays of a few milliseconds are no pause.
+constexpr double kStallLatencies = 2.2;
+constexpr milliseconds kMinStall{15};
+
+// Time constant with which old samples lose their say.
+constexpr std::chrono::duration<double> kFade{2.0};
+
+// A server that fails is avoided for this time, doubled with each failure in a row.
+constexpr milliseconds kFirstAvoidance{200};
+constexpr milliseconds kLongestAvoidance{3200};
+constexpr int kMaxDoublings = 4;
+
+// A server that sheds load gets nothing for this time.
+constexpr milliseconds kShedPause{30};
+
+double Fade(Duration age) {
+  return std::exp(-std::chrono::duration<double>(age).count() / kFade.count());
+}
+
+}  // namespace
+
+void BackendEvidence::OnSent(TimePoint now) { sent_.push_back(now); }
+
+void BackendEvidence::OnEnded(TimePoint sent, EvidenceOf kind, TimePoint now) {
+  auto found = std::find(sent_.begin(), sent_.end(), sent);
+  if (found != sent_.end()) sent_.erase(found);
+  switch (kind) {
+    case EvidenceOf::kAnswer:
+      last_heard_ = now;
+      failures_in_a_row_ = 0;
+      avoid_until_ = TimePoint();
+      AddLatency(now - sent, now);
+      AddOutcome(/*failed=*/false, now);
+      return;
+    case EvidenceOf::kShed:
+      last_heard_ = now;
+      avoid_until_ = std::max(avoid_until_, now + kShedPause);
+      return;
+    case EvidenceOf::kCancellation:
+      if (now - sent > latency_) AddLatency(now - sent, now);
+      return;
+    case EvidenceOf::kFailure:
+    case EvidenceOf::kUnreachable:
+      last_heard_ = now;
+      AddOutcome(/*failed=*/true, now);
+      int doublings = std::min(failures_in_a_row_++, kMaxDoublings);
+      milliseconds span = std::min(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
+      avoid_until_ = std::max(avoid_until_, now + span);
+      return;
+  }
+}
+
+TimePoint BackendEvidence::stalled_at() const {
+  if (sent_.empty()) return TimePoint::max();
+  Duration usual = std::max<Duration>(latency_, kUnknownLatency);
+  auto silence = std::chrono::duration_cast<Duration>(usual * kStallLatencies);
+  return std::max(sent_.front(), last_heard_) + std::max<Duration>(silence, kMinStall);
+}
+
+Duration BackendEvidence::ExpectedLatency(Duration usual, TimePoint now) const {
+  if (!has_latency()) return usual;
+  if (latency_ <= usual) return latency_;
+  return usual +
+         std::chrono::duration_cast<Duration>((latency_ - usual) * Fade(now - last_sample_));
+}
+
+double BackendEvidence::FailureRate(TimePoint now) const {
+  return failure_rate_ * Fade(now - last_outcome_);
+}
+
+void BackendEvidence::AddLatency(Duration latency, TimePoint now) {
+  last_sample_ = now;
+  if (!has_latency()) {
+    latency_ = latency;
+    return;
+  }
+  latency_ += std::chrono::duration_cast<Duration>((latency - latency_) * kSampleWeight);
+}
+
+void BackendEvidence::AddOutcome(bool failed, TimePoint now) {
+  failure_rate_ = FailureRate(now);
+  last_outcome_ = now;
+  failure_rate_ += ((failed ? 1.0 : 0.0) - failure_rate_) * kSampleWeight;
+}
+
+}  // namespace damaskroute
--- /dev/null
+++ b/src/forward/backend_table.cc
@@ -0,0 +1,154 @@
+#include "damaskroute/forward/backend_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <optional>
+#include <utility>
+
+namespace damaskroute {
+namespace {
+
+// Latency assumed while no server of the service has answered yet.
+constexpr std::chrono::milliseconds kUnknownLatency{20};
+
+// A server that fails every call counts as this many times slower.
+constexpr double kFailureWeight = 8;
+
+// Random spread of the expected times, so that nodes which believe the same do not all choose the
+// same server.
+constexpr double kSpread = 0.2;
+
+// Part of a server's connections that all nodes together may use; the rest covers nodes that
+// joined and are not counted yet.
+constexpr double kConnectionPart = 0.9;
+
+bool Contains(const std::vector<std::shared_ptr<Backend>>& list, const Backend* backend) {
+  return std::any_of(list.begin(), list.end(),
+                     [backend](const auto& entry) { return entry.get() == backend; });
+}
+
+Duration UsualLatency(const std::vector<std::shared_ptr<Backend>>& servers, TimePoint now) {
+  Duration usual = Duration::max();
+  for (const auto& server : servers) {
+    if (!server->evidence.has_latency()) continue;
+    usual = std::min(usual, server->evidence.ExpectedLatency(Duration::max(), now));
+  }
+  return usual == Duration::max() ? Duration(kUnknownLatency) : usual;
+}
+
+double Seconds(Duration span) { return std::chrono::duration<double>(span).count(); }
+
+}  // namespace
+
+BackendTable::BackendTable(BackendTableOptions options, std::uint64_t seed)
+    : options_(std::move(options)), random_(seed) {}
+
+void BackendTable::Put(const BackendEntry& entry, bool fresh, TimePoint now) {
+  auto found = by_id_.find(entry.id);
+  bool moved = found != by_id_.end() && found->second->entry.service != entry.service;
+  if (found != by_id_.end() && (fresh || moved)) {
+    Remove(entry.id);
+    found = by_id_.end();
+  }
+  std::shared_ptr<Backend> backend;
+  if (found == by_id_.end()) {
+    backend = std::make_shared<Backend>();
+    by_id_.emplace(entry.id, backend);
+    by_service_[entry.service].push_back(backend);
+  } else {
+    backend = found->second;
+  }
+  backend->entry = entry;
+  ApplyPolicy(*backend);
+  if (entry.warmup_left.count() > 0 && routes_) {
+    const ServicePolicy& policy = routes_->Policy(entry.service);
+    backend->cold.SetCold(now + entry.warmup_left, NodeColdRate(policy));
+  }
+}
+
+void BackendTable::Remove(const BackendName& id) {
+  auto found = by_id_.find(id);
+  if (found == by_id_.end()) return;
+  std::shared_ptr<Backend> backend = found->second;
+  backend->gone = true;
+  by_id_.erase(found);
+  auto& servers = by_service_[backend->entry.service];
+  std::erase(servers, backend);
+  if (servers.empty()) by_service_.erase(backend->entry.service);
+}
+
+void BackendTable::SetPolicies(std::shared_ptr<const RouteTable> routes, int nodes) {
+  routes_ = std::move(routes);
+  nodes_ = std::max(nodes, 1);
+  for (auto& [id, backend] : by_id_) ApplyPolicy(*backend);
+}
+
+double BackendTable::NodeColdRate(const ServicePolicy& policy) const {
+  if (policy.cold_rate <= 0) return std::numeric_limits<double>::infinity();
+  double all = policy.cold_rate * options_.cold_overshoot + options_.cold_slack;
+  return std::floor(all / nodes_);
+}
+
+void BackendTable::ApplyPolicy(Backend& backend) const {
+  if (!routes_) return;
+  int connections = routes_->Policy(backend.entry.service).max_connections;
+  backend.max_outstanding =
+      std::max(1, static_cast<int>(connections * kConnectionPart / nodes_));
+}
+
+// A server is not usable if the calls that wait for it already take all the time there is.
+bool BackendTable::IsUsable(const Backend& backend, TimePoint deadline, Duration usual,
+                            TimePoint now) const {
+  if (backend.entry.draining || closed_zones_.contains(backend.entry.zone)) return false;
+  if (backend.evidence.outstanding() >= backend.max_outstanding) return false;
+  if (!backend.cold.Allows(now)) return false;
+  int waiting = backend.evidence.outstanding() / std::max(backend.entry.slots, 1);
+  return now + waiting * backend.evidence.ExpectedLatency(usual, now) < deadline;
+}
+
+BackendChoice BackendTable::Choose(const ServiceName& service,
+                                   const std::vector<std::shared_ptr<Backend>>& tried,
+                                   TimePoint deadline, TimePoint now) {
+  BackendChoice best;
+  double best_cost = 0;
+  const auto& servers = Of(service);
+  Duration usual = UsualLatency(servers, now);
+  for (const auto& server : servers) {
+    if (Contains(tried, server.get()) || !IsUsable(*server, deadline, usual, now)) continue;
+    const BackendEvidence& evidence = server->evidence;
+    bool doubtful =
+        evidence.IsAvoided(now) || evidence.IsStalled(now) || server->cold.IsCold(now);
+    auto standing = doubtful ? BackendStanding::kDoubtful : BackendStanding::kGood;
+    double load = 1.0 + static_cast<double>(evidence.outstanding()) /
+                            static_cast<double>(std::max(server->entry.slots, 1));
+    double cost = Seconds(evidence.ExpectedLatency(usual, now)) * load *
+                  (1 + kFailureWeight * evidence.FailureRate(now)) *
+                  (1 + kSpread * random_.Unit());
+    if (server->entry.zone != options_.own_zone) cost += Seconds(options_.zone_cost);
+    if (evidence.IsAvoided(now)) cost += 1;  // Behind all others of its standing.
+    if (!best.backend || standing < best.standing ||
+        (standing == best.standing && cost < best_cost)) {
+      best = {server, standing};
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+bool BackendTable::CanServe(const ServiceName& service, TimePoint deadline, TimePoint now) {
+  return Choose(service, {}, deadline, now).backend != nullptr;
+}
+
+const std::vector<std::shared_ptr<Backend>>& BackendTable::Of(const ServiceName& service) const {
+  static const auto* const none = new std::vector<std::shared_ptr<Backend>>();
+  auto found = by_service_.find(service);
+  return found == by_service_.end() ? *none : found->second;
+}
+
+std::shared_ptr<Backend> BackendTable::Find(const BackendName& id) const {
+  auto found = by_id_.find(id);
+  return found == by_id_.end() ? nullptr : found->second;
+}
+
+}  // namespace damaskroute
--- /dev/null
+++ b/src/forward/cold_gate.cc
@@ -0,0 +1,29 @@
+#include "damaskroute/forward/cold_gate.h"
+
+namespace damaskroute {
+namespace {
+
+// Calls of one second may arrive within less, as their delays differ by up to this time.
+constexpr std::chrono::milliseconds kWindow{1300};
+
+}  // namespace
+
+void ColdGate::SetCold(TimePoint until, double node_rate) {
+  cold_until_ = until;
+  node_rate_ = node_rate;
+}
+
+bool ColdGate::Allows(TimePoint now) const {
+  if (!IsCold(now)) return true;
+  int recent = 0;
+  for (TimePoint sent : recent_) recent += sent + kWindow > now ? 1 : 0;
+  return recent + 1 <= node_rate_;
+}
+
+void ColdGate::OnSent(TimePoint now) {
+  if (!IsCold(now)) return recent_.clear();
+  while (!recent_.empty() && recent_.front() + kWindow <= now) recent_.pop_front();
+  recent_.push_back(now);
+}
+
+}  // namespace damaskroute
--- /dev/null
+++ b/src/forward/forward_run.cc
@@ -0,0 +1,295 @@
+#include "damaskroute/forward/forward_run.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace damaskroute {
+namespace {
+
+// When a caller whose request found no backend server should come again: about the time in which a
+// pause of a server ends or a queue empties.
+constexpr std::chrono::milliseconds kRetryAfter{250};
+
+// A call with less time than this left is not sent, as no server could answer it.
+constexpr std::chrono::milliseconds kLeastCallTime{4};
+
+// Calls for one part, however they end. Bounds the search for a server while all are unreachable.
+constexpr std::size_t kMaxTries = 6;
+
+// An open call is looked at again after this time if its server has become silent meanwhile.
+constexpr std::chrono::milliseconds kCheckInterval{5};
+
+EvidenceOf EvidenceFrom(CallEnd end) {
+  switch (end) {
+    case CallEnd::kAnswered:
+      return EvidenceOf::kAnswer;
+    case CallEnd::kNotRun:
+      return EvidenceOf::kShed;
+    case CallEnd::kMisdirected:
+    case CallEnd::kUnreachable:
+      return EvidenceOf::kUnreachable;
+    case CallEnd::kServerError:
+    case CallEnd::kLost:
+      break;
+  }
+  return EvidenceOf::kFailure;
+}
+
+bool MayHaveRun(CallEnd end) {
+  return end == CallEnd::kAnswered || end == CallEnd::kServerError || end == CallEnd::kLost;
+}
+
+}  // namespace
+
+ForwardRun::ForwardRun(ForwardSpec spec, ForwardPolicies policies)
+    : spec_(std::move(spec)), policies_(policies), parts_(spec_.services.size()) {}
+
+std::vector<ForwardAction> ForwardRun::Start(TimePoint now) {
+  Actions actions;
+  std::size_t servable = 0;
+  for (std::uint32_t i = 0; i < parts_.size(); ++i) {
+    policies_.budgets[spec_.services[i]].OnRequest(policies_.budget_options, now);
+    if (policies_.backends.CanServe(spec_.services[i], spec_.deadline, now)) ++servable;
+  }
+  if (servable < spec_.min_parts) {
+    ForwardAnswer answer;
+    answer.missing = parts_.size() - servable;
+    answer.retry_after = kRetryAfter;
+    answer.reason = "no backend server can serve it";
+    Finish(std::move(answer), now, actions);
+    return actions;
+  }
+  calls_.reserve(parts_.size() + 4);
+  for (std::uint32_t i = 0; i < parts_.size(); ++i) {
+    if (!Send(i, CallKind::kFirst, now, actions)) {
+      parts_[i].state = PartState::kFailed;
+      ++failed_;
+    }
+  }
+  Conclude(now, actions);
+  ScheduleWake(actions);
+  return actions;
+}
+
+std::vector<ForwardAction> ForwardRun::OnResult(std::uint32_t call_number, CallResult result,
+                                                TimePoint now) {
+  Actions actions;
+  if (finished_ || !calls_[call_number].open) return actions;
+  Call& call = calls_[call_number];
+  std::uint32_t index = call.part;
+  Part& part = parts_[index];
+  Close(call, EvidenceFrom(result.end), now);
+  if (MayHaveRun(result.end)) {
+    may_have_run_ = true;
+  } else {
+    --part.attempts;
+  }
+  if (part.state != PartState::kOpen) return actions;
+  if (result.end == CallEnd::kAnswered) {
+    part.state = PartState::kDone;
+    part.result = std::move(result);
+    ++done_;
+    for (std::uint32_t i = 0; i < calls_.size() && part.open_calls > 0; ++i) {
+      if (calls_[i].open && calls_[i].part == index) Cancel(i, now, actions);
+    }
+  } else {
+    OnPartFailed(index, std::move(result), now, actions);
+  }
+  Conclude(now, actions);
+  ScheduleWake(actions);
+  return actions;
+}
+
+void ForwardRun::OnPartFailed(std::uint32_t index, CallResult result, TimePoint now,
+                              Actions& actions) {
+  Part& part = parts_[index];
+  bool may_repeat = spec_.idempotent || !MayHaveRun(result.end);
+  if (result.end == CallEnd::kServerError) part.result = std::move(result);
+  if (may_repeat && Send(index, CallKind::kRepeat, now, actions)) return;
+  if (part.open_calls > 0) return;
+  part.state = PartState::kFailed;
+  ++failed_;
+}
+
+bool ForwardRun::Send(std::uint32_t index, CallKind kind, TimePoint now, Actions& actions) {
+  Part& part = parts_[index];
+  if (part.attempts >= spec_.max_attempts || part.tried.size() >= kMaxTries) return false;
+  if (now + kLeastCallTime >= spec_.deadline) return false;
+  const ServiceName& service = spec_.services[index];
+  BackendChoice choice = policies_.backends.Choose(service, part.tried, spec_.deadline, now);
+  if (!choice.backend) {
+    ++counts_.without_room;
+    return false;
+  }
+  if (kind == CallKind::kCopy && choice.standing != BackendStanding::kGood) return false;
+  if (kind != CallKind::kFirst) {
+    auto extra = kind == CallKind::kCopy ? ExtraKind::kCopy : ExtraKind::kRepeat;
+    if (!policies_.budgets[service].TryTake(policies_.budget_options, extra, now)) {
+      ++counts_.over_budget;
+      return false;
+    }
+    ++(kind == CallKind::kCopy ? counts_.copies : counts_.repeats);
+  }
+  ++counts_.calls;
+  ++part.attempts;
+  ++part.open_calls;
+  part.tried.push_back(choice.backend);
+  choice.backend->evidence.OnSent(now);
+  choice.backend->cold.OnSent(now);
+  auto number = static_cast<std::uint32_t>(calls_.size());
+  calls_.push_back({index, choice.backend, now, true});
+  part.check_at = spec_.idempotent ? LateAt(calls_.back()) : TimePoint::max();
+  actions.push_back(SendCall{number, std::move(choice.backend)});
+  return true;
+}
+
+// A call is late at its age limit, or earlier if its server has fallen silent to all calls.
+TimePoint ForwardRun::LateAt(const Call& call) const {
+  if (spec_.copy_after == Duration::max()) return TimePoint::max();
+  return std::min(call.sent + spec_.copy_after, call.backend->evidence.stalled_at());
+}
+
+void ForwardRun::Close(Call& call, EvidenceOf kind, TimePoint now) {
+  call.open = false;
+  --parts_[call.part].open_calls;
+  call.backend->evidence.OnEnded(call.sent, kind, now);
+}
+
+void ForwardRun::Cancel(std::uint32_t number, TimePoint now, Actions& actions) {
+  may_have_run_ = true;
+  Close(calls_[number], EvidenceOf::kCancellation, now);
+  actions.push_back(CancelCall{number});
+}
+
+std::vector<ForwardAction> ForwardRun::OnTimer(TimePoint now) {
+  Actions actions;
+  if (finished_) return actions;
+  wake_at_ = TimePoint::max();
+  for (std::uint32_t i = 0; i < parts_.size(); ++i) {
+    if (parts_[i].state == PartState::kOpen && parts_[i].check_at <= now) {
+      CheckCopy(i, now, actions);
+    }
+  }
+  Conclude(now, actions);
+  ScheduleWake(actions);
+  return actions;
+}
+
+const ForwardRun::Call* ForwardRun::OldestOpenCall(std::uint32_t index) const {
+  for (const Call& call : calls_) {
+    if (call.open && call.part == index) return &call;
+  }
+  return nullptr;
+}
+
+void ForwardRun::CheckCopy(std::uint32_t index, TimePoint now, Actions& actions) {
+  Part& part = parts_[index];
+  part.check_at = TimePoint::max();
+  const Call* call = OldestOpenCall(index);
+  if (call == nullptr || part.open_calls > 1 || part.attempts >= spec_.max_attempts) return;
+  TimePoint late_at = LateAt(*call);
+  if (now < late_at) {
+    part.check_at = late_at;
+    return;
+  }
+  if (Send(index, CallKind::kCopy, now, actions)) return;
+  // The other servers may recover, and the budget fills again.
+  part.check_at = now + kCheckInterval;
+}
+
+// Answers as soon as nothing better can be expected in time.
+void ForwardRun::Conclude(TimePoint now, Actions& actions) {
+  if (finished_) return;
+  bool all_over = done_ + failed_ == parts_.size();
+  if (!spec_.query) {
+    if (done_ == 1) {
+      ForwardAnswer answer;
+      answer.kind = AnswerKind::kPassedOn;
+      answer.parts.push_back(std::move(*parts_[0].result));
+      return Finish(std::move(answer), now, actions);
+    }
+    if (all_over && parts_[0].result) {
+      ForwardAnswer answer;
+      answer.kind = AnswerKind::kPassedOn;
+      answer.reason = "the server reports an error";
+      answer.parts.push_back(std::move(*parts_[0].result));
+      return Finish(std::move(answer), now, actions);
+    }
+  }
+  bool enough = done_ >= spec_.min_parts;
+  if (spec_.query && enough && (all_over || now >= spec_.answer_by)) {
+    return FinishQuery(now, actions);
+  }
+  if (parts_.size() - failed_ < spec_.min_parts) {
+    return Finish(Shortfall(AnswerKind::kFailed, "no backend server answered"), now, actions);
+  }
+  if (now >= spec_.deadline) {
+    return Finish(Shortfall(AnswerKind::kTimedOut, "the deadline passed"), now, actions);
+  }
+}
+
+void ForwardRun::FinishQuery(TimePoint now, Actions& actions) {
+  ForwardAnswer answer;
+  answer.kind = AnswerKind::kMerged;
+  answer.missing = parts_.size() - done_;
+  answer.parts.reserve(done_);
+  for (Part& part : parts_) {
+    if (part.state == PartState::kDone) answer.parts.push_back(std::move(*part.result));
+  }
+  if (answer.missing > 0) answer.reason = failed_ > 0 ? "parts failed" : "parts were late";
+  Finish(std::move(answer), now, actions);
+}
+
+// An answer without a result: a refusal only if no server can have run the request.
+ForwardAnswer ForwardRun::Shortfall(AnswerKind kind_if_run, const char* reason) const {
+  ForwardAnswer answer;
+  bool open = std::any_of(calls_.begin(), calls_.end(), [](const Call& call) { return call.open; });
+  answer.kind = may_have_run_ || open ? kind_if_run : AnswerKind::kRefused;
+  answer.missing = parts_.size() - done_;
+  answer.retry_after = kRetryAfter;
+  answer.reason = reason;
+  return answer;
+}
+
+void ForwardRun::Finish(ForwardAnswer answer, TimePoint now, Actions& actions) {
+  finished_ = true;
+  for (std::uint32_t i = 0; i < calls_.size(); ++i) {
+    if (calls_[i].open) Cancel(i, now, actions);
+  }
+  actions.push_back(Answer{std::move(answer)});
+}
+
+std::vector<ForwardAction> ForwardRun::GiveUp(const char* reason, TimePoint now) {
+  Actions actions;
+  if (finished_) return actions;
+  if (spec_.query && done_ >= spec_.min_parts) {
+    FinishQuery(now, actions);
+  } else {
+    Finish(Shortfall(AnswerKind::kFailed, reason), now, actions);
+  }
+  return actions;
+}
+
+std::vector<ForwardAction> ForwardRun::Abandon(TimePoint now) {
+  Actions actions;
+  if (finished_) return actions;
+  finished_ = true;
+  for (std::uint32_t i = 0; i < calls_.size(); ++i) {
+    if (calls_[i].open) Cancel(i, now, actions);
+  }
+  return actions;
+}
+
+void ForwardRun::ScheduleWake(Actions& actions) {
+  if (finished_) return;
+  TimePoint next = spec_.deadline;
+  if (spec_.query && done_ >= spec_.min_parts) next = std::min(next, spec_.answer_by);
+  for (const Part& part : parts_) {
+    if (part.state == PartState::kOpen) next = std::min(next, part.check_at);
+  }
+  if (next == wake_at_) return;
+  wake_at_ = next;
+  actions.push_back(WakeAt{next});
+}
+
+}  // namespace damaskroute
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -1,5 +1,7 @@
 #include "damaskroute/http/backend_client.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -32,6 +34,15 @@
 constexpr std::size_t kFirstReadSize = 4 << 10;
 constexpr std::size_t kLargestReadSize = 64 << 10;
 
+// Unanswered keep-alive probes that end an idle connection.
+constexpr int kKeepAliveProbes = 2;
+
+// An idle connection is given up this long before the server says that it closes it.
+constexpr std::chrono::milliseconds kIdleMargin{500};
+
+// Answers to other requests that are skipped during one exchange.
+constexpr int kMaxForeignAnswers = 4;
+
 TimePoint Now() { return SteadyClock().Now(); }
 
 }  // namespace
@@ -51,6 +62,10 @@
   void Write();
   void Read();
   void OnRead(const error_code& error, std::size_t size);
+  void Parse(const error_code& error);
+  bool IsForeign() const;
+  void SkipAnswer();
+  void SetSocketOptions();
   void FailLater(const error_code& error);
   void Fail(const error_code& error);
   void Finish(ExchangeResult result, bool reusable);
@@ -74,7 +89,9 @@
   std::string request;
   std::string request_id;
   std::size_t sent = 0;
+  int skipped = 0;
   TimePoint deadline;
+  TimePoint usable_until = TimePoint::max();  // While idle; from the server's Keep-Alive header.
   bool connecting = false;
   std::optional<ExchangeEnd> abort_reason;
   std::optional<internal::ResponseReader> reader;
@@ -82,8 +99,9 @@
 };
 
 struct BackendClient::State : std::enable_shared_from_this<State> {
-  State(asio::io_context& context, int connections)
-      : loop(context),
+  State(asio::io_context& context, int connections, BackendClientOptions client_options)
+      : options(std::move(client_options)),
+        loop(context),
         timer(context.get_executor()),
         max_connections(static_cast<std::size_t>(std::max(connections, 0))) {}
 
@@ -92,7 +110,7 @@
     while (!idle.empty()) {
       auto connection = std::move(idle.back());
       idle.pop_back();
-      if (!connection->IsStale()) return connection;
+      if (Now() < connection->usable_until && !connection->IsStale()) return connection;
       --open;
     }
     return nullptr;
@@ -141,6 +159,7 @@
     if (next != TimePoint::max() && !closed) ArmTimer(next);
   }
 
+  const BackendClientOptions options;
   asio::io_context& loop;
   Timer timer;
   TimePoint timer_at = TimePoint::max();
@@ -158,16 +177,39 @@
 void BackendClient::Connection::Connect() {
   connecting = true;
   ++state->connects;
-  socket.async_connect(state->endpoint, [self = shared_from_this()](const error_code& error) {
+  TimePoint final_deadline = deadline;
+  if (state->options.connect_timeout.count() > 0) {
+    deadline = std::min(deadline, Now() + state->options.connect_timeout);
+    if (deadline < state->timer_at) state->ArmTimer(deadline);
+  }
+  socket.async_connect(state->endpoint, [self = shared_from_this(),
+                                         final_deadline](const error_code& error) {
     if (error || self->abort_reason.has_value()) return self->Fail(error);
     self->connecting = false;
-    error_code ignored;
-    self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    self->socket.non_blocking(true, ignored);
+    self->deadline = final_deadline;
+    if (final_deadline < self->state->timer_at) self->state->ArmTimer(final_deadline);
+    self->SetSocketOptions();
     self->Write();
   });
 }
 
+void BackendClient::Connection::SetSocketOptions() {
+  error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket.non_blocking(true, ignored);
+  auto silence = static_cast<unsigned>(state->options.silence_timeout.count());
+  if (silence == 0) return;
+  int seconds = std::max(1, static_cast<int>(silence / 1000 / (kKeepAliveProbes + 1)));
+  int on = 1;
+  int fd = socket.native_handle();
+  // Failures leave the system's defaults; the deadline of each exchange holds in any case.
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence, sizeof silence);
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof kKeepAliveProbes);
+}
+
 // A request nearly always fits into the socket's buffer, so it is sent at once.
 void BackendClient::Connection::Write() {
   error_code error;
@@ -190,10 +232,28 @@
 void BackendClient::Connection::OnRead(const error_code& error, std::size_t size) {
   buffer.commit(size);
   if (size == read_size) read_size = std::min(read_size * 2, kLargestReadSize);
+  Parse(error);
+}
+
+bool BackendClient::Connection::IsForeign() const {
+  const std::string& answered = reader->request_id();
+  return state->options.skip_foreign_answers && !answered.empty() && answered != request_id &&
+         reader->keep_alive() && skipped < kMaxForeignAnswers;
+}
+
+void BackendClient::Connection::SkipAnswer() {
+  ++skipped;
+  reader.emplace(state->options);
+  if (buffer.size() > 0) return Parse({});
+  Read();
+}
+
+void BackendClient::Connection::Parse(const error_code& error) {
   error_code failed = error;
   if (!error) {
     buffer.consume(reader->put(buffer.data(), failed));
     if (failed == http::error::need_more) failed = {};
+    if (!failed && reader->is_done() && IsForeign()) return SkipAnswer();
   } else if (error == asio::error::eof && reader->got_some()) {
     failed = {};
     reader->put_eof(failed);
@@ -204,6 +264,8 @@
     return Read();
   }
   bool reusable = !abort_reason.has_value() && !error && reader->keep_alive() && buffer.size() == 0;
+  auto idle_time = reader->keep_alive_timeout();
+  usable_until = idle_time ? Now() + *idle_time - kIdleMargin : TimePoint::max();
   ExchangeResult result = reader->TakeResult();
   // After the answer to another request the next one would be crossed as well.
   if (!result.request_id.empty() && result.request_id != request_id) reusable = false;
@@ -237,8 +299,9 @@
   if (!closed) callback(std::move(result));
 }
 
-BackendClient::BackendClient(asio::io_context& loop, const Endpoint& endpoint, int max_connections)
-    : state_(std::make_shared<State>(loop, max_connections)) {
+BackendClient::BackendClient(asio::io_context& loop, const Endpoint& endpoint, int max_connections,
+                             BackendClientOptions options)
+    : state_(std::make_shared<State>(loop, max_connections, std::move(options))) {
   error_code error;
   auto address = asio::ip::make_address(endpoint.address, error);
   state_->endpoint = asio::ip::tcp::endpoint(address, endpoint.port);
@@ -273,7 +336,8 @@
   connection->request_id = std::move(request.request_id);
   connection->sent = 0;
   connection->deadline = Now() + request.time_left;
-  connection->reader.emplace();
+  connection->skipped = 0;
+  connection->reader.emplace(state.options);
   connection->done = std::move(done);
   state.Add(connection);
   if (is_new) {
@@ -284,6 +348,10 @@
   return id;
 }
 
+bool BackendClient::CanStart() const {
+  return !state_->idle.empty() || (state_->endpoint_valid && state_->open < state_->max_connections);
+}
+
 void BackendClient::Cancel(std::uint64_t id) {
   for (const auto& connection : state_->running) {
     if (connection->id == id) return connection->Abort(ExchangeEnd::kCancelled);
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,5 +1,6 @@
 #include "damaskroute/http/http_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -39,6 +40,12 @@
 
 constexpr std::chrono::milliseconds kAcceptPause{10};
 
+// Greatest value of `ClientLimits::max_header_bytes`; bounds the buffer of a connection.
+constexpr std::size_t kMaxHeaderBytes = std::size_t{64} << 10;
+
+// Bytes of a next request that are read while one is served.
+constexpr std::size_t kWatchReadSize = 4096;
+
 // Counts a resource for as long as it is held.
 class Counted {
  public:
@@ -59,7 +66,10 @@
   http::response<http::string_body> message;
   message.version(11);
   message.result(static_cast<unsigned>(response.status));
-  message.set(http::field::content_type, response.content_type);
+  if (!response.content_type.empty()) {
+    message.set(http::field::content_type, response.content_type);
+  }
+  for (const HeaderField& field : response.headers) message.insert(field.name, field.value);
   if (response.retry_after.count() > 0) {
     auto seconds = std::chrono::ceil<std::chrono::seconds>(response.retry_after);
     message.set(http::field::retry_after, std::to_string(seconds.count()));
@@ -106,35 +116,66 @@
         counted_(shared_->connections, 1),
         stream_(std::move(socket)),
         timer_(stream_.get_executor()),
-        buffer_(shared_->options.max_header_bytes + 8192) {}
+        buffer_(kMaxHeaderBytes + 8192) {}
 
   // Waits for the first byte of the next request.
   void Next() {
     parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(shared_->options.max_header_bytes));
-    parser_->body_limit(shared_->options.max_body_bytes);
-    if (buffer_.size() > 0) {
+    parser_->header_limit(static_cast<std::uint32_t>(shared_->options.limits.max_header_bytes));
+    parser_->body_limit(shared_->options.limits.max_body_bytes);
+    if (buffer_.size() > 0 && !watching_) {
       ReadHeader();
       return;
     }
-    if (shared_->draining) {
+    if (shared_->draining && !watching_) {
       Close();
       return;
     }
-    stream_.expires_after(shared_->options.idle_timeout);
-    stream_.async_read_some(buffer_.prepare(4096),
+    idle_ = true;
+    timer_.expires_after(shared_->options.limits.idle_timeout);
+    timer_.async_wait([self = shared_from_this()](const error_code& error) {
+      if (!error && self->idle_) self->Close();
+    });
+    if (!watching_) ReadSome();
+  }
+
+ private:
+  // Reads the next bytes: between requests the start of the next one, during a request only to
+  // notice that the caller closes.
+  void ReadSome() {
+    watching_ = true;
+    stream_.expires_never();
+    stream_.async_read_some(buffer_.prepare(kWatchReadSize),
                             [self = shared_from_this()](const error_code& error, std::size_t size) {
-                              if (error) return self->Close();
-                              self->buffer_.commit(size);
-                              self->ReadHeader();
+                              self->watching_ = false;
+                              self->OnBytes(error, size);
                             });
   }
 
- private:
+  void OnBytes(const error_code& error, std::size_t size) {
+    if (closing_) {
+      if (error) return Close();
+      return DiscardRest();
+    }
+    if (!error) buffer_.commit(size);
+    if (idle_) {
+      idle_ = false;
+      timer_.cancel();
+      if (error) return Close();
+      return ReadHeader();
+    }
+    if (!error) return;  // The next request came early; it is read after the response.
+    caller_left_ = true;
+    if (!presence_ || presence_->gone) return;
+    presence_->gone = true;
+    auto notify = std::exchange(presence_->on_gone, nullptr);
+    if (notify) notify();
+  }
+
   void ReadHeader() {
     // Counted from its first byte, so that a shutdown waits for a request that is being received.
     active_.emplace(shared_->active_requests, 1);
-    stream_.expires_after(shared_->options.header_timeout);
+    stream_.expires_after(shared_->options.limits.header_timeout);
     http::async_read_header(stream_, buffer_, *parser_,
                             [self = shared_from_this()](const error_code& error, std::size_t) {
                               if (error) return self->RejectAfter(error);
@@ -147,8 +188,8 @@
     received_ = SteadyClock().Now();
     if (auto problem = CheckHeader(parser_->get())) return Reject(*problem);
     std::size_t length =
-        parser_->content_length().value_or(parser_->chunked() ? options.max_body_bytes : 0);
-    if (length > options.max_body_bytes) return Reject(ProblemOf(http::error::body_limit));
+        parser_->content_length().value_or(parser_->chunked() ? options.limits.max_body_bytes : 0);
+    if (length > options.limits.max_body_bytes) return Reject(ProblemOf(http::error::body_limit));
     buffered_.emplace(shared_->buffered_bytes, length);
     if (shared_->buffered_bytes > options.max_buffered_bytes) {
       return Reject({503, "overloaded", "too many request bodies at once", Verdict::kNotRun,
@@ -188,7 +229,17 @@
     request.body = std::move(message.body());
     request.loop = loop_;
     request.received = received_;
+    if (shared_->options.pass_headers) {
+      for (const auto& field : message) {
+        request.headers.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
+      }
+    }
     stream_.expires_never();
+    if (shared_->options.watch_callers) {
+      presence_ = std::make_shared<CallerPresence>();
+      request.presence = presence_;
+    }
     std::uint64_t number = ++request_number_;
     timer_.expires_after(shared_->options.handler_timeout);
     timer_.async_wait([self = shared_from_this(), number](const error_code& error) {
@@ -204,6 +255,7 @@
             self->Respond(number, std::move(response));
           });
         });
+    if (presence_ && !watching_ && buffer_.size() == 0) ReadSome();
   }
 
   // Sends the response to the request with this number; a second one for it is dropped.
@@ -212,6 +264,9 @@
     timer_.cancel();
     ++request_number_;
     buffered_.reset();
+    if (presence_) presence_->on_gone = nullptr;
+    presence_.reset();
+    if (caller_left_) return Close();
     keep_alive_ = keep_alive_ && !shared_->draining && !shared_->close_after_responses;
     Write(std::move(response));
   }
@@ -224,7 +279,8 @@
                         self->active_.reset();
                         self->response_.reset();
                         if (self->rejected_) return self->DiscardRest();
-                        if (error || !self->keep_alive_) return self->Close();
+                        if (error || self->caller_left_) return self->Close();
+                        if (!self->keep_alive_) return self->CloseGracefully();
                         self->Next();
                       });
   }
@@ -272,7 +328,20 @@
                             });
   }
 
+  // Closes after a response. Bytes of a next request may be on their way, and a plain close would
+  // then reset the connection before the caller has read the response.
+  void CloseGracefully() {
+    if (!watching_) return Close();
+    closing_ = true;
+    error_code ignored;
+    stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    timer_.expires_after(kDiscardTime);
+    timer_.async_wait([self = shared_from_this()](const error_code&) { self->Close(); });
+  }
+
   void Close() {
+    idle_ = false;
+    timer_.cancel();
     active_.reset();
     buffered_.reset();
     error_code ignored;
@@ -293,6 +362,11 @@
   std::optional<Counted> buffered_;  // Bytes of its body.
   TimePoint received_;
   std::uint64_t request_number_ = 0;
+  std::shared_ptr<CallerPresence> presence_;
+  bool idle_ = false;         // Between two requests.
+  bool watching_ = false;     // `ReadSome` is pending.
+  bool closing_ = false;      // The last response was sent.
+  bool caller_left_ = false;  // The caller closed while its request was served.
   bool keep_alive_ = false;
   bool rejected_ = false;
   bool discarding_ = false;
@@ -375,6 +449,12 @@
   });
 }
 
+void HttpServer::SetClientLimits(const ClientLimits& limits) {
+  shared_->options.limits = limits;
+  auto& bytes = shared_->options.limits.max_header_bytes;
+  bytes = std::min(bytes, kMaxHeaderBytes);
+}
+
 void HttpServer::CloseAfterResponses() { shared_->close_after_responses = true; }
 
 std::size_t HttpServer::active_requests() const { return shared_->active_requests; }
--- a/src/http/response_reader.cc
+++ b/src/http/response_reader.cc
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-ResponseReader::ResponseReader() {
+ResponseReader::ResponseReader(const BackendClientOptions& options) : options_(options) {
   body_limit(kMaxResponseBytes);
   eager(true);
 }
@@ -37,16 +37,28 @@
 
 void ResponseReader::on_response_impl(int code, Text, int, Error&) { result_.status = code; }
 
-void ResponseReader::on_field_impl(Field, Text name_text, Text value_text, Error&) {
-  if (name_text.size() <= kPrefix.size()) return;
+void ResponseReader::ReadKeepAlive(std::string_view value) {
+  constexpr std::string_view kTimeout = "timeout=";
+  auto at = value.find(kTimeout);
+  if (at == std::string_view::npos) return;
+  value.remove_prefix(at + kTimeout.size());
+  value = value.substr(0, value.find_first_not_of("0123456789"));
+  keep_alive_timeout_ = std::chrono::seconds(NumberOr(value, std::int32_t{0}));
+}
+
+void ResponseReader::on_field_impl(Field field, Text name_text, Text value_text, Error&) {
   std::string_view value(value_text.data(), value_text.size());
+  if (options_.keep_headers) {
+    result_.headers.push_back({std::string(name_text.data(), name_text.size()), std::string(value)});
+  }
+  if (field == Field::keep_alive) ReadKeepAlive(value);
   auto is_first = [&](std::uint32_t bit, std::string_view name) {
     if (!boost::beast::iequals(name_text, Text(name.data(), name.size()))) return false;
     bool first = (seen_ & bit) == 0;
     seen_ |= bit;
     return first;
   };
-  if (is_first(1, "Damask-Request-Id")) {
+  if (is_first(1, options_.request_id_header)) {
     result_.request_id = value;
   } else if (is_first(2, "Damask-Attempt")) {
     result_.attempt = NumberOr(value, std::uint32_t{0});
--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -2,8 +2,12 @@
 #define DAMASKROUTE_SRC_HTTP_RESPONSE_READER_H_
 
 #include <boost/beast/http/basic_parser.hpp>
+#include <chrono>
 #include <cstdint>
+#include <optional>
+#include <string>
 
+#include "damaskroute/http/backend_client_options.h"
 #include "damaskroute/http/exchange_result.h"
 
 namespace damaskroute::internal {
@@ -12,7 +16,13 @@
 /// header into an allocation of its own, although only seven values are used.
 class ResponseReader : public boost::beast::http::basic_parser<false> {
  public:
-  ResponseReader();
+  explicit ResponseReader(const BackendClientOptions& options);
+
+  /// Id of the request that is answered; empty if the answer has none.
+  const std::string& request_id() const { return result_.request_id; }
+
+  /// How long the server keeps the connection open when idle, if it says so.
+  std::optional<std::chrono::seconds> keep_alive_timeout() const { return keep_alive_timeout_; }
 
   /// The result, once `is_done()`.
   ExchangeResult TakeResult();
@@ -32,6 +42,10 @@
   std::size_t on_chunk_body_impl(std::uint64_t remain, Text body, Error& error) override;
   void on_finish_impl(Error&) override {}
 
+  void ReadKeepAlive(std::string_view value);
+
+  const BackendClientOptions& options_;
+  std::optional<std::chrono::seconds> keep_alive_timeout_;
   ExchangeResult result_;
   std::uint32_t seen_ = 0;  // Bit set of the headers read; only the first of each counts.
 };
--- a/src/log/log_line.cc
+++ b/src/log/log_line.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdio>
 
+#include "damaskroute/log/log_writer.h"
 #include "fmt/chrono.h"
 #include "rapidjson/stringbuffer.h"
 #include "rapidjson/writer.h"
@@ -64,7 +65,11 @@
 LogLine::~LogLine() {
   if (!enabled_) return;
   line_ += "}\n";
-  fmt::print(stderr, "{}", line_);
+  if (LogWriter* writer = GetLogWriter()) {
+    writer->Append(line_);
+  } else {
+    fmt::print(stderr, "{}", line_);
+  }
 }
 
 LogLine& LogLine::Field(std::string_view key, std::string_view value) {
--- /dev/null
+++ b/src/node/forward_call.cc
@@ -0,0 +1,166 @@
+#include "damaskroute/node/forward_call.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "damaskroute/forward/record_merge.h"
+#include "fmt/compile.h"
+#include "fmt/format.h"
+
+namespace damaskroute {
+namespace {
+
+// Typical size of the headers of a forwarded request.
+constexpr std::size_t kHeaderBytes = 512;
+
+constexpr int kMisdirectedStatus = 421;
+
+void AppendHeader(std::string& out, std::string_view name, std::string_view value) {
+  out.append(name).append(": ").append(value).append("\r\n");
+}
+
+CallResult Ended(CallEnd end, const char* reason) {
+  CallResult result;
+  result.end = end;
+  result.reason = reason;
+  return result;
+}
+
+CallResult JudgeBroken(ExchangeEnd end) {
+  switch (end) {
+    case ExchangeEnd::kConnectFailed:
+      return Ended(CallEnd::kUnreachable, "no connection");
+    case ExchangeEnd::kTimedOut:
+      return Ended(CallEnd::kLost, "timed out");
+    case ExchangeEnd::kBadAnswer:
+      return Ended(CallEnd::kLost, "invalid answer");
+    case ExchangeEnd::kCancelled:
+      return Ended(CallEnd::kLost, "cancelled");
+    case ExchangeEnd::kConnectionLost:
+    case ExchangeEnd::kAnswered:
+      break;
+  }
+  return Ended(CallEnd::kLost, "connection lost");
+}
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+HttpResponse PassOn(CallResult part) {
+  HttpResponse response;
+  response.status = part.status;
+  response.content_type.clear();
+  for (HeaderField& field : part.headers) {
+    if (!IsConnectionHeader(field.name)) response.headers.push_back(std::move(field));
+  }
+  response.body = std::move(part.body);
+  return response;
+}
+
+HttpResponse Merge(const CallerRequest& request, const ForwardAnswer& answer,
+                   std::size_t top_records, const ForwardProtocol& protocol) {
+  HttpResponse response;
+  response.content_type = "application/octet-stream";
+  std::string stamps;
+  std::vector<std::string_view> bodies;
+  bodies.reserve(answer.parts.size());
+  for (const CallResult& part : answer.parts) {
+    if (!stamps.empty()) stamps += ", ";
+    stamps += part.stamp;
+    bodies.push_back(part.body);
+  }
+  response.headers.push_back({protocol.request_id, request.id});
+  response.headers.push_back({protocol.part_stamps, std::move(stamps)});
+  response.headers.push_back({protocol.missing_parts, std::to_string(answer.missing)});
+  response.body = MergeRecords(bodies, top_records);
+  return response;
+}
+
+}  // namespace
+
+ExchangeRequest MakeForwardCall(const CallerRequest& request, const BackendName& backend,
+                                TimePoint deadline, TimePoint now,
+                                const ForwardProtocol& protocol) {
+  ExchangeRequest call;
+  call.time_left = std::chrono::duration_cast<std::chrono::microseconds>(deadline - now);
+  call.request_id = request.id;
+  auto left = std::max<std::int64_t>(
+      1, std::chrono::duration_cast<std::chrono::milliseconds>(call.time_left).count());
+  std::string& bytes = call.bytes;
+  bytes.reserve(kHeaderBytes + request.body.size());
+  fmt::format_to(std::back_inserter(bytes), FMT_COMPILE("{} {} HTTP/1.1\r\nHost: {}\r\n"),
+                 request.method, request.target, request.host);
+  if (!request.id.empty()) AppendHeader(bytes, protocol.request_id, request.id);
+  fmt::format_to(std::back_inserter(bytes), FMT_COMPILE("{}: {}\r\n{}: {}\r\n"),
+                 protocol.deadline_ms, left, protocol.expected_server, backend);
+  for (const HeaderField& field : request.headers) AppendHeader(bytes, field.name, field.value);
+  if (request.has_body || !request.body.empty()) {
+    fmt::format_to(std::back_inserter(bytes), FMT_COMPILE("Content-Length: {}\r\n"),
+                   request.body.size());
+  }
+  bytes += "\r\n";
+  bytes += request.body;
+  return call;
+}
+
+CallResult JudgeForwardCall(const CallerRequest& request, ExchangeResult result, bool query,
+                            const ForwardProtocol& protocol) {
+  if (result.end != ExchangeEnd::kAnswered) return JudgeBroken(result.end);
+  if (!result.request_id.empty() && result.request_id != request.id) {
+    return Ended(CallEnd::kLost, "answer to another request");
+  }
+  if (result.status == kMisdirectedStatus) {
+    return Ended(CallEnd::kMisdirected, "another server has the address");
+  }
+  if (FindHeader(result.headers, protocol.not_executed) != nullptr) {
+    return Ended(CallEnd::kNotRun, "the server did not run it");
+  }
+  CallResult judged;
+  judged.status = result.status;
+  judged.stamp = HeaderValue(result.headers, protocol.server_stamp);
+  bool success = IsSuccess(result.status);
+  if (success && judged.stamp.empty()) return Ended(CallEnd::kLost, "success without a signature");
+  if (success && FindHeader(result.headers, "Content-Encoding") != nullptr) {
+    return Ended(CallEnd::kLost, "encoded body");
+  }
+  bool error = query ? !success : result.status >= 500;
+  judged.end = error ? CallEnd::kServerError : CallEnd::kAnswered;
+  if (error) judged.reason = "the server reports an error";
+  judged.body = std::move(result.body);
+  judged.headers = std::move(result.headers);
+  return judged;
+}
+
+HttpResponse MakeForwardRefusal(const CallerRequest& request, int status, const char* reason,
+                                std::chrono::milliseconds retry_after,
+                                const ForwardProtocol& protocol) {
+  HttpResponse response;
+  response.status = status;
+  response.content_type = "text/plain";
+  response.body = fmt::format("{}\n", reason);
+  if (!request.id.empty()) response.headers.push_back({protocol.request_id, request.id});
+  if (retry_after.count() > 0) {
+    response.headers.push_back(
+        {"Retry-After", fmt::format("{:.3f}", static_cast<double>(retry_after.count()) / 1000)});
+  }
+  return response;
+}
+
+HttpResponse MakeForwardResponse(const CallerRequest& request, ForwardAnswer answer,
+                                 std::size_t top_records, const ForwardProtocol& protocol) {
+  switch (answer.kind) {
+    case AnswerKind::kPassedOn:
+      return PassOn(std::move(answer.parts.front()));
+    case AnswerKind::kMerged:
+      return Merge(request, answer, top_records, protocol);
+    case AnswerKind::kRefused:
+      return MakeForwardRefusal(request, 503, answer.reason, answer.retry_after, protocol);
+    case AnswerKind::kTimedOut:
+      return MakeForwardRefusal(request, 504, answer.reason, {}, protocol);
+    case AnswerKind::kFailed:
+      break;
+  }
+  return MakeForwardRefusal(request, 502, answer.reason, {}, protocol);
+}
+
+}  // namespace damaskroute
--- /dev/null
+++ b/src/node/forward_front.cc
@@ -0,0 +1,194 @@
+#include "damaskroute/node/forward_front.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "damaskroute/log/log_line.h"
+#include "damaskroute/metrics/exposition.h"
+
+namespace damaskroute {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Part of the shortest bound for which changes may gather in the store. The rest covers a slow
+// store, a lost call and its repeat.
+constexpr int kGatherDivisor = 4;
+
+// The balancer asks each second and takes a node out after two misses.
+constexpr milliseconds kBalancerDelay{3000};
+
+// Requests that still run are answered this long before the process is killed.
+constexpr milliseconds kEndMargin{500};
+
+constexpr milliseconds kEndCheck{20};
+
+// Of the constant part of the limit on extra calls, a node uses this part of its share. The rest
+// covers nodes that have joined and are not counted yet, and the budget of a process that was
+// killed.
+constexpr double kSlackPart = 0.6;
+
+// Of the ratio, a node uses this part, as requests that leave or never arrive are counted by other
+// clocks.
+constexpr double kRatioPart = 0.9;
+
+// Connections to the ready and metrics ports.
+constexpr std::size_t kSmallServerConnections = 32;
+
+HttpServerOptions CallerOptions(const ForwardNodeSettings& settings) {
+  HttpServerOptions options;
+  options.listen = settings.callers;
+  options.pass_headers = true;
+  options.watch_callers = true;
+  return options;
+}
+
+HttpServerOptions SmallServer(const Endpoint& listen) {
+  HttpServerOptions options;
+  options.listen = listen;
+  options.max_connections = kSmallServerConnections;
+  options.limits.max_body_bytes = 1024;
+  return options;
+}
+
+}  // namespace
+
+FeedOptions MakeFeedOptions(const ForwardNodeSettings& settings) {
+  FeedOptions options;
+  auto bound = std::min({settings.config_bound, settings.drain_bound, settings.evacuate_bound});
+  options.gather = bound / kGatherDivisor;
+  return options;
+}
+
+ForwardFront::ForwardFront(asio::io_context& loop, const ForwardNodeSettings& settings,
+                           const ForwardProtocol& protocol, std::uint64_t seed)
+    : loop_(loop),
+      settings_(settings),
+      service_(loop,
+               {.backends = {.own_zone = settings.zone,
+                             .cold_overshoot = settings.cold_overshoot,
+                             .cold_slack = settings.cold_slack},
+                .seed = seed},
+               protocol),
+      callers_({&loop}, CallerOptions(settings),
+               [this](HttpRequest request, HttpResponder respond) {
+                 service_.Handle(std::move(request), std::move(respond));
+               }),
+      ready_({&loop}, SmallServer(settings.ready),
+             [this](const HttpRequest& request, const HttpResponder& respond) {
+               HandleReady(request, respond);
+             }),
+      stop_timer_(loop) {
+  if (settings.metrics) {
+    metrics_ = std::make_unique<HttpServer>(
+        std::vector<asio::io_context*>{&loop}, SmallServer(*settings.metrics),
+        [this](const HttpRequest&, const HttpResponder& respond) { HandleMetrics(respond); });
+  }
+  SetNodes(nodes_);
+}
+
+absl::Status ForwardFront::Start() {
+  if (absl::Status status = callers_.Start(); !status.ok()) return status;
+  if (absl::Status status = ready_.Start(); !status.ok()) return status;
+  if (metrics_) {
+    if (absl::Status status = metrics_->Start(); !status.ok()) return status;
+  }
+  LogLine(LogLevel::kInfo, "node started")
+      .Field("node", settings_.node)
+      .Field("zone", settings_.zone)
+      .Field("callers", FormatEndpoint(settings_.callers))
+      .Field("store", FormatEndpoint(settings_.store));
+  return absl::OkStatus();
+}
+
+void ForwardFront::Apply(const ForwardNodeSettings& settings) {
+  LogLine(LogLevel::kInfo, "settings reloaded")
+      .Field("store", FormatEndpoint(settings.store))
+      .Field("budget_ratio", settings.budget_ratio)
+      .Field("budget_slack", settings.budget_slack)
+      .Field("grace_ms", settings.grace.count());
+  settings_ = settings;
+  SetNodes(nodes_);
+}
+
+void ForwardFront::InstallRoutes(RoutingDocument document) {
+  ClientLimits limits = document.client_limits;
+  bool was_ready = IsReady();
+  if (!service_.InstallRoutes(std::move(document))) return;
+  callers_.SetClientLimits(limits);
+  if (!was_ready && IsReady()) LogLine(LogLevel::kInfo, "node ready");
+}
+
+void ForwardFront::SetClosedZones(const std::set<ZoneName>& zones) {
+  service_.SetClosedZones(zones);
+}
+
+void ForwardFront::SetNodes(int nodes) {
+  nodes_ = nodes;
+  ExtraBudgetOptions budget;
+  budget.window = settings_.budget_window;
+  budget.ratio = settings_.budget_ratio * kRatioPart;
+  budget.node_slack = settings_.budget_slack * kSlackPart / nodes;
+  service_.SetShares(nodes, budget);
+}
+
+void ForwardFront::HandleReady(const HttpRequest& request, const HttpResponder& respond) const {
+  HttpResponse response;
+  response.content_type = "text/plain";
+  if (request.target != settings_.ready_path) {
+    response.status = 404;
+  } else {
+    response.status = IsReady() ? 200 : 503;
+    response.body = IsReady() ? "ready\n" : "not ready\n";
+  }
+  respond(std::move(response));
+}
+
+void ForwardFront::HandleMetrics(const HttpResponder& respond) const {
+  Exposition page;
+  service_.metrics().WriteTo(page);
+  page.Family("damask_forward_active_requests", "gauge", "Requests that are served now.");
+  page.Sample("", static_cast<double>(service_.active()));
+  page.Family("damask_forward_backends", "gauge", "Backend servers that are known.");
+  page.Sample("", static_cast<double>(service_.backends().size()));
+  page.Family("damask_forward_routes_version", "gauge", "Version of the routes in force.");
+  page.Sample("", static_cast<double>(service_.routes_version()));
+  page.Family("damask_forward_connects_total", "counter", "Connections opened to servers.");
+  page.Sample("", static_cast<double>(service_.pool().connects()));
+  HttpResponse response;
+  response.content_type = "text/plain; version=0.0.4";
+  response.body = page.text();
+  respond(std::move(response));
+}
+
+void ForwardFront::Stop(std::function<void()> done) {
+  if (stopping_) return;
+  stopping_ = true;
+  done_ = std::move(done);
+  stop_at_ = SteadyClock().Now() + settings_.grace - kEndMargin;
+  LogLine(LogLevel::kInfo, "node stopping").Field("active", service_.active());
+  callers_.CloseAfterResponses();
+  stop_timer_.expires_after(std::min(kBalancerDelay, settings_.grace / 2));
+  stop_timer_.async_wait([this](const boost::system::error_code&) { StopAccepting(); });
+}
+
+void ForwardFront::StopAccepting() {
+  callers_.BeginDrain();
+  AwaitEnd();
+}
+
+void ForwardFront::AwaitEnd() {
+  bool over = SteadyClock().Now() >= stop_at_;
+  if (over) service_.FinishAll();
+  if (callers_.active_requests() == 0 || over) {
+    LogLine(LogLevel::kInfo, "node stopped").Field("active", service_.active());
+    // One more turn of the loop lets the last answers out.
+    stop_timer_.expires_after(kEndCheck);
+    stop_timer_.async_wait([this](const boost::system::error_code&) { done_(); });
+    return;
+  }
+  stop_timer_.expires_after(kEndCheck);
+  stop_timer_.async_wait([this](const boost::system::error_code&) { AwaitEnd(); });
+}
+
+}  // namespace damaskroute
--- /dev/null
+++ b/src/store/feed_schedule.cc
@@ -0,0 +1,70 @@
+#include "damaskroute/store/feed_schedule.h"
+
+#include <algorithm>
+
+namespace damaskroute {
+namespace {
+
+// Failures in a row that make an outage; a single one may be a reset connection.
+constexpr int kOutageFailures = 2;
+
+// A single call that was left without an answer for so long is an outage as well.
+constexpr std::chrono::milliseconds kSilence{1000};
+
+constexpr int kMaxDoublings = 5;
+
+}  // namespace
+
+FeedStep FeedSchedule::Next(TimePoint now) const {
+  FeedStep step;
+  if (now < pause_until_) {
+    step.until = pause_until_;
+    return step;
+  }
+  step.kind = reading_ ? FeedStepKind::kRead : FeedStepKind::kWatch;
+  step.after_key = after_key_;
+  step.after_revision = revision_;
+  return step;
+}
+
+void FeedSchedule::OnPage(const std::string& last_key, bool has_more, std::uint64_t as_of,
+                          TimePoint now) {
+  OnSuccess(now);
+  if (after_key_.empty()) first_as_of_ = as_of;
+  after_key_ = has_more ? last_key : std::string();
+  reading_ = has_more;
+  if (!has_more) revision_ = first_as_of_;
+}
+
+void FeedSchedule::OnChanges(std::size_t changes, std::uint64_t as_of, TimePoint now) {
+  OnSuccess(now);
+  revision_ = std::max(revision_, as_of);
+  if (changes > 0) pause_until_ = now + options_.gather;
+}
+
+void FeedSchedule::OnHistoryLost(TimePoint now) {
+  OnSuccess(now);
+  reading_ = true;
+  after_key_.clear();
+}
+
+void FeedSchedule::OnFailure(Duration took, bool was_watch, TimePoint now) {
+  ++failures_;
+  Duration silence = was_watch ? took - options_.watch_wait : took;
+  if (failures_ >= kOutageFailures || silence >= kSilence) outage_ = true;
+  // Pages of different times do not fit together.
+  if (reading_) after_key_.clear();
+  int doublings = std::min(failures_ - 1, kMaxDoublings);
+  auto pause = std::min(options_.first_pause * (1 << doublings), options_.longest_pause);
+  auto jitter = static_cast<std::int64_t>(
+      random_.Below(static_cast<std::uint64_t>(pause.count()) / 2 + 1));
+  pause_until_ = now + pause / 2 + std::chrono::milliseconds(jitter);
+}
+
+void FeedSchedule::OnSuccess(TimePoint now) {
+  if (outage_) returned_until_ = now + options_.return_window;
+  outage_ = false;
+  failures_ = 0;
+}
+
+}  // namespace damaskroute
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -119,8 +119,8 @@
 
 TEST_CASE("idle, half-sent and stalled requests are closed by their timeouts") {
   Fixture fixture([](HttpServerOptions& options) {
-    options.idle_timeout = milliseconds(20);
-    options.header_timeout = milliseconds(20);
+    options.limits.idle_timeout = milliseconds(20);
+    options.limits.header_timeout = milliseconds(20);
     options.body_timeout = milliseconds(20);
   });
   for (const char* sent : {"", "POST /x HTTP/1.1\r\nHost:",
@@ -158,7 +158,7 @@
 // Guards against a false `not_run` for a repeated action that ran through an earlier request.
 TEST_CASE("a refusal by the server itself has the verdict of its target") {
   Fixture fixture([](HttpServerOptions& options) {
-    options.max_body_bytes = 10;
+    options.limits.max_body_bytes = 10;
     options.refusal_verdict = [](std::string_view target) {
       return target == "/x" ? Verdict::kMayHaveRun : Verdict::kNotRun;
     };
