End watches before the contact bound and refuse what arrives at a node's end

A request that arrived between the last check and the end of a stopping node was begun and cut off (LOST).

--- a/include/damaskroute/http/http_request.h
+++ b/include/damaskroute/http/http_request.h
@@ -18,10 +18,10 @@
   std::string target;        ///< Path and query as sent.
   std::string content_type;  ///< Empty if the header is absent.
   std::string body;
-  std::size_t loop = 0;  ///< Index of the event loop that runs the handler.
+  std::size_t loop = 0;                      ///< Index of the event loop that runs the handler.
   std::vector<HeaderField> headers;          ///< Empty unless `HttpServerOptions::pass_headers`.
   std::shared_ptr<CallerPresence> presence;  ///< Null unless `HttpServerOptions::watch_callers`.
-  TimePoint received;    ///< When the header was complete; deadlines count from here.
+  TimePoint received;  ///< When the header was complete; deadlines count from here.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/http/http_response.h
+++ b/include/damaskroute/http/http_response.h
@@ -14,7 +14,7 @@
   int status = 200;
   std::string content_type = "application/json";  ///< No header if empty.
   std::string body;
-  std::vector<HeaderField> headers;  ///< Sent in addition; none that frames the message.
+  std::vector<HeaderField> headers;          ///< Sent in addition; none that frames the message.
   std::chrono::milliseconds retry_after{0};  ///< `HttpServer` sends it as `Retry-After` if above 0.
 };
 
--- a/include/damaskroute/http/http_server_options.h
+++ b/include/damaskroute/http/http_server_options.h
@@ -27,7 +27,7 @@
   std::function<Verdict(std::string_view target)> refusal_verdict;
 
   std::chrono::milliseconds handler_timeout{70'000};  ///< For the handler; above all deadlines.
-  bool pass_headers = false;   ///< Whether `HttpRequest::headers` is filled.
+  bool pass_headers = false;                          ///< Whether `HttpRequest::headers` is filled.
   bool watch_callers = false;  ///< Whether a caller's close is noticed while its request is served.
 };
 
--- a/include/damaskroute/node/forward_call.h
+++ b/include/damaskroute/node/forward_call.h
@@ -15,8 +15,7 @@
 /// Renders the call that forwards `request` to the server called `backend`, to be answered by
 /// `deadline`.
 ExchangeRequest MakeForwardCall(const CallerRequest& request, const BackendName& backend,
-                                TimePoint deadline, TimePoint now,
-                                const ForwardProtocol& protocol);
+                                TimePoint deadline, TimePoint now, const ForwardProtocol& protocol);
 
 /// What the end of a forwarded call means. `query`: only a success is a part of an answer.
 CallResult JudgeForwardCall(const CallerRequest& request, ExchangeResult result, bool query,
--- a/include/damaskroute/node/forward_front.h
+++ b/include/damaskroute/node/forward_front.h
@@ -49,6 +49,8 @@
   void HandleMetrics(const HttpResponder& respond) const;
   void StopAccepting();
   void AwaitEnd();
+  void End();
+  void HandleCaller(HttpRequest request, HttpResponder respond);
 
   asio::io_context& loop_;
   ForwardNodeSettings settings_;
@@ -59,6 +61,7 @@
   asio::steady_timer stop_timer_;
   TimePoint stop_at_;
   bool stopping_ = false;
+  bool ending_ = false;
   int nodes_ = 1;
   std::function<void()> done_;
 };
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -48,12 +48,9 @@
         reload_(std::move(reload)),
         front_(loop, settings, platform_.Protocol(), Hash64(settings.node)),
         feed_(loop, settings.store, platform_.Codec(), MakeFeedOptions(settings),
-              Hash64(settings.node), {[this](const auto& items, bool after_outage) {
-                                        OnItems(items, after_outage);
-                                      },
-                                      [this](const auto& keys, bool after_outage) {
-                                        OnAllRead(keys, after_outage);
-                                      }}) {}
+              Hash64(settings.node),
+              {[this](const auto& items, bool after_outage) { OnItems(items, after_outage); },
+               [this](const auto& keys, bool after_outage) { OnAllRead(keys, after_outage); }}) {}
 
   /// Opens the ports and begins to follow the store. Unavailable if a port is taken.
   absl::Status Start() {
--- a/include/damaskroute/node/forward_node_settings.h
+++ b/include/damaskroute/node/forward_node_settings.h
@@ -22,6 +22,8 @@
   std::chrono::milliseconds node_lease{10'000};  ///< Life of the node's own key without renewal.
 
   // Bounds of the deployment.
+  /// Time after a disturbance of its connections within which a node must be up to date again.
+  std::chrono::milliseconds contact_bound{4'000};
   std::chrono::milliseconds config_bound{3'000};    ///< For a new configuration to be in force.
   std::chrono::milliseconds drain_bound{3'000};     ///< For a leaving server to get nothing more.
   std::chrono::milliseconds evacuate_bound{5'000};  ///< For a closed zone to get nothing more.
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -35,6 +35,9 @@
   /// Serves one request; `respond` is called once unless the caller leaves.
   void Handle(HttpRequest request, HttpResponder respond);
 
+  /// Refuses a request that was not begun, for now.
+  void Refuse(HttpRequest request, const char* reason, const HttpResponder& respond);
+
   /// Puts a version of the routes in force. A version that is not newer has no effect; returns
   /// whether it was installed.
   bool InstallRoutes(RoutingDocument document);
@@ -77,7 +80,8 @@
   void StartCall(const std::shared_ptr<Exchange>& exchange, SendCall send);
   void Wake(const std::shared_ptr<Exchange>& exchange, TimePoint at);
   void Respond(const std::shared_ptr<Exchange>& exchange, ForwardAnswer answer);
-  void RefuseUnrouted(const CallerRequest& request, const HttpResponder& respond);
+  void RefuseWith(const CallerRequest& request, int status, const char* reason,
+                  const HttpResponder& respond);
   void OnCallerGone(const std::shared_ptr<Exchange>& exchange);
   void Count(const Exchange& exchange, const std::string& outcome);
   void Drop(const BackendName& id, const char* reason);
--- a/include/damaskroute/routing/route.h
+++ b/include/damaskroute/routing/route.h
@@ -25,7 +25,7 @@
   std::vector<WeightedService> targets;   ///< Without shards: services and their shares.
   std::vector<ServiceName> shards;        ///< Services that are asked together.
   std::size_t top_records = 0;            ///< With shards: greatest records in an answer.
-  double min_coverage = 0;                ///< With shards: least share of them in an answer, 0 to 1.
+  double min_coverage = 0;  ///< With shards: least share of them in an answer, 0 to 1.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/store/feed_options.h
+++ b/include/damaskroute/store/feed_options.h
@@ -10,11 +10,14 @@
   /// Time for which changes are left to gather after a watch gave some. Each watch is a priced call
   /// to the store; the shortest bound for changes to be in force limits this time.
   std::chrono::milliseconds gather{750};
-  /// How long the store holds a watch without changes.
-  std::chrono::milliseconds watch_wait{20'000};
-  /// Deadline of a read, and of a watch beyond `watch_wait`. A read of the whole store takes 8 to
-  /// 16 ms; a slow store takes some 60 times as long.
-  std::chrono::milliseconds call_timeout{1500};
+  /// How long the store holds a watch without changes. A connection may go silent for good, which
+  /// is noticed when the watch is overdue, so this bounds how long a node can be behind.
+  std::chrono::milliseconds watch_wait{2'800};
+  /// Deadline of a watch beyond `watch_wait`; doubled with each failure, up to `read_timeout`.
+  std::chrono::milliseconds watch_slack{700};
+  /// Deadline of a read. A read of the whole store takes 8 to 16 ms; a slow store takes some 60
+  /// times as long.
+  std::chrono::milliseconds read_timeout{2'500};
   /// Pause after a first failure; doubled up to the longest with each further one.
   std::chrono::milliseconds first_pause{100};
   std::chrono::milliseconds longest_pause{800};
--- a/include/damaskroute/store/feed_schedule.h
+++ b/include/damaskroute/store/feed_schedule.h
@@ -16,8 +16,7 @@
 /// store cannot be reached.
 class FeedSchedule {
  public:
-  FeedSchedule(const FeedOptions& options, std::uint64_t seed)
-      : options_(options), random_(seed) {}
+  FeedSchedule(const FeedOptions& options, std::uint64_t seed) : options_(options), random_(seed) {}
 
   /// The next step. Ask after each event and at the end of a pause.
   FeedStep Next(TimePoint now) const;
--- a/include/damaskroute/store/feed_step.h
+++ b/include/damaskroute/store/feed_step.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKROUTE_STORE_FEED_STEP_H_
 #define DAMASKROUTE_STORE_FEED_STEP_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -15,11 +16,14 @@
   kPause,  ///< Do nothing until `until`.
 };
 
+/// One step with what it needs.
 struct FeedStep {
   FeedStepKind kind = FeedStepKind::kPause;
   std::string after_key;
   std::uint64_t after_revision = 0;
   TimePoint until;
+  std::chrono::milliseconds wait{};     ///< With `kWatch`: how long the store holds the call.
+  std::chrono::milliseconds timeout{};  ///< Of a call as a whole.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -23,8 +23,9 @@
 
 /// Wire format of a store that can be read page by page and watched.
 ///
-/// `RenderRead` and `RenderWatch` give a whole request. `ParseRead` and `ParseWatch` read an answer;
-/// OutOfRange means that the store no longer has the changes, any other error is a failed call.
+/// `RenderRead` and `RenderWatch` give a whole request. `ParseRead` and `ParseWatch` read an
+/// answer; OutOfRange means that the store no longer has the changes, any other error is a failed
+/// call.
 template <typename T>
 concept WatchedStoreCodec = requires(const T& codec, const Endpoint& store,
                                      const std::string& after_key, std::uint64_t revision,
@@ -44,7 +45,8 @@
   std::function<void(const std::vector<std::string>& keys, bool after_outage)> on_all_read;
 };
 
-/// Follows a store on an event loop: carries out the steps of `FeedSchedule`. Used on its loop only.
+/// Follows a store on an event loop: carries out the steps of `FeedSchedule`. Used on its loop
+/// only.
 template <WatchedStoreCodec Codec>
 class StoreFeed {
  public:
@@ -70,9 +72,9 @@
 
   static BackendClientOptions ClientOptions(const FeedOptions& options) {
     BackendClientOptions client;
-    client.connect_timeout = options.call_timeout;
+    client.connect_timeout = options.watch_slack;
     // A silent connection is noticed within this time even while a watch waits.
-    client.silence_timeout = std::chrono::milliseconds(3000);
+    client.silence_timeout = options.watch_wait + options.watch_slack;
     return client;
   }
 
@@ -93,10 +95,9 @@
   void Call(const FeedStep& step) {
     bool watch = step.kind == FeedStepKind::kWatch;
     ExchangeRequest request;
-    request.bytes = watch ? codec_.RenderWatch(store_, step.after_revision, options_.watch_wait)
+    request.bytes = watch ? codec_.RenderWatch(store_, step.after_revision, step.wait)
                           : codec_.RenderRead(store_, step.after_key);
-    request.time_left = options_.call_timeout;
-    if (watch) request.time_left += options_.watch_wait;
+    request.time_left = step.timeout;
     if (!watch && step.after_key.empty()) keys_.clear();
     ++calls_;
     client_.Start(std::move(request), [this, watch, sent = Now()](ExchangeResult result) {
@@ -135,7 +136,8 @@
   void OnFailure(const absl::Status& error, bool watch, TimePoint sent, TimePoint now) {
     bool before = schedule_.in_outage();
     schedule_.OnFailure(now - sent, watch, now);
-    LogLine(LogLevel::kWarning, schedule_.in_outage() && !before ? "store lost" : "store call failed")
+    LogLine(LogLevel::kWarning,
+            schedule_.in_outage() && !before ? "store lost" : "store call failed")
         .Field("call", watch ? "watch" : "read")
         .Field("error", ErrorText(error))
         .Field("took_ms",
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -93,8 +93,7 @@
 void BackendTable::ApplyPolicy(Backend& backend) const {
   if (!routes_) return;
   int connections = routes_->Policy(backend.entry.service).max_connections;
-  backend.max_outstanding =
-      std::max(1, static_cast<int>(connections * kConnectionPart / nodes_));
+  backend.max_outstanding = std::max(1, static_cast<int>(connections * kConnectionPart / nodes_));
 }
 
 // A server is not usable if the calls that wait for it already take all the time there is.
@@ -117,14 +116,12 @@
   for (const auto& server : servers) {
     if (Contains(tried, server.get()) || !IsUsable(*server, deadline, usual, now)) continue;
     const BackendEvidence& evidence = server->evidence;
-    bool doubtful =
-        evidence.IsAvoided(now) || evidence.IsStalled(now) || server->cold.IsCold(now);
+    bool doubtful = evidence.IsAvoided(now) || evidence.IsStalled(now) || server->cold.IsCold(now);
     auto standing = doubtful ? BackendStanding::kDoubtful : BackendStanding::kGood;
     double load = 1.0 + static_cast<double>(evidence.outstanding()) /
                             static_cast<double>(std::max(server->entry.slots, 1));
     double cost = Seconds(evidence.ExpectedLatency(usual, now)) * load *
-                  (1 + kFailureWeight * evidence.FailureRate(now)) *
-                  (1 + kSpread * random_.Unit());
+                  (1 + kFailureWeight * evidence.FailureRate(now)) * (1 + kSpread * random_.Unit());
     if (server->entry.zone != options_.own_zone) cost += Seconds(options_.zone_cost);
     if (evidence.IsAvoided(now)) cost += 1;  // Behind all others of its standing.
     if (!best.backend || standing < best.standing ||
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -182,15 +182,16 @@
     deadline = std::min(deadline, Now() + state->options.connect_timeout);
     if (deadline < state->timer_at) state->ArmTimer(deadline);
   }
-  socket.async_connect(state->endpoint, [self = shared_from_this(),
-                                         final_deadline](const error_code& error) {
-    if (error || self->abort_reason.has_value()) return self->Fail(error);
-    self->connecting = false;
-    self->deadline = final_deadline;
-    if (final_deadline < self->state->timer_at) self->state->ArmTimer(final_deadline);
-    self->SetSocketOptions();
-    self->Write();
-  });
+  socket.async_connect(state->endpoint,
+                       [self = shared_from_this(), final_deadline](const error_code& error) {
+                         if (error || self->abort_reason.has_value()) return self->Fail(error);
+                         self->connecting = false;
+                         self->deadline = final_deadline;
+                         if (final_deadline < self->state->timer_at)
+                           self->state->ArmTimer(final_deadline);
+                         self->SetSocketOptions();
+                         self->Write();
+                       });
 }
 
 void BackendClient::Connection::SetSocketOptions() {
@@ -349,7 +350,8 @@
 }
 
 bool BackendClient::CanStart() const {
-  return !state_->idle.empty() || (state_->endpoint_valid && state_->open < state_->max_connections);
+  return !state_->idle.empty() ||
+         (state_->endpoint_valid && state_->open < state_->max_connections);
 }
 
 void BackendClient::Cancel(std::uint64_t id) {
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -231,8 +231,7 @@
     request.received = received_;
     if (shared_->options.pass_headers) {
       for (const auto& field : message) {
-        request.headers.push_back(
-            {std::string(field.name_string()), std::string(field.value())});
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
       }
     }
     stream_.expires_never();
--- a/src/http/response_reader.cc
+++ b/src/http/response_reader.cc
@@ -49,7 +49,8 @@
 void ResponseReader::on_field_impl(Field field, Text name_text, Text value_text, Error&) {
   std::string_view value(value_text.data(), value_text.size());
   if (options_.keep_headers) {
-    result_.headers.push_back({std::string(name_text.data(), name_text.size()), std::string(value)});
+    result_.headers.push_back(
+        {std::string(name_text.data(), name_text.size()), std::string(value)});
   }
   if (field == Field::keep_alive) ReadKeepAlive(value);
   auto is_first = [&](std::uint32_t bit, std::string_view name) {
--- a/src/log/log_writer.cc
+++ b/src/log/log_writer.cc
@@ -30,10 +30,10 @@
     return;
   }
   if (reported_ < dropped_) {
-    buffer_ += fmt::format(
-        R"({{"level":"warning","message":"log lines dropped","lines":{},"all":{}}})"
-        "\n",
-        dropped_ - reported_, dropped_);
+    buffer_ +=
+        fmt::format(R"({{"level":"warning","message":"log lines dropped","lines":{},"all":{}}})"
+                    "\n",
+                    dropped_ - reported_, dropped_);
     reported_ = dropped_;
   }
   buffer_ += line;
--- a/src/node/backend_pool.cc
+++ b/src/node/backend_pool.cc
@@ -12,9 +12,8 @@
 std::shared_ptr<BackendClient> BackendPool::For(const std::shared_ptr<Backend>& backend) {
   // Calls may still be sent to a server whose entry went while the call was decided.
   auto make = [&] {
-    return std::make_shared<BackendClient>(loop_, backend->entry.endpoint,
-                                           backend->max_outstanding + kClosingConnections,
-                                           options_);
+    return std::make_shared<BackendClient>(
+        loop_, backend->entry.endpoint, backend->max_outstanding + kClosingConnections, options_);
   };
   if (backend->gone) return make();
   auto [place, inserted] = clients_.try_emplace(backend.get());
--- a/src/node/caller_request.cc
+++ b/src/node/caller_request.cc
@@ -34,9 +34,17 @@
 }  // namespace
 
 bool IsConnectionHeader(std::string_view name) {
-  constexpr std::array<std::string_view, 11> kNames = {
-      "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-      "TE",         "Trailer",    "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"};
+  constexpr std::array<std::string_view, 11> kNames = {"Connection",
+                                                       "Keep-Alive",
+                                                       "Proxy-Connection",
+                                                       "Proxy-Authenticate",
+                                                       "Proxy-Authorization",
+                                                       "TE",
+                                                       "Trailer",
+                                                       "Transfer-Encoding",
+                                                       "Upgrade",
+                                                       "Content-Length",
+                                                       "Expect"};
   return std::any_of(kNames.begin(), kNames.end(),
                      [name](std::string_view known) { return SameHeaderName(name, known); });
 }
--- a/src/node/forward_front.cc
+++ b/src/node/forward_front.cc
@@ -15,6 +15,11 @@
 // store, a lost call and its repeat.
 constexpr int kGatherDivisor = 4;
 
+// Time kept for the call that brings a node up to date after its watch was found to be dead.
+constexpr milliseconds kRecoveryTime{500};
+
+constexpr milliseconds kLeastWatchWait{500};
+
 // The balancer asks each second and takes a node out after two misses.
 constexpr milliseconds kBalancerDelay{3000};
 
@@ -23,6 +28,9 @@
 
 constexpr milliseconds kEndCheck{20};
 
+// For the last answers to reach their callers.
+constexpr milliseconds kLastAnswers{100};
+
 // Of the constant part of the limit on extra calls, a node uses this part of its share. The rest
 // covers nodes that have joined and are not counted yet, and the budget of a process that was
 // killed.
@@ -57,6 +65,8 @@
   FeedOptions options;
   auto bound = std::min({settings.config_bound, settings.drain_bound, settings.evacuate_bound});
   options.gather = bound / kGatherDivisor;
+  options.watch_wait = std::max(settings.contact_bound - options.watch_slack - kRecoveryTime,
+                                kLeastWatchWait);
   return options;
 }
 
@@ -72,7 +82,7 @@
                protocol),
       callers_({&loop}, CallerOptions(settings),
                [this](HttpRequest request, HttpResponder respond) {
-                 service_.Handle(std::move(request), std::move(respond));
+                 HandleCaller(std::move(request), std::move(respond));
                }),
       ready_({&loop}, SmallServer(settings.ready),
              [this](const HttpRequest& request, const HttpResponder& respond) {
@@ -177,16 +187,23 @@
   AwaitEnd();
 }
 
+// What still arrives is refused and not begun, as its answer could be cut off.
+void ForwardFront::End() {
+  ending_ = true;
+  LogLine(LogLevel::kInfo, "node stopped").Field("active", service_.active());
+  stop_timer_.expires_after(kLastAnswers);
+  stop_timer_.async_wait([this](const boost::system::error_code&) { done_(); });
+}
+
+void ForwardFront::HandleCaller(HttpRequest request, HttpResponder respond) {
+  if (ending_) return service_.Refuse(std::move(request), "the node ends", respond);
+  service_.Handle(std::move(request), std::move(respond));
+}
+
 void ForwardFront::AwaitEnd() {
   bool over = SteadyClock().Now() >= stop_at_;
   if (over) service_.FinishAll();
-  if (callers_.active_requests() == 0 || over) {
-    LogLine(LogLevel::kInfo, "node stopped").Field("active", service_.active());
-    // One more turn of the loop lets the last answers out.
-    stop_timer_.expires_after(kEndCheck);
-    stop_timer_.async_wait([this](const boost::system::error_code&) { done_(); });
-    return;
-  }
+  if (callers_.active_requests() == 0 || over) return End();
   stop_timer_.expires_after(kEndCheck);
   stop_timer_.async_wait([this](const boost::system::error_code&) { AwaitEnd(); });
 }
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -77,7 +77,8 @@
   auto presence = http_request.presence;
   CallerRequest request = ReadCallerRequest(std::move(http_request), protocol_);
   const Route* route = routes_ ? routes_->Find(request.host, request.target) : nullptr;
-  if (route == nullptr) return RefuseUnrouted(request, respond);
+  if (!routes_) return RefuseWith(request, 503, "no routes are known yet", respond);
+  if (route == nullptr) return RefuseWith(request, 404, "no route matches", respond);
   ServiceName service;
   if (!route->targets.empty()) {
     service = route->targets[splits_[route->name].Next(route->targets)].service;
@@ -101,19 +102,22 @@
   Carry(exchange, exchange->run.Start(Now()));
 }
 
-void ForwardService::RefuseUnrouted(const CallerRequest& request, const HttpResponder& respond) {
-  bool ready = routes_ != nullptr;
-  const char* reason = ready ? "no route matches" : "no routes are known yet";
-  ++metrics_.answers[ready ? "not_found" : "not_ready"];
+void ForwardService::Refuse(HttpRequest request, const char* reason,
+                            const HttpResponder& respond) {
+  RefuseWith(ReadCallerRequest(std::move(request), protocol_), 503, reason, respond);
+}
+
+void ForwardService::RefuseWith(const CallerRequest& request, int status, const char* reason,
+                                const HttpResponder& respond) {
+  ++metrics_.answers[status == 404 ? "not_found" : "not_ready"];
   LogLine(LogLevel::kInfo, "request refused")
       .Field("request", request.id)
       .Field("host", request.host)
       .Field("target", request.target)
       .Field("reason", reason)
       .Field("routes_version", routes_version());
-  respond(MakeForwardRefusal(request, ready ? 404 : 503, reason,
-                             ready ? std::chrono::milliseconds(0) : options_.not_ready_retry,
-                             protocol_));
+  auto retry_after = status == 404 ? std::chrono::milliseconds(0) : options_.not_ready_retry;
+  respond(MakeForwardRefusal(request, status, reason, retry_after, protocol_));
 }
 
 void ForwardService::Carry(const std::shared_ptr<Exchange>& exchange,
--- a/src/routing/backend_directory.cc
+++ b/src/routing/backend_directory.cc
@@ -13,8 +13,8 @@
   if (same_start && entry.sequence < known.entry.sequence) return DirectoryChange::kNone;
   known.missing_until.reset();
   if (known.entry == entry) return DirectoryChange::kNone;
-  bool replaced = !same_start || known.entry.endpoint != entry.endpoint ||
-                  known.entry.service != entry.service;
+  bool replaced =
+      !same_start || known.entry.endpoint != entry.endpoint || known.entry.service != entry.service;
   known.entry = entry;
   return replaced ? DirectoryChange::kReplaced : DirectoryChange::kUpdated;
 }
--- a/src/store/feed_schedule.cc
+++ b/src/store/feed_schedule.cc
@@ -23,6 +23,13 @@
   }
   step.kind = reading_ ? FeedStepKind::kRead : FeedStepKind::kWatch;
   step.after_key = after_key_;
+  int doublings = std::min(failures_, kMaxDoublings);
+  step.timeout = options_.read_timeout;
+  if (!reading_) {
+    step.wait = options_.watch_wait;
+    step.timeout = options_.watch_wait +
+                   std::min(options_.watch_slack * (1 << doublings), options_.read_timeout);
+  }
   step.after_revision = revision_;
   return step;
 }
@@ -56,8 +63,8 @@
   if (reading_) after_key_.clear();
   int doublings = std::min(failures_ - 1, kMaxDoublings);
   auto pause = std::min(options_.first_pause * (1 << doublings), options_.longest_pause);
-  auto jitter = static_cast<std::int64_t>(
-      random_.Below(static_cast<std::uint64_t>(pause.count()) / 2 + 1));
+  auto jitter =
+      static_cast<std::int64_t>(random_.Below(static_cast<std::uint64_t>(pause.count()) / 2 + 1));
   pause_until_ = now + pause / 2 + std::chrono::milliseconds(jitter);
 }
 
