Count nodes by leased keys, divide the limits by them, use more of the allowed extra calls

Cause: with a fixed number of 4 nodes, 24 to 33 nodes together could exceed the limit on extra calls and the connections of servers; with the right number, copies stopped at the budget.

--- a/include/damaskroute/forward/backend.h
+++ b/include/damaskroute/forward/backend.h
@@ -13,7 +13,8 @@
   BackendEntry entry;
   BackendEvidence evidence;
   ColdGate cold;
-  int max_outstanding = 1;  ///< This node's part of the server's connections.
+  int max_outstanding = 1;  ///< Calls of this node that may run at the same time.
+  int max_kept = 1;         ///< Connections of this node that may stay open without a call.
   bool gone = false;        ///< Its entry was removed or replaced.
 };
 
--- a/include/damaskroute/forward/extra_budget_options.h
+++ b/include/damaskroute/forward/extra_budget_options.h
@@ -21,7 +21,7 @@
 };
 
 /// Part of the budget that copies may use.
-inline constexpr double kCopyShare = 0.8;
+inline constexpr double kCopyShare = 0.9;
 
 }  // namespace damaskroute
 
--- a/include/damaskroute/http/backend_client.h
+++ b/include/damaskroute/http/backend_client.h
@@ -44,6 +44,10 @@
   /// Changes the limit. Connections above it are closed when they become idle.
   void SetMaxConnections(int max_connections);
 
+  /// Changes how many connections may be open for one of them to stay open when it becomes idle.
+  /// By default as many as the limit.
+  void SetMaxKept(int max_kept);
+
   /// Number of open or opening connections.
   std::size_t open_connections() const;
 
--- a/include/damaskroute/node/forward_front.h
+++ b/include/damaskroute/node/forward_front.h
@@ -58,6 +58,8 @@
   HttpServer callers_;
   HttpServer ready_;
   std::unique_ptr<HttpServer> metrics_;
+  asio::steady_timer window_timer_;  // Ends the first budget window.
+  TimePoint started_;
   asio::steady_timer stop_timer_;
   TimePoint stop_at_;
   bool stopping_ = false;
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -20,6 +20,7 @@
 #include "damaskroute/node/forward_node_settings.h"
 #include "damaskroute/node/node_count.h"
 #include "damaskroute/node/store_fact.h"
+#include "damaskroute/store/leased_key.h"
 #include "damaskroute/store/store_feed.h"
 
 namespace damaskroute {
@@ -28,6 +29,7 @@
 /// store's keys and values mean. It translates and decides nothing.
 template <typename T>
 concept NodePlatform = WatchedStoreCodec<typename T::StoreCodec> &&
+    LeaseCodec<typename T::StoreCodec> &&
     requires(const T& platform, std::string_view key, const StoreItem& item) {
   { platform.Protocol() } -> std::same_as<ForwardProtocol>;
   { platform.Codec() } -> std::same_as<typename T::StoreCodec>;
@@ -50,12 +52,15 @@
         feed_(loop, settings.store, platform_.Codec(), MakeFeedOptions(settings),
               Hash64(settings.node),
               {[this](const auto& items, bool after_outage) { OnItems(items, after_outage); },
-               [this](const auto& keys, bool after_outage) { OnAllRead(keys, after_outage); }}) {}
+               [this](const auto& keys, bool after_outage) { OnAllRead(keys, after_outage); }}),
+        own_key_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
+                 settings.node_lease, Hash64(settings.node, /*seed=*/1)) {}
 
   /// Opens the ports and begins to follow the store. Unavailable if a port is taken.
   absl::Status Start() {
     if (absl::Status status = front_.Start(); !status.ok()) return status;
     feed_.Start();
+    own_key_.Start();
     return absl::OkStatus();
   }
 
@@ -76,6 +81,8 @@
   ForwardFront& front() { return front_; }
 
  private:
+  static TimePoint Now() { return SteadyClock().Now(); }
+
   void OnItems(const std::vector<StoreItem>& items, bool after_outage) {
     for (const StoreItem& item : items) {
       FactKey key = platform_.ParseKey(item.key);
@@ -86,7 +93,7 @@
       }
     }
     front_.SetClosedZones(closed_zones_);
-    front_.SetNodes(nodes_.count());
+    front_.SetNodes(nodes_.Count(Now()));
   }
 
   void OnWritten(const FactKey& key, const StoreItem& item, bool after_outage) {
@@ -114,7 +121,7 @@
   void OnRemoved(const FactKey& key, bool after_outage) {
     if (key.kind == FactKind::kBackend) front_.service().OnBackendRemoved(key.name, after_outage);
     if (key.kind == FactKind::kClosedZone) closed_zones_.erase(key.name);
-    if (key.kind == FactKind::kNode) nodes_.Remove(key.name);
+    if (key.kind == FactKind::kNode) nodes_.Remove(key.name, Now());
   }
 
   void OnAllRead(const std::vector<std::string>& keys, bool after_outage) {
@@ -130,8 +137,8 @@
     front_.service().OnAllBackends(backends, after_outage);
     closed_zones_ = std::move(zones);
     front_.SetClosedZones(closed_zones_);
-    nodes_.Keep(nodes);
-    front_.SetNodes(nodes_.count());
+    nodes_.Keep(nodes, Now());
+    front_.SetNodes(nodes_.Count(Now()));
   }
 
   const Platform platform_;
@@ -140,6 +147,7 @@
   std::set<ZoneName> closed_zones_;
   NodeCount nodes_;
   StoreFeed<typename Platform::StoreCodec> feed_;
+  LeasedKey<typename Platform::StoreCodec> own_key_;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/node/forward_node_settings.h
+++ b/include/damaskroute/node/forward_node_settings.h
@@ -19,7 +19,7 @@
   std::string ready_path;
   std::optional<Endpoint> metrics;
   Endpoint store;
-  std::chrono::milliseconds node_lease{10'000};  ///< Life of the node's own key without renewal.
+  std::chrono::milliseconds node_lease{30'000};  ///< Life of the node's own key without renewal.
 
   // Bounds of the deployment.
   /// Time after a disturbance of its connections within which a node must be up to date again.
--- a/include/damaskroute/node/node_count.h
+++ b/include/damaskroute/node/node_count.h
@@ -1,32 +1,38 @@
 #ifndef DAMASKROUTE_NODE_NODE_COUNT_H_
 #define DAMASKROUTE_NODE_NODE_COUNT_H_
 
-#include <algorithm>
+#include <chrono>
+#include <map>
 #include <set>
 
 #include "damaskroute/core/ids.h"
+#include "damaskroute/core/time.h"
 
 namespace damaskroute {
 
-/// Number of nodes by which limits that all nodes share are divided. It counts the nodes that the
-/// store lists, with room for some that joined meanwhile, and never less than `kLeastNodes`.
+/// Number of nodes by which limits that all nodes share are divided. Too low a number breaks the
+/// limits and too high a number only makes them tighter, so a node whose key is gone counts for a
+/// while longer: its lease may have ended in an outage of the store while it lives.
 class NodeCount {
  public:
-  /// Nodes of the smallest deployment. Used while the store lists none.
+  /// Nodes of the smallest deployment. Used while the store lists fewer.
   static constexpr int kLeastNodes = 4;
 
-  void Add(const NodeName& node) { nodes_.insert(node); }
-  void Remove(const NodeName& node) { nodes_.erase(node); }
+  /// How long a node counts after its key is gone: longer than an outage of the store and the time
+  /// in which a living node opens a new lease.
+  static constexpr std::chrono::seconds kRemembered{30};
 
-  /// Drops the nodes that are not in `present`.
-  void Keep(const std::set<NodeName>& present) {
-    std::erase_if(nodes_, [&](const NodeName& node) { return !present.contains(node); });
-  }
+  void Add(const NodeName& node) { gone_since_.insert_or_assign(node, TimePoint::max()); }
 
-  int count() const { return std::max(kLeastNodes, static_cast<int>(nodes_.size())); }
+  void Remove(const NodeName& node, TimePoint now);
+
+  /// Removes the nodes that are not in `present`.
+  void Keep(const std::set<NodeName>& present, TimePoint now);
+
+  int Count(TimePoint now) const;
 
  private:
-  std::set<NodeName> nodes_;
+  std::map<NodeName, TimePoint> gone_since_;  // `max()` while the key is there.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/store/feed_options.h
+++ b/include/damaskroute/store/feed_options.h
@@ -2,6 +2,7 @@
 #define DAMASKROUTE_STORE_FEED_OPTIONS_H_
 
 #include <chrono>
+#include <cstddef>
 
 namespace damaskroute {
 
@@ -10,6 +11,9 @@
   /// Time for which changes are left to gather after a watch gave some. Each watch is a priced call
   /// to the store; the shortest bound for changes to be in force limits this time.
   std::chrono::milliseconds gather{750};
+  /// A watch that gives so many changes leaves more behind, which are fetched at once. The store
+  /// gives at most 500.
+  std::size_t large_batch = 250;
   /// How long the store holds a watch without changes. A connection may go silent for good, which
   /// is noticed when the watch is overdue, so this bounds how long a node can be behind.
   std::chrono::milliseconds watch_wait{2'800};
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -63,6 +63,9 @@
 
   void Start() { Step(); }
 
+  /// The client of the store, for other calls on the same loop.
+  BackendClient& client() { return client_; }
+
   /// Calls sent so far; each is priced.
   std::uint64_t calls() const { return calls_; }
   bool in_outage() const { return schedule_.in_outage(); }
@@ -129,6 +132,14 @@
       std::string last = page->items.empty() ? std::string() : page->items.back().key;
       schedule_.OnPage(last, page->has_more && !page->items.empty(), page->as_of, now);
     }
+    if (!page->items.empty()) {
+      LogLine(LogLevel::kInfo, "store read")
+          .Field("call", watch ? "watch" : "read")
+          .Field("items", page->items.size())
+          .Field("as_of", page->as_of)
+          .Field("more", page->has_more ? "yes" : "no")
+          .Field("after_outage", after_outage ? "yes" : "no");
+    }
     hooks_.on_items(page->items, after_outage);
     if (!watch && !page->has_more) hooks_.on_all_read(keys_, after_outage);
   }
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -16,13 +16,22 @@
 constexpr double kFailureWeight = 8;
 
 // Random spread of the expected times, so that nodes which believe the same do not all choose the
-// same server.
-constexpr double kSpread = 0.2;
+// same server. Smaller than what another zone costs.
+constexpr double kSpread = 0.05;
+
+// A call to another zone must save this part of its time, besides the constant cost.
+constexpr double kZonePart = 0.1;
 
 // Part of a server's connections that all nodes together may use; the rest covers nodes that
 // joined and are not counted yet.
 constexpr double kConnectionPart = 0.9;
 
+// Calls that run at the same time may exceed a node's share of the connections: few nodes have many
+// calls at one server at once, and a server only resets what it has no connection for. Connections
+// that stay open keep to the share.
+constexpr int kOutstandingShares = 2;
+constexpr int kLeastOutstanding = 4;
+
 bool Contains(const std::vector<std::shared_ptr<Backend>>& list, const Backend* backend) {
   return std::any_of(list.begin(), list.end(),
                      [backend](const auto& entry) { return entry.get() == backend; });
@@ -93,7 +102,9 @@
 void BackendTable::ApplyPolicy(Backend& backend) const {
   if (!routes_) return;
   int connections = routes_->Policy(backend.entry.service).max_connections;
-  backend.max_outstanding = std::max(1, static_cast<int>(connections * kConnectionPart / nodes_));
+  int share = std::max(1, static_cast<int>(connections * kConnectionPart / nodes_));
+  backend.max_kept = share;
+  backend.max_outstanding = std::max(kLeastOutstanding, share * kOutstandingShares);
 }
 
 // A server is not usable if the calls that wait for it already take all the time there is.
@@ -122,7 +133,9 @@
                             static_cast<double>(std::max(server->entry.slots, 1));
     double cost = Seconds(evidence.ExpectedLatency(usual, now)) * load *
                   (1 + kFailureWeight * evidence.FailureRate(now)) * (1 + kSpread * random_.Unit());
-    if (server->entry.zone != options_.own_zone) cost += Seconds(options_.zone_cost);
+    if (server->entry.zone != options_.own_zone) {
+      cost += cost * kZonePart + Seconds(options_.zone_cost);
+    }
     if (evidence.IsAvoided(now)) cost += 1;  // Behind all others of its standing.
     if (!best.backend || standing < best.standing ||
         (standing == best.standing && cost < best_cost)) {
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <limits>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -128,7 +129,7 @@
     running[connection->position] = std::move(running.back());
     running.pop_back();
     connection->state.reset();
-    if (reusable && !closed && open <= max_connections) {
+    if (reusable && !closed && open <= std::min(max_connections, max_kept)) {
       idle.push_back(connection);
     } else {
       --open;
@@ -166,6 +167,7 @@
   asio::ip::tcp::endpoint endpoint;
   bool endpoint_valid = false;
   std::size_t max_connections;
+  std::size_t max_kept = std::numeric_limits<std::size_t>::max();
   std::size_t open = 0;
   std::uint64_t connects = 0;
   std::uint64_t next_id = 1;
@@ -368,6 +370,10 @@
   }
 }
 
+void BackendClient::SetMaxKept(int max_kept) {
+  state_->max_kept = static_cast<std::size_t>(std::max(max_kept, 0));
+}
+
 std::size_t BackendClient::open_connections() const { return state_->open; }
 
 std::uint64_t BackendClient::connects() const { return state_->connects; }
--- a/src/log/log_writer.cc
+++ b/src/log/log_writer.cc
@@ -1,6 +1,7 @@
 #include "damaskroute/log/log_writer.h"
 
 #include <fcntl.h>
+#include <limits.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -12,6 +13,14 @@
 
 std::atomic<LogWriter*> log_writer{nullptr};
 
+// Size of the lines at the start of `text` that fit into one write. A pipe takes up to PIPE_BUF
+// bytes as a whole, so lines of several processes on one pipe stay apart.
+std::size_t WholeLines(std::string_view text) {
+  if (text.size() <= PIPE_BUF) return text.size();
+  auto end = text.rfind('\n', PIPE_BUF - 1);
+  return end == std::string_view::npos ? std::size_t{PIPE_BUF} : end + 1;
+}
+
 }  // namespace
 
 void SetLogWriter(LogWriter* writer) { log_writer = writer; }
@@ -41,10 +50,15 @@
 
 void LogWriter::Flush() {
   std::lock_guard lock(mutex_);
-  if (buffer_.empty()) return;
-  ssize_t written = write(options_.descriptor, buffer_.data(), buffer_.size());
-  // A full pipe takes the rest later; a broken one loses it when the buffer is full.
-  if (written > 0) buffer_.erase(0, static_cast<std::size_t>(written));
+  std::size_t done = 0;
+  while (done < buffer_.size()) {
+    std::size_t size = WholeLines(std::string_view(buffer_).substr(done));
+    ssize_t written = write(options_.descriptor, buffer_.data() + done, size);
+    // A full pipe takes the rest later; a broken one loses it when the buffer is full.
+    if (written <= 0) break;
+    done += static_cast<std::size_t>(written);
+  }
+  buffer_.erase(0, done);
 }
 
 std::uint64_t LogWriter::dropped() const {
--- a/src/node/backend_pool.cc
+++ b/src/node/backend_pool.cc
@@ -19,6 +19,7 @@
   auto [place, inserted] = clients_.try_emplace(backend.get());
   if (inserted) place->second = make();
   place->second->SetMaxConnections(backend->max_outstanding + kClosingConnections);
+  place->second->SetMaxKept(backend->max_kept);
   return place->second;
 }
 
--- a/src/node/forward_front.cc
+++ b/src/node/forward_front.cc
@@ -13,7 +13,7 @@
 
 // Part of the shortest bound for which changes may gather in the store. The rest covers a slow
 // store, a lost call and its repeat.
-constexpr int kGatherDivisor = 4;
+constexpr double kGatherPart = 0.4;
 
 // Time kept for the call that brings a node up to date after its watch was found to be dead.
 constexpr milliseconds kRecoveryTime{500};
@@ -31,14 +31,14 @@
 // For the last answers to reach their callers.
 constexpr milliseconds kLastAnswers{100};
 
-// Of the constant part of the limit on extra calls, a node uses this part of its share. The rest
-// covers nodes that have joined and are not counted yet, and the budget of a process that was
-// killed.
-constexpr double kSlackPart = 0.6;
+// Of the constant part of the limit on extra calls, a node uses this part of its share. In its
+// first window a process uses less: one that ran before it may have used up the larger part. Both
+// together leave room for nodes that have joined and are not counted yet.
+constexpr double kSlackPart = 0.7;
+constexpr double kFirstSlackPart = 0.25;
 
-// Of the ratio, a node uses this part, as requests that leave or never arrive are counted by other
-// clocks.
-constexpr double kRatioPart = 0.9;
+// Of the ratio, a node uses this part, as the other side counts by its own clock.
+constexpr double kRatioPart = 0.95;
 
 // Connections to the ready and metrics ports.
 constexpr std::size_t kSmallServerConnections = 32;
@@ -64,9 +64,9 @@
 FeedOptions MakeFeedOptions(const ForwardNodeSettings& settings) {
   FeedOptions options;
   auto bound = std::min({settings.config_bound, settings.drain_bound, settings.evacuate_bound});
-  options.gather = bound / kGatherDivisor;
-  options.watch_wait = std::max(settings.contact_bound - options.watch_slack - kRecoveryTime,
-                                kLeastWatchWait);
+  options.gather = std::chrono::duration_cast<milliseconds>(bound * kGatherPart);
+  options.watch_wait =
+      std::max(settings.contact_bound - options.watch_slack - kRecoveryTime, kLeastWatchWait);
   return options;
 }
 
@@ -88,13 +88,13 @@
              [this](const HttpRequest& request, const HttpResponder& respond) {
                HandleReady(request, respond);
              }),
+      window_timer_(loop),
       stop_timer_(loop) {
   if (settings.metrics) {
     metrics_ = std::make_unique<HttpServer>(
         std::vector<asio::io_context*>{&loop}, SmallServer(*settings.metrics),
         [this](const HttpRequest&, const HttpResponder& respond) { HandleMetrics(respond); });
   }
-  SetNodes(nodes_);
 }
 
 absl::Status ForwardFront::Start() {
@@ -103,6 +103,12 @@
   if (metrics_) {
     if (absl::Status status = metrics_->Start(); !status.ok()) return status;
   }
+  started_ = SteadyClock().Now();
+  SetNodes(nodes_);
+  window_timer_.expires_after(settings_.budget_window);
+  window_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) SetNodes(nodes_);
+  });
   LogLine(LogLevel::kInfo, "node started")
       .Field("node", settings_.node)
       .Field("zone", settings_.zone)
@@ -138,7 +144,9 @@
   ExtraBudgetOptions budget;
   budget.window = settings_.budget_window;
   budget.ratio = settings_.budget_ratio * kRatioPart;
-  budget.node_slack = settings_.budget_slack * kSlackPart / nodes;
+  bool first_window = SteadyClock().Now() < started_ + settings_.budget_window;
+  double part = first_window ? kFirstSlackPart : kSlackPart;
+  budget.node_slack = settings_.budget_slack * part / nodes;
   service_.SetShares(nodes, budget);
 }
 
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -102,8 +102,7 @@
   Carry(exchange, exchange->run.Start(Now()));
 }
 
-void ForwardService::Refuse(HttpRequest request, const char* reason,
-                            const HttpResponder& respond) {
+void ForwardService::Refuse(HttpRequest request, const char* reason, const HttpResponder& respond) {
   RefuseWith(ReadCallerRequest(std::move(request), protocol_), 503, reason, respond);
 }
 
--- a/src/store/feed_schedule.cc
+++ b/src/store/feed_schedule.cc
@@ -46,7 +46,8 @@
 void FeedSchedule::OnChanges(std::size_t changes, std::uint64_t as_of, TimePoint now) {
   OnSuccess(now);
   revision_ = std::max(revision_, as_of);
-  if (changes > 0) pause_until_ = now + options_.gather;
+  bool behind = changes >= options_.large_batch;
+  if (changes > 0 && !behind) pause_until_ = now + options_.gather;
 }
 
 void FeedSchedule::OnHistoryLost(TimePoint now) {
--- /dev/null
+++ b/tests/backend_table_test.cc
@@ -0,0 +1,174 @@
+#include "damaskroute/forward/backend_table.h"
+
+#include <doctest/doctest.h>
+
+#include "tests/support/forward_world.h"
+
+namespace damaskroute {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct Fixture : ForwardWorld {
+  explicit Fixture(int servers = 2) : ForwardWorld(1, servers) {}
+
+  std::string Choose(const std::vector<std::string>& tried = {}) {
+    std::vector<std::shared_ptr<Backend>> excluded;
+    for (const std::string& id : tried) excluded.push_back(table.Find(id));
+    auto choice = table.Choose("s0", excluded, clock.Now() + seconds(1), clock.Now());
+    return choice.backend ? choice.backend->entry.id : "";
+  }
+
+  void Call(const std::string& id, milliseconds latency, EvidenceOf kind = EvidenceOf::kAnswer) {
+    auto backend = table.Find(id);
+    TimePoint sent = clock.Now();
+    backend->evidence.OnSent(sent);
+    clock.Advance(latency);
+    backend->evidence.OnEnded(sent, kind, clock.Now());
+  }
+};
+
+TEST_CASE("the own zone comes first while both servers are alike") {
+  Fixture f;
+  for (int i = 0; i < 20; ++i) {
+    f.Call("s0a", milliseconds(5));
+    f.Call("s0b", milliseconds(5));
+  }
+  for (int i = 0; i < 20; ++i) CHECK(f.Choose() == "s0a");
+}
+
+TEST_CASE("a draining server, a closed zone and a tried server get nothing") {
+  Fixture f(3);
+  BackendEntry draining = ForwardWorld::Entry(0, "a");
+  draining.draining = true;
+  f.table.Put(draining, false, f.clock.Now());
+  f.table.SetClosedZones({"b"});
+  CHECK(f.Choose() == "s0c");
+  CHECK(f.Choose({"s0c"}).empty());
+}
+
+// Each back end pauses for 250 ms every few seconds; calls sent meanwhile would all wait for its
+// end.
+TEST_CASE("a server that is silent with calls open is passed over, and used again once it answers") {
+  Fixture f;
+  for (int i = 0; i < 5; ++i) {
+    f.Call("s0a", milliseconds(10));
+    f.Call("s0b", milliseconds(16));
+  }
+  auto paused = f.table.Find("s0a");
+  TimePoint sent = f.clock.Now();
+  paused->evidence.OnSent(sent);
+  CHECK(f.Choose() == "s0a");
+  f.clock.Advance(milliseconds(40));
+  CHECK(f.Choose() == "s0b");
+  f.clock.Advance(milliseconds(200));
+  paused->evidence.OnEnded(sent, EvidenceOf::kAnswer, f.clock.Now());
+  CHECK_FALSE(paused->evidence.IsStalled(f.clock.Now()));
+}
+
+TEST_CASE("one long call among answered ones is no pause") {
+  Fixture f;
+  for (int i = 0; i < 5; ++i) f.Call("s0a", milliseconds(10));
+  auto server = f.table.Find("s0a");
+  server->evidence.OnSent(f.clock.Now());
+  for (int i = 0; i < 10; ++i) f.Call("s0a", milliseconds(10));
+  CHECK_FALSE(server->evidence.IsStalled(f.clock.Now()));
+}
+
+TEST_CASE("a slow server loses its calls to the other zone, and is tried again later") {
+  Fixture f;
+  for (int i = 0; i < 20; ++i) {
+    f.Call("s0a", milliseconds(80));
+    f.Call("s0b", milliseconds(10));
+  }
+  CHECK(f.Choose() == "s0b");
+  for (int i = 0; i < 1200; ++i) f.Call("s0b", milliseconds(10));
+  CHECK(f.Choose() == "s0a");
+}
+
+TEST_CASE("a server that cannot be reached is avoided longer with each failure") {
+  Fixture f;
+  f.Call("s0a", milliseconds(1), EvidenceOf::kUnreachable);
+  CHECK(f.Choose() == "s0b");
+  f.clock.Advance(milliseconds(250));
+  auto server = f.table.Find("s0a");
+  CHECK_FALSE(server->evidence.IsAvoided(f.clock.Now()));
+  f.Call("s0a", milliseconds(1), EvidenceOf::kUnreachable);
+  f.clock.Advance(milliseconds(250));
+  CHECK(server->evidence.IsAvoided(f.clock.Now()));
+  f.clock.Advance(milliseconds(200));
+  f.Call("s0a", milliseconds(5));
+  CHECK_FALSE(server->evidence.IsAvoided(f.clock.Now()));
+}
+
+// A back end fails four of ten requests while it reports good health.
+TEST_CASE("a server that fails a part of its calls gets few of them") {
+  Fixture f;
+  int chosen = 0;
+  for (int i = 0; i < 300; ++i) {
+    f.clock.Advance(milliseconds(20));
+    std::string id = f.Choose();
+    bool fails = id == "s0a" && i % 5 < 2;
+    if (id == "s0a") ++chosen;
+    f.Call(id, milliseconds(5), fails ? EvidenceOf::kFailure : EvidenceOf::kAnswer);
+  }
+  CHECK(chosen < 100);
+}
+
+TEST_CASE("an avoided server is used when there is no other") {
+  Fixture f(1);
+  f.Call("s0a", milliseconds(1), EvidenceOf::kUnreachable);
+  CHECK(f.Choose() == "s0a");
+}
+
+TEST_CASE("a server whose queue takes all the time there is gets no more") {
+  Fixture f(1);
+  for (int i = 0; i < 10; ++i) f.Call("s0a", milliseconds(300));
+  auto server = f.table.Find("s0a");
+  for (int i = 0; i < 8; ++i) server->evidence.OnSent(f.clock.Now());
+  server->max_outstanding = 100;
+  CHECK(f.Choose() == "s0a");
+  for (int i = 0; i < 8; ++i) server->evidence.OnSent(f.clock.Now());
+  CHECK(f.Choose().empty());
+}
+
+TEST_CASE("calls at a server stay within this node's part of its connections") {
+  Fixture f(1);
+  auto server = f.table.Find("s0a");
+  for (int i = 0; i < server->max_outstanding; ++i) server->evidence.OnSent(f.clock.Now());
+  CHECK(f.Choose().empty());
+}
+
+TEST_CASE("a cold server is chosen after warm ones, and gets no more than the node's part") {
+  Fixture f;
+  RoutingDocument document;
+  document.services["s0"] = {.max_connections = 100, .cold_rate = 10};
+  f.table.SetPolicies(std::make_shared<const RouteTable>(document), /*nodes=*/4);
+  BackendEntry cold = ForwardWorld::Entry(0, "a");
+  cold.warmup_left = seconds(3);
+  f.table.Put(cold, true, f.clock.Now());
+  CHECK(f.Choose() == "s0b");
+  f.table.Remove("s0b");
+  // Of 10/s x 1.5 + 5 = 20/s, a quarter.
+  int sent = 0;
+  for (; sent < 50 && !f.Choose().empty(); ++sent) {
+    auto server = f.table.Find("s0a");
+    server->cold.OnSent(f.clock.Now());
+  }
+  CHECK(sent == 5);
+  f.clock.Advance(seconds(3));
+  CHECK(f.Choose() == "s0a");
+}
+
+TEST_CASE("a server that starts anew is judged anew") {
+  Fixture f(1);
+  f.Call("s0a", milliseconds(1), EvidenceOf::kUnreachable);
+  auto old = f.table.Find("s0a");
+  f.table.Put(ForwardWorld::Entry(0, "a"), true, f.clock.Now());
+  CHECK(old->gone);
+  CHECK_FALSE(f.table.Find("s0a")->evidence.IsAvoided(f.clock.Now()));
+}
+
+}  // namespace
+}  // namespace damaskroute
--- /dev/null
+++ b/tests/feed_schedule_test.cc
@@ -0,0 +1,151 @@
+#include "damaskroute/store/feed_schedule.h"
+
+#include <doctest/doctest.h>
+
+#include "damaskroute/node/forward_front.h"
+
+namespace damaskroute {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct Fixture {
+  FeedOptions options;
+  FeedSchedule schedule{options, 1};
+  ManualClock clock;
+
+  FeedStep Next() { return schedule.Next(clock.Now()); }
+  void ReadAll(std::uint64_t as_of) { schedule.OnPage("last", false, as_of, clock.Now()); }
+  void Fail(milliseconds took, bool watch) {
+    clock.Advance(took);
+    schedule.OnFailure(took, watch, clock.Now());
+  }
+};
+
+TEST_CASE("everything is read before changes are watched, so nothing is missed at the start") {
+  Fixture f;
+  CHECK(f.Next().kind == FeedStepKind::kRead);
+  CHECK(f.Next().after_key.empty());
+  f.ReadAll(7);
+  FeedStep step = f.Next();
+  CHECK(step.kind == FeedStepKind::kWatch);
+  CHECK(step.after_revision == 7);
+}
+
+TEST_CASE("changes between two pages are watched from the first page on, as pages are no snapshot") {
+  Fixture f;
+  f.schedule.OnPage("key-500", true, 10, f.clock.Now());
+  CHECK(f.Next().kind == FeedStepKind::kRead);
+  CHECK(f.Next().after_key == "key-500");
+  f.schedule.OnPage("key-700", false, 14, f.clock.Now());
+  CHECK(f.Next().kind == FeedStepKind::kWatch);
+  CHECK(f.Next().after_revision == 10);
+}
+
+TEST_CASE("changes gather before the next watch, because each watch is a priced call") {
+  Fixture f;
+  f.ReadAll(7);
+  f.schedule.OnChanges(3, 10, f.clock.Now());
+  CHECK(f.Next().kind == FeedStepKind::kPause);
+  f.clock.Advance(f.options.gather);
+  CHECK(f.Next().kind == FeedStepKind::kWatch);
+  CHECK(f.Next().after_revision == 10);
+}
+
+TEST_CASE("a watch without changes is followed by the next one at once") {
+  Fixture f;
+  f.ReadAll(7);
+  f.schedule.OnChanges(0, 9, f.clock.Now());
+  CHECK(f.Next().kind == FeedStepKind::kWatch);
+  CHECK(f.Next().after_revision == 9);
+}
+
+// brekke-staffeli-grown, trouble-1: a node that the store had turned away fetched 3,000 changes in
+// batches of 500 with a pause of 1.25 s between them and served by old routes for five seconds.
+TEST_CASE("a backlog after an outage is fetched without pauses, so routes are not old for seconds") {
+  Fixture f;
+  f.ReadAll(282);
+  f.schedule.OnChanges(500, 782, f.clock.Now());
+  CHECK(f.Next().kind == FeedStepKind::kWatch);
+  CHECK(f.Next().after_revision == 782);
+  f.schedule.OnChanges(40, 822, f.clock.Now());
+  CHECK(f.Next().kind == FeedStepKind::kPause);
+}
+
+TEST_CASE("a lost history is read anew from the beginning") {
+  Fixture f;
+  f.ReadAll(7);
+  f.schedule.OnHistoryLost(f.clock.Now());
+  CHECK(f.Next().kind == FeedStepKind::kRead);
+  CHECK(f.Next().after_key.empty());
+}
+
+TEST_CASE("pages read before a failure are not joined with pages read after it") {
+  Fixture f;
+  f.schedule.OnPage("key-500", true, 10, f.clock.Now());
+  f.Fail(milliseconds(10), false);
+  f.clock.Advance(seconds(1));
+  CHECK(f.Next().after_key.empty());
+}
+
+TEST_CASE("failures pause longer and longer, up to a bound") {
+  Fixture f;
+  milliseconds longest{0};
+  for (int i = 0; i < 10; ++i) {
+    f.Fail(milliseconds(2), false);
+    FeedStep step = f.Next();
+    CHECK(step.kind == FeedStepKind::kPause);
+    longest = std::max(longest,
+                       std::chrono::duration_cast<milliseconds>(step.until - f.clock.Now()));
+    f.clock.Advance(step.until - f.clock.Now());
+  }
+  CHECK(longest <= f.options.longest_pause);
+  CHECK(longest >= f.options.longest_pause / 2);
+}
+
+TEST_CASE("one reset connection is no outage, so a removed server is not kept") {
+  Fixture f;
+  f.ReadAll(7);
+  f.Fail(milliseconds(300), true);
+  CHECK_FALSE(f.schedule.in_outage());
+  CHECK_FALSE(f.schedule.just_returned(f.clock.Now()));
+}
+
+TEST_CASE("after an outage entries may have lapsed, but only for a moment") {
+  Fixture f;
+  f.ReadAll(7);
+  f.Fail(milliseconds(10), true);
+  f.Fail(milliseconds(10), true);
+  CHECK(f.schedule.in_outage());
+  f.clock.Advance(seconds(3));
+  f.schedule.OnChanges(4, 30, f.clock.Now());
+  CHECK_FALSE(f.schedule.in_outage());
+  CHECK(f.schedule.just_returned(f.clock.Now()));
+  f.clock.Advance(f.options.return_window);
+  CHECK_FALSE(f.schedule.just_returned(f.clock.Now()));
+}
+
+TEST_CASE("a slow store gets more time with each failure, so that it is not given up for good") {
+  Fixture f;
+  f.ReadAll(7);
+  milliseconds first = f.Next().timeout - f.Next().wait;
+  f.Fail(f.Next().timeout, true);
+  f.clock.Advance(seconds(1));
+  CHECK(f.Next().timeout - f.Next().wait >= 2 * first);
+}
+
+// brekke-staffeli, trouble-3: a watch of 20 s on a connection that had gone silent.
+TEST_CASE("a silent connection is noticed before the node must be up to date again") {
+  for (int contact_seconds : {4, 5}) {
+    ForwardNodeSettings settings;
+    settings.contact_bound = seconds(contact_seconds);
+    FeedOptions options = MakeFeedOptions(settings);
+    CHECK(options.watch_wait + options.watch_slack + options.longest_pause / 2 <
+          settings.contact_bound);
+    CHECK(options.gather + options.watch_slack < settings.config_bound);
+  }
+}
+
+}  // namespace
+}  // namespace damaskroute
--- /dev/null
+++ b/tests/lease_schedule_test.cc
@@ -0,0 +1,76 @@
+#include "damaskroute/store/lease_schedule.h"
+
+#include <doctest/doctest.h>
+
+#include "damaskroute/node/node_count.h"
+
+namespace damaskroute {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("a key is written under a lease, which is renewed well before it ends") {
+  LeaseSchedule schedule(seconds(30), 1);
+  ManualClock clock;
+  CHECK(schedule.Next(clock.Now()).kind == LeaseStepKind::kOpen);
+  schedule.OnOpened(77, seconds(30), clock.Now());
+  CHECK(schedule.Next(clock.Now()).kind == LeaseStepKind::kWrite);
+  CHECK(schedule.Next(clock.Now()).lease == 77);
+  schedule.OnWritten(clock.Now());
+  LeaseStep pause = schedule.Next(clock.Now());
+  CHECK(pause.kind == LeaseStepKind::kPause);
+  CHECK(pause.until - clock.Now() <= seconds(15));
+  clock.Advance(pause.until - clock.Now());
+  CHECK(schedule.Next(clock.Now()).kind == LeaseStepKind::kRenew);
+}
+
+TEST_CASE("a lease that ended in an outage is opened anew") {
+  LeaseSchedule schedule(seconds(30), 1);
+  ManualClock clock;
+  schedule.OnOpened(77, seconds(30), clock.Now());
+  schedule.OnWritten(clock.Now());
+  clock.Advance(seconds(10));
+  schedule.OnEnded();
+  CHECK(schedule.Next(clock.Now()).kind == LeaseStepKind::kOpen);
+  CHECK_FALSE(schedule.is_written());
+}
+
+TEST_CASE("a failing store is asked less and less, but within seconds") {
+  LeaseSchedule schedule(seconds(30), 1);
+  ManualClock clock;
+  for (int i = 0; i < 10; ++i) {
+    schedule.OnFailure(clock.Now());
+    LeaseStep step = schedule.Next(clock.Now());
+    CHECK(step.kind == LeaseStepKind::kPause);
+    CHECK(step.until - clock.Now() <= seconds(4));
+    clock.Advance(step.until - clock.Now());
+    CHECK(schedule.Next(clock.Now()).kind == LeaseStepKind::kOpen);
+  }
+}
+
+// The store takes the keys of some nodes away while it turns them away: they live and go on
+// sending, so the others must not take their part of the limits.
+TEST_CASE("a node whose key is gone still counts for a while") {
+  NodeCount nodes;
+  ManualClock clock;
+  for (const char* name : {"a", "b", "c", "d", "e", "f"}) nodes.Add(name);
+  CHECK(nodes.Count(clock.Now()) == 6);
+  nodes.Remove("a", clock.Now());
+  nodes.Keep({"c", "d", "e", "f"}, clock.Now());
+  clock.Advance(seconds(10));
+  CHECK(nodes.Count(clock.Now()) == 6);
+  nodes.Add("a");
+  clock.Advance(NodeCount::kRemembered);
+  CHECK(nodes.Count(clock.Now()) == 5);
+}
+
+TEST_CASE("a node alone assumes the smallest deployment, as the others may not be listed yet") {
+  NodeCount nodes;
+  ManualClock clock;
+  nodes.Add("a");
+  CHECK(nodes.Count(clock.Now()) == NodeCount::kLeastNodes);
+}
+
+}  // namespace
+}  // namespace damaskroute
