Leave out shards that cannot be reached, refuse short queries at once, probe connections

Servers whose address another one had taken were called again for seconds. A silent server looked idle once its calls were cancelled. Change: a query whose shards have no reachable server leaves them out, or is refused with Retry-After before any call; such servers are probed by opening connections; a misdirected server is not called again; cancelled calls of a silent server count against it; speed is judged per route.

--- a/include/damaskroute/forward/backend.h
+++ b/include/damaskroute/forward/backend.h
@@ -13,9 +13,10 @@
   BackendEntry entry;
   BackendEvidence evidence;
   ColdGate cold;
-  int max_outstanding = 1;  ///< Calls of this node that may run at the same time.
-  int max_kept = 1;         ///< Connections of this node that may stay open without a call.
-  bool gone = false;        ///< Its entry was removed or replaced.
+  int max_outstanding = 1;   ///< Calls of this node that may run at the same time.
+  int max_kept = 1;          ///< Connections of this node that may stay open without a call.
+  bool gone = false;         ///< Its entry was removed or replaced.
+  bool misdirected = false;  ///< Another server answered at its address, so it is gone.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/forward/backend_evidence.h
+++ b/include/damaskroute/forward/backend_evidence.h
@@ -24,8 +24,8 @@
  public:
   void OnSent(TimePoint now);
 
-  /// A call that was sent at `sent` ended.
-  void OnEnded(TimePoint sent, EvidenceOf kind, TimePoint now);
+  /// A call that was sent at `sent` ended. `usual`: latency of such calls over all servers.
+  void OnEnded(TimePoint sent, EvidenceOf kind, Duration usual, TimePoint now);
 
   /// Calls without an end.
   int outstanding() const { return static_cast<int>(sent_.size()); }
@@ -41,18 +41,28 @@
   /// Whether recent failures speak against the server.
   bool IsAvoided(TimePoint now) const { return now < avoid_until_; }
 
-  /// Latency of a call with no other in the way. A high value fades to `usual` while there are no
-  /// new samples, so that a server which was slow is tried again.
-  Duration ExpectedLatency(Duration usual, TimePoint now) const;
+  /// A connection to the server was opened outside of a call.
+  void OnReachable(TimePoint now);
 
-  /// Whether `ExpectedLatency` rests on at least one sample.
-  bool has_latency() const { return latency_ > Duration::zero(); }
+  /// Whether the last call found no connection.
+  bool is_unreachable() const { return unreachable_; }
+
+  /// Whether the server could not be reached lately.
+  bool IsUnreachable(TimePoint now) const { return unreachable_ && IsAvoided(now); }
+
+  /// When the server may be tried again.
+  TimePoint avoid_until() const { return avoid_until_; }
+
+  /// How much longer calls take here than usual; 1 without samples. A high value fades while there
+  /// are no new samples, so that a server which was slow is tried again.
+  double Slowness(TimePoint now) const;
 
   /// Fraction of recent calls that failed, 0 to 1; fades while there are no calls.
   double FailureRate(TimePoint now) const;
 
  private:
-  void AddLatency(Duration latency, TimePoint now);
+  void AddLatency(Duration latency, Duration usual, TimePoint now);
+  void Avoid(std::chrono::milliseconds first, TimePoint now);
   void AddOutcome(bool failed, TimePoint now);
 
   std::vector<TimePoint> sent_;  // Ascending.
@@ -60,9 +70,11 @@
   TimePoint avoid_until_;
   TimePoint last_sample_;
   TimePoint last_outcome_;
-  Duration latency_{};
+  Duration latency_{};  // Average over all routes; 0 without samples.
+  double slowness_ = 1;
   double failure_rate_ = 0;
   int failures_in_a_row_ = 0;
+  bool unreachable_ = false;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -19,7 +19,16 @@
 /// Which rung of preference a chosen backend server stands on; lower is better.
 enum class BackendStanding : std::uint8_t {
   kGood,
-  kDoubtful,  ///< Cold, stalled, or shedding or failing recently.
+  kDoubtful,     ///< Cold, stalled, or shedding or failing recently.
+  kTooSlow,      ///< It will hardly answer in the time wanted.
+  kUnreachable,  ///< It could not be reached lately.
+};
+
+/// What is known of the time of a call.
+struct CallTimes {
+  TimePoint deadline;                              ///< An answer after it is of no use.
+  TimePoint wanted = TimePoint::max();             ///< An answer after it is late.
+  Duration usual = std::chrono::milliseconds(20);  ///< Latency of such calls over all servers.
 };
 
 /// A chosen backend server; null if none may be used.
@@ -48,14 +57,11 @@
   /// Installs the policies of the services. `nodes`: number of nodes that share their limits.
   void SetPolicies(std::shared_ptr<const RouteTable> routes, int nodes);
 
-  /// Server for a call that must be answered by `deadline`, none of `tried`.
+  /// Server for a call, none of `tried`.
   BackendChoice Choose(const ServiceName& service,
-                       const std::vector<std::shared_ptr<Backend>>& tried, TimePoint deadline,
+                       const std::vector<std::shared_ptr<Backend>>& tried, const CallTimes& times,
                        TimePoint now);
 
-  /// Whether any server of the service could be chosen now.
-  bool CanServe(const ServiceName& service, TimePoint deadline, TimePoint now);
-
   /// All servers of a service.
   const std::vector<std::shared_ptr<Backend>>& Of(const ServiceName& service) const;
 
@@ -65,7 +71,9 @@
   std::size_t size() const { return by_id_.size(); }
 
  private:
-  bool IsUsable(const Backend& backend, TimePoint deadline, Duration usual, TimePoint now) const;
+  bool IsUsable(const Backend& backend, const CallTimes& times, TimePoint now) const;
+  static BackendStanding StandingOf(const Backend& backend, const CallTimes& times, TimePoint now);
+  double CostOf(const Backend& backend, const CallTimes& times, TimePoint now);
   void ApplyPolicy(Backend& backend) const;
   double NodeColdRate(const ServicePolicy& policy) const;
 
--- a/include/damaskroute/forward/forward_policies.h
+++ b/include/damaskroute/forward/forward_policies.h
@@ -6,6 +6,7 @@
 #include "damaskroute/core/ids.h"
 #include "damaskroute/forward/backend_table.h"
 #include "damaskroute/forward/extra_budget.h"
+#include "damaskroute/forward/route_latency.h"
 
 namespace damaskroute {
 
@@ -14,6 +15,7 @@
   BackendTable& backends;
   std::unordered_map<ServiceName, ExtraBudget>& budgets;
   ExtraBudgetOptions& budget_options;
+  RouteLatency& latency;  ///< Of the request's route.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/forward/forward_run.h
+++ b/include/damaskroute/forward/forward_run.h
@@ -60,7 +60,14 @@
   enum class CallKind : std::uint8_t { kFirst, kCopy, kRepeat };
   using Actions = std::vector<ForwardAction>;
 
+  bool RefuseAtOnce(TimePoint now, Actions& actions);
+  bool IsHopeless(const BackendChoice& choice) const;
+  CallTimes Times() const;
+  std::chrono::milliseconds RetryAfter(TimePoint now) const;
+  BackendChoice Choose(std::uint32_t part, TimePoint now) const;
   bool Send(std::uint32_t part, CallKind kind, TimePoint now, Actions& actions);
+  void SendTo(std::uint32_t part, std::shared_ptr<Backend> backend, TimePoint now,
+              Actions& actions);
   void Close(Call& call, EvidenceOf kind, TimePoint now);
   void Cancel(std::uint32_t call, TimePoint now, Actions& actions);
   void OnPartFailed(std::uint32_t part, CallResult result, TimePoint now, Actions& actions);
@@ -70,7 +77,7 @@
   void Conclude(TimePoint now, Actions& actions);
   void FinishQuery(TimePoint now, Actions& actions);
   void Finish(ForwardAnswer answer, TimePoint now, Actions& actions);
-  ForwardAnswer Shortfall(AnswerKind kind_if_run, const char* reason) const;
+  ForwardAnswer Shortfall(AnswerKind kind_if_run, const char* reason, TimePoint now) const;
   void ScheduleWake(Actions& actions);
 
   const ForwardSpec spec_;
--- a/include/damaskroute/http/backend_client.h
+++ b/include/damaskroute/http/backend_client.h
@@ -38,6 +38,10 @@
   /// Whether `Start` would find a connection now or open one.
   bool CanStart() const;
 
+  /// Opens a connection and keeps it for the next exchange; `done` is called once, later, on the
+  /// loop, with whether it was opened. Without a connect timeout it waits as long as the system.
+  void OpenConnection(std::function<void(bool opened)> done);
+
   /// Ends the exchange with `kCancelled` by closing its connection. Unknown ids are ignored.
   void Cancel(std::uint64_t id);
 
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -17,6 +17,7 @@
 #include "damaskroute/node/forward_metrics.h"
 #include "damaskroute/node/forward_protocol.h"
 #include "damaskroute/node/forward_service_options.h"
+#include "damaskroute/node/reach_prober.h"
 #include "damaskroute/routing/backend_directory.h"
 #include "damaskroute/routing/route_table.h"
 #include "damaskroute/routing/weighted_split.h"
@@ -95,10 +96,12 @@
   BackendDirectory directory_;
   BackendTable backends_;
   BackendPool pool_;
+  ReachProber prober_;
   ExtraBudgetOptions budget_options_;
   int nodes_ = 1;
   std::unordered_map<ServiceName, ExtraBudget> budgets_;
-  std::unordered_map<std::string, WeightedSplit> splits_;  // By route.
+  std::unordered_map<std::string, WeightedSplit> splits_;    // By route.
+  std::unordered_map<std::string, RouteLatency> latencies_;  // By route.
   std::set<std::shared_ptr<Exchange>> active_;
   asio::steady_timer expiry_timer_;
   ForwardMetrics metrics_;
--- a/src/forward/backend_evidence.cc
+++ b/src/forward/backend_evidence.cc
@@ -24,9 +24,12 @@
 
 // A server that fails is avoided for this time, doubled with each failure in a row.
 constexpr milliseconds kFirstAvoidance{200};
-constexpr milliseconds kLongestAvoidance{3200};
+constexpr milliseconds kLongestAvoidance{1600};
 constexpr int kMaxDoublings = 4;
 
+// The same for one whose calls were cancelled without a sign of life: about the rest of a pause.
+constexpr milliseconds kSilentAvoidance{100};
+
 // A server that sheds load gets nothing for this time.
 constexpr milliseconds kShedPause{30};
 
@@ -38,15 +41,17 @@
 
 void BackendEvidence::OnSent(TimePoint now) { sent_.push_back(now); }
 
-void BackendEvidence::OnEnded(TimePoint sent, EvidenceOf kind, TimePoint now) {
+void BackendEvidence::OnEnded(TimePoint sent, EvidenceOf kind, Duration usual, TimePoint now) {
+  bool silent = IsStalled(now);
   auto found = std::find(sent_.begin(), sent_.end(), sent);
   if (found != sent_.end()) sent_.erase(found);
   switch (kind) {
     case EvidenceOf::kAnswer:
       last_heard_ = now;
       failures_in_a_row_ = 0;
+      unreachable_ = false;
       avoid_until_ = TimePoint();
-      AddLatency(now - sent, now);
+      AddLatency(now - sent, usual, now);
       AddOutcome(/*failed=*/false, now);
       return;
     case EvidenceOf::kShed:
@@ -54,19 +59,34 @@
       avoid_until_ = std::max(avoid_until_, now + kShedPause);
       return;
     case EvidenceOf::kCancellation:
-      if (now - sent > latency_) AddLatency(now - sent, now);
+      if (now - sent > latency_) AddLatency(now - sent, usual, now);
+      // Without this a silent server would look idle as soon as its last call is cancelled.
+      if (silent) Avoid(kSilentAvoidance, now);
       return;
     case EvidenceOf::kFailure:
     case EvidenceOf::kUnreachable:
       last_heard_ = now;
+      unreachable_ = kind == EvidenceOf::kUnreachable;
       AddOutcome(/*failed=*/true, now);
-      int doublings = std::min(failures_in_a_row_++, kMaxDoublings);
-      milliseconds span = std::min(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
-      avoid_until_ = std::max(avoid_until_, now + span);
+      Avoid(kFirstAvoidance, now);
       return;
   }
 }
 
+void BackendEvidence::OnReachable(TimePoint now) {
+  if (!unreachable_) return;
+  unreachable_ = false;
+  failures_in_a_row_ = 0;
+  last_heard_ = now;
+  avoid_until_ = now;
+}
+
+void BackendEvidence::Avoid(milliseconds first, TimePoint now) {
+  int doublings = std::min(failures_in_a_row_++, kMaxDoublings);
+  milliseconds span = std::min(first * (1 << doublings), kLongestAvoidance);
+  avoid_until_ = std::max(avoid_until_, now + span);
+}
+
 TimePoint BackendEvidence::stalled_at() const {
   if (sent_.empty()) return TimePoint::max();
   Duration usual = std::max<Duration>(latency_, kUnknownLatency);
@@ -74,24 +94,23 @@
   return std::max(sent_.front(), last_heard_) + std::max<Duration>(silence, kMinStall);
 }
 
-Duration BackendEvidence::ExpectedLatency(Duration usual, TimePoint now) const {
-  if (!has_latency()) return usual;
-  if (latency_ <= usual) return latency_;
-  return usual +
-         std::chrono::duration_cast<Duration>((latency_ - usual) * Fade(now - last_sample_));
+double BackendEvidence::Slowness(TimePoint now) const {
+  if (slowness_ <= 1) return slowness_;
+  return 1 + (slowness_ - 1) * Fade(now - last_sample_);
 }
 
 double BackendEvidence::FailureRate(TimePoint now) const {
   return failure_rate_ * Fade(now - last_outcome_);
 }
 
-void BackendEvidence::AddLatency(Duration latency, TimePoint now) {
+void BackendEvidence::AddLatency(Duration latency, Duration usual, TimePoint now) {
+  double slowness = std::chrono::duration<double>(latency) / std::chrono::duration<double>(usual);
+  bool first = latency_ == Duration::zero();
+  slowness_ = first ? slowness : Slowness(now) + (slowness - Slowness(now)) * kSampleWeight;
+  latency_ =
+      first ? latency
+            : latency_ + std::chrono::duration_cast<Duration>((latency - latency_) * kSampleWeight);
   last_sample_ = now;
-  if (!has_latency()) {
-    latency_ = latency;
-    return;
-  }
-  latency_ += std::chrono::duration_cast<Duration>((latency - latency_) * kSampleWeight);
 }
 
 void BackendEvidence::AddOutcome(bool failed, TimePoint now) {
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -9,12 +9,12 @@
 namespace damaskroute {
 namespace {
 
-// Latency assumed while no server of the service has answered yet.
-constexpr std::chrono::milliseconds kUnknownLatency{20};
-
 // A server that fails every call counts as this many times slower.
 constexpr double kFailureWeight = 8;
 
+// Seconds that put an avoided server behind all others of its standing.
+constexpr double kAvoidedCost = 1;
+
 // Random spread of the expected times, so that nodes which believe the same do not all choose the
 // same server. Smaller than what another zone costs.
 constexpr double kSpread = 0.05;
@@ -37,13 +37,9 @@
                      [backend](const auto& entry) { return entry.get() == backend; });
 }
 
-Duration UsualLatency(const std::vector<std::shared_ptr<Backend>>& servers, TimePoint now) {
-  Duration usual = Duration::max();
-  for (const auto& server : servers) {
-    if (!server->evidence.has_latency()) continue;
-    usual = std::min(usual, server->evidence.ExpectedLatency(Duration::max(), now));
-  }
-  return usual == Duration::max() ? Duration(kUnknownLatency) : usual;
+// Latency of one call with no other in the way.
+Duration Expected(const Backend& backend, const CallTimes& times, TimePoint now) {
+  return std::chrono::duration_cast<Duration>(times.usual * backend.evidence.Slowness(now));
 }
 
 double Seconds(Duration span) { return std::chrono::duration<double>(span).count(); }
@@ -108,35 +104,46 @@
 }
 
 // A server is not usable if the calls that wait for it already take all the time there is.
-bool BackendTable::IsUsable(const Backend& backend, TimePoint deadline, Duration usual,
-                            TimePoint now) const {
-  if (backend.entry.draining || closed_zones_.contains(backend.entry.zone)) return false;
+bool BackendTable::IsUsable(const Backend& backend, const CallTimes& times, TimePoint now) const {
+  if (backend.misdirected || backend.entry.draining) return false;
+  if (closed_zones_.contains(backend.entry.zone)) return false;
   if (backend.evidence.outstanding() >= backend.max_outstanding) return false;
   if (!backend.cold.Allows(now)) return false;
   int waiting = backend.evidence.outstanding() / std::max(backend.entry.slots, 1);
-  return now + waiting * backend.evidence.ExpectedLatency(usual, now) < deadline;
+  return now + waiting * Expected(backend, times, now) < times.deadline;
+}
+
+BackendStanding BackendTable::StandingOf(const Backend& backend, const CallTimes& times,
+                                         TimePoint now) {
+  const BackendEvidence& evidence = backend.evidence;
+  if (evidence.IsUnreachable(now)) return BackendStanding::kUnreachable;
+  if (now + Expected(backend, times, now) > times.wanted) return BackendStanding::kTooSlow;
+  bool doubtful = evidence.IsAvoided(now) || evidence.IsStalled(now) || backend.cold.IsCold(now);
+  return doubtful ? BackendStanding::kDoubtful : BackendStanding::kGood;
+}
+
+double BackendTable::CostOf(const Backend& backend, const CallTimes& times, TimePoint now) {
+  const BackendEvidence& evidence = backend.evidence;
+  double load = 1.0 + static_cast<double>(evidence.outstanding()) /
+                          static_cast<double>(std::max(backend.entry.slots, 1));
+  double cost = Seconds(Expected(backend, times, now)) * load *
+                (1 + kFailureWeight * evidence.FailureRate(now)) * (1 + kSpread * random_.Unit());
+  if (backend.entry.zone != options_.own_zone) {
+    cost += cost * kZonePart + Seconds(options_.zone_cost);
+  }
+  if (evidence.IsAvoided(now)) cost += kAvoidedCost;
+  return cost;
 }
 
 BackendChoice BackendTable::Choose(const ServiceName& service,
                                    const std::vector<std::shared_ptr<Backend>>& tried,
-                                   TimePoint deadline, TimePoint now) {
+                                   const CallTimes& times, TimePoint now) {
   BackendChoice best;
   double best_cost = 0;
-  const auto& servers = Of(service);
-  Duration usual = UsualLatency(servers, now);
-  for (const auto& server : servers) {
-    if (Contains(tried, server.get()) || !IsUsable(*server, deadline, usual, now)) continue;
-    const BackendEvidence& evidence = server->evidence;
-    bool doubtful = evidence.IsAvoided(now) || evidence.IsStalled(now) || server->cold.IsCold(now);
-    auto standing = doubtful ? BackendStanding::kDoubtful : BackendStanding::kGood;
-    double load = 1.0 + static_cast<double>(evidence.outstanding()) /
-                            static_cast<double>(std::max(server->entry.slots, 1));
-    double cost = Seconds(evidence.ExpectedLatency(usual, now)) * load *
-                  (1 + kFailureWeight * evidence.FailureRate(now)) * (1 + kSpread * random_.Unit());
-    if (server->entry.zone != options_.own_zone) {
-      cost += cost * kZonePart + Seconds(options_.zone_cost);
-    }
-    if (evidence.IsAvoided(now)) cost += 1;  // Behind all others of its standing.
+  for (const auto& server : Of(service)) {
+    if (Contains(tried, server.get()) || !IsUsable(*server, times, now)) continue;
+    BackendStanding standing = StandingOf(*server, times, now);
+    double cost = CostOf(*server, times, now);
     if (!best.backend || standing < best.standing ||
         (standing == best.standing && cost < best_cost)) {
       best = {server, standing};
@@ -146,10 +153,6 @@
   return best;
 }
 
-bool BackendTable::CanServe(const ServiceName& service, TimePoint deadline, TimePoint now) {
-  return Choose(service, {}, deadline, now).backend != nullptr;
-}
-
 const std::vector<std::shared_ptr<Backend>>& BackendTable::Of(const ServiceName& service) const {
   static const auto* const none = new std::vector<std::shared_ptr<Backend>>();
   auto found = by_service_.find(service);
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -6,9 +6,9 @@
 namespace damaskroute {
 namespace {
 
-// When a caller whose request found no backend server should come again: about the time in which a
-// pause of a server ends or a queue empties.
-constexpr std::chrono::milliseconds kRetryAfter{250};
+// Bounds of Retry-After. The shortest is about the time in which a pause of a server ends.
+constexpr std::chrono::milliseconds kLeastRetryAfter{100};
+constexpr std::chrono::milliseconds kLongestRetryAfter{1000};
 
 // A call with less time than this left is not sent, as no server could answer it.
 constexpr std::chrono::milliseconds kLeastCallTime{4};
@@ -46,22 +46,13 @@
 
 std::vector<ForwardAction> ForwardRun::Start(TimePoint now) {
   Actions actions;
-  std::size_t servable = 0;
-  for (std::uint32_t i = 0; i < parts_.size(); ++i) {
-    policies_.budgets[spec_.services[i]].OnRequest(policies_.budget_options, now);
-    if (policies_.backends.CanServe(spec_.services[i], spec_.deadline, now)) ++servable;
-  }
-  if (servable < spec_.min_parts) {
-    ForwardAnswer answer;
-    answer.missing = parts_.size() - servable;
-    answer.retry_after = kRetryAfter;
-    answer.reason = "no backend server can serve it";
-    Finish(std::move(answer), now, actions);
-    return actions;
+  for (const ServiceName& service : spec_.services) {
+    policies_.budgets[service].OnRequest(policies_.budget_options, now);
   }
+  if (RefuseAtOnce(now, actions)) return actions;
   calls_.reserve(parts_.size() + 4);
   for (std::uint32_t i = 0; i < parts_.size(); ++i) {
-    if (!Send(i, CallKind::kFirst, now, actions)) {
+    if (parts_[i].state == PartState::kOpen && !Send(i, CallKind::kFirst, now, actions)) {
       parts_[i].state = PartState::kFailed;
       ++failed_;
     }
@@ -71,6 +62,45 @@
   return actions;
 }
 
+// Leaves out the shards that cannot come in before the objective, and refuses a query that would
+// have too few of them: its calls would only take room from queries that can be served.
+bool ForwardRun::RefuseAtOnce(TimePoint now, Actions& actions) {
+  std::size_t hopeless = 0;
+  for (std::uint32_t i = 0; i < parts_.size(); ++i) {
+    if (!IsHopeless(Choose(i, now))) continue;
+    parts_[i].state = PartState::kFailed;
+    ++hopeless;
+  }
+  failed_ = hopeless;
+  if (parts_.size() - hopeless >= spec_.min_parts) return false;
+  ForwardAnswer answer;
+  answer.missing = hopeless;
+  answer.retry_after = RetryAfter(now);
+  answer.reason = "too few backend servers can serve it in time";
+  Finish(std::move(answer), now, actions);
+  return true;
+}
+
+bool ForwardRun::IsHopeless(const BackendChoice& choice) const {
+  if (!choice.backend) return true;
+  return spec_.query && choice.standing >= BackendStanding::kUnreachable;
+}
+
+CallTimes ForwardRun::Times() const {
+  return {spec_.deadline, spec_.answer_by, policies_.latency.usual()};
+}
+
+BackendChoice ForwardRun::Choose(std::uint32_t index, TimePoint now) const {
+  return policies_.backends.Choose(spec_.services[index], parts_[index].tried, Times(), now);
+}
+
+// Troubles that leave a request without servers mostly last seconds, so the caller comes back as
+// late as leaves it time for one more attempt.
+std::chrono::milliseconds ForwardRun::RetryAfter(TimePoint now) const {
+  auto left = std::chrono::duration_cast<std::chrono::milliseconds>(spec_.deadline - now);
+  return std::clamp(left * 3 / 10, kLeastRetryAfter, kLongestRetryAfter);
+}
+
 std::vector<ForwardAction> ForwardRun::OnResult(std::uint32_t call_number, CallResult result,
                                                 TimePoint now) {
   Actions actions;
@@ -78,6 +108,7 @@
   Call& call = calls_[call_number];
   std::uint32_t index = call.part;
   Part& part = parts_[index];
+  if (result.end == CallEnd::kMisdirected) call.backend->misdirected = true;
   Close(call, EvidenceFrom(result.end), now);
   if (MayHaveRun(result.end)) {
     may_have_run_ = true;
@@ -115,8 +146,7 @@
   Part& part = parts_[index];
   if (part.attempts >= spec_.max_attempts || part.tried.size() >= kMaxTries) return false;
   if (now + kLeastCallTime >= spec_.deadline) return false;
-  const ServiceName& service = spec_.services[index];
-  BackendChoice choice = policies_.backends.Choose(service, part.tried, spec_.deadline, now);
+  BackendChoice choice = Choose(index, now);
   if (!choice.backend) {
     ++counts_.without_room;
     return false;
@@ -124,23 +154,30 @@
   if (kind == CallKind::kCopy && choice.standing != BackendStanding::kGood) return false;
   if (kind != CallKind::kFirst) {
     auto extra = kind == CallKind::kCopy ? ExtraKind::kCopy : ExtraKind::kRepeat;
-    if (!policies_.budgets[service].TryTake(policies_.budget_options, extra, now)) {
+    ExtraBudget& budget = policies_.budgets[spec_.services[index]];
+    if (!budget.TryTake(policies_.budget_options, extra, now)) {
       ++counts_.over_budget;
       return false;
     }
     ++(kind == CallKind::kCopy ? counts_.copies : counts_.repeats);
   }
+  SendTo(index, std::move(choice.backend), now, actions);
+  return true;
+}
+
+void ForwardRun::SendTo(std::uint32_t index, std::shared_ptr<Backend> backend, TimePoint now,
+                        Actions& actions) {
+  Part& part = parts_[index];
   ++counts_.calls;
   ++part.attempts;
   ++part.open_calls;
-  part.tried.push_back(choice.backend);
-  choice.backend->evidence.OnSent(now);
-  choice.backend->cold.OnSent(now);
+  part.tried.push_back(backend);
+  backend->evidence.OnSent(now);
+  backend->cold.OnSent(now);
   auto number = static_cast<std::uint32_t>(calls_.size());
-  calls_.push_back({index, choice.backend, now, true});
+  calls_.push_back({index, backend, now, true});
   part.check_at = spec_.idempotent ? LateAt(calls_.back()) : TimePoint::max();
-  actions.push_back(SendCall{number, std::move(choice.backend)});
-  return true;
+  actions.push_back(SendCall{number, std::move(backend)});
 }
 
 // A call is late at its age limit, or earlier if its server has fallen silent to all calls.
@@ -152,7 +189,8 @@
 void ForwardRun::Close(Call& call, EvidenceOf kind, TimePoint now) {
   call.open = false;
   --parts_[call.part].open_calls;
-  call.backend->evidence.OnEnded(call.sent, kind, now);
+  if (kind == EvidenceOf::kAnswer) policies_.latency.Add(now - call.sent);
+  call.backend->evidence.OnEnded(call.sent, kind, policies_.latency.usual(), now);
 }
 
 void ForwardRun::Cancel(std::uint32_t number, TimePoint now, Actions& actions) {
@@ -221,10 +259,10 @@
     return FinishQuery(now, actions);
   }
   if (parts_.size() - failed_ < spec_.min_parts) {
-    return Finish(Shortfall(AnswerKind::kFailed, "no backend server answered"), now, actions);
+    return Finish(Shortfall(AnswerKind::kFailed, "no backend server answered", now), now, actions);
   }
   if (now >= spec_.deadline) {
-    return Finish(Shortfall(AnswerKind::kTimedOut, "the deadline passed"), now, actions);
+    return Finish(Shortfall(AnswerKind::kTimedOut, "the deadline passed", now), now, actions);
   }
 }
 
@@ -241,12 +279,13 @@
 }
 
 // An answer without a result: a refusal only if no server can have run the request.
-ForwardAnswer ForwardRun::Shortfall(AnswerKind kind_if_run, const char* reason) const {
+ForwardAnswer ForwardRun::Shortfall(AnswerKind kind_if_run, const char* reason,
+                                    TimePoint now) const {
   ForwardAnswer answer;
   bool open = std::any_of(calls_.begin(), calls_.end(), [](const Call& call) { return call.open; });
   answer.kind = may_have_run_ || open ? kind_if_run : AnswerKind::kRefused;
   answer.missing = parts_.size() - done_;
-  answer.retry_after = kRetryAfter;
+  answer.retry_after = RetryAfter(now);
   answer.reason = reason;
   return answer;
 }
@@ -265,7 +304,7 @@
   if (spec_.query && done_ >= spec_.min_parts) {
     FinishQuery(now, actions);
   } else {
-    Finish(Shortfall(AnswerKind::kFailed, reason), now, actions);
+    Finish(Shortfall(AnswerKind::kFailed, reason, now), now, actions);
   }
   return actions;
 }
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -192,6 +192,8 @@
                          if (final_deadline < self->state->timer_at)
                            self->state->ArmTimer(final_deadline);
                          self->SetSocketOptions();
+                         if (self->request.empty())
+                           return self->Finish({.end = ExchangeEnd::kAnswered}, true);
                          self->Write();
                        });
 }
@@ -351,6 +353,23 @@
   return id;
 }
 
+void BackendClient::OpenConnection(std::function<void(bool opened)> done) {
+  State& state = *state_;
+  if (!state.endpoint_valid || state.open >= state.max_connections) {
+    asio::post(state.loop, [done = std::move(done)] { done(false); });
+    return;
+  }
+  auto connection = std::make_shared<Connection>(state.loop);
+  ++state.open;
+  connection->id = state.next_id++;
+  connection->deadline = TimePoint::max();
+  connection->done = [done = std::move(done)](const ExchangeResult& result) {
+    done(result.end == ExchangeEnd::kAnswered);
+  };
+  state.Add(connection);
+  connection->Connect();
+}
+
 bool BackendClient::CanStart() const {
   return !state_->idle.empty() ||
          (state_->endpoint_valid && state_->open < state_->max_connections);
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -69,6 +69,7 @@
       protocol_(std::move(protocol)),
       backends_(options_.backends, options_.seed),
       pool_(loop, ClientOptions(options_, protocol_)),
+      prober_(loop, pool_),
       expiry_timer_(loop) {}
 
 ForwardService::~ForwardService() = default;
@@ -87,7 +88,8 @@
       request.received + std::min(request.patience.value_or(route->timeout), route->timeout);
   auto exchange = std::make_shared<Exchange>(
       loop_, MakeForwardSpec(*route, service, request.received, deadline),
-      ForwardPolicies{backends_, budgets_, budget_options_});
+      ForwardPolicies{backends_, budgets_, budget_options_,
+                      latencies_.try_emplace(route->name, route->objective).first->second});
   exchange->request = std::move(request);
   exchange->respond = std::move(respond);
   exchange->presence = std::move(presence);
@@ -162,6 +164,7 @@
         } else {
           ++metrics_.failed_calls[judged.reason];
           exchange->failures += backend->entry.id + ": " + judged.reason + "; ";
+          if (judged.end == CallEnd::kUnreachable) prober_.OnUnreachable(backend);
         }
         Carry(exchange, exchange->run.OnResult(number, std::move(judged), ended));
       });
--- /dev/null
+++ b/src/node/reach_prober.cc
@@ -0,0 +1,65 @@
+#include "damaskroute/node/reach_prober.h"
+
+#include <algorithm>
+
+#include "damaskroute/log/log_line.h"
+
+namespace damaskroute {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A restarted server and a healed partition are noticed within about these times; the pause grows
+// while the server stays away, to bound the cost of many servers at once.
+constexpr milliseconds kFirstPause{80};
+constexpr milliseconds kLongestPause{400};
+
+TimePoint Now() { return SteadyClock().Now(); }
+
+}  // namespace
+
+struct ReachProber::Probe {
+  Probe(asio::io_context& loop, std::shared_ptr<Backend> server)
+      : backend(std::move(server)), timer(loop), since(Now()) {}
+
+  std::shared_ptr<Backend> backend;
+  asio::steady_timer timer;
+  TimePoint since;
+  milliseconds pause = kFirstPause;
+};
+
+void ReachProber::OnUnreachable(const std::shared_ptr<Backend>& backend) {
+  if (backend->gone || probed_.contains(backend.get())) return;
+  auto probe = std::make_shared<Probe>(loop_, backend);
+  probed_.emplace(backend.get(), probe);
+  Wait(probe);
+}
+
+void ReachProber::Wait(const std::shared_ptr<Probe>& probe) {
+  probe->timer.expires_after(probe->pause);
+  probe->pause = std::min(probe->pause * 2, kLongestPause);
+  probe->timer.async_wait([this, probe](const boost::system::error_code& error) {
+    if (!error) Try(probe);
+  });
+}
+
+void ReachProber::Try(const std::shared_ptr<Probe>& probe) {
+  Backend& backend = *probe->backend;
+  if (backend.gone || backend.misdirected || !backend.evidence.is_unreachable()) {
+    probed_.erase(&backend);
+    return;
+  }
+  auto client = pool_.For(probe->backend);
+  client->OpenConnection([this, probe, client](bool opened) {
+    if (!opened) return Wait(probe);
+    TimePoint now = Now();
+    probe->backend->evidence.OnReachable(now);
+    probed_.erase(probe->backend.get());
+    LogLine(LogLevel::kInfo, "backend server reached again")
+        .Field("backend", probe->backend->entry.id)
+        .Field("away_ms",
+               std::chrono::duration_cast<milliseconds>(now - probe->since).count());
+  });
+}
+
+}  // namespace damaskroute
--- a/src/store/lease_schedule.cc
+++ b/src/store/lease_schedule.cc
@@ -47,8 +47,8 @@
 
 void LeaseSchedule::OnFailure(TimePoint now) {
   auto pause = std::min(kFirstPause * (1 << std::min(failures_++, kMaxDoublings)), kLongestPause);
-  auto jitter = static_cast<std::int64_t>(
-      random_.Below(static_cast<std::uint64_t>(pause.count()) / 2 + 1));
+  auto jitter =
+      static_cast<std::int64_t>(random_.Below(static_cast<std::uint64_t>(pause.count()) / 2 + 1));
   pause_until_ = now + pause / 2 + std::chrono::milliseconds(jitter);
 }
 
--- a/tests/backend_table_test.cc
+++ b/tests/backend_table_test.cc
@@ -10,13 +10,18 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr milliseconds kUsual{10};
+
 struct Fixture : ForwardWorld {
+  TimePoint wanted = TimePoint::max();
+
   explicit Fixture(int servers = 2) : ForwardWorld(1, servers) {}
 
   std::string Choose(const std::vector<std::string>& tried = {}) {
     std::vector<std::shared_ptr<Backend>> excluded;
     for (const std::string& id : tried) excluded.push_back(table.Find(id));
-    auto choice = table.Choose("s0", excluded, clock.Now() + seconds(1), clock.Now());
+    auto choice =
+        table.Choose("s0", excluded, {clock.Now() + seconds(1), wanted, kUsual}, clock.Now());
     return choice.backend ? choice.backend->entry.id : "";
   }
 
@@ -25,7 +30,7 @@
     TimePoint sent = clock.Now();
     backend->evidence.OnSent(sent);
     clock.Advance(latency);
-    backend->evidence.OnEnded(sent, kind, clock.Now());
+    backend->evidence.OnEnded(sent, kind, kUsual, clock.Now());
   }
 };
 
@@ -50,7 +55,8 @@
 
 // Each back end pauses for 250 ms every few seconds; calls sent meanwhile would all wait for its
 // end.
-TEST_CASE("a server that is silent with calls open is passed over, and used again once it answers") {
+TEST_CASE(
+    "a server that is silent with calls open is passed over, and used again once it answers") {
   Fixture f;
   for (int i = 0; i < 5; ++i) {
     f.Call("s0a", milliseconds(10));
@@ -63,7 +69,7 @@
   f.clock.Advance(milliseconds(40));
   CHECK(f.Choose() == "s0b");
   f.clock.Advance(milliseconds(200));
-  paused->evidence.OnEnded(sent, EvidenceOf::kAnswer, f.clock.Now());
+  paused->evidence.OnEnded(sent, EvidenceOf::kAnswer, kUsual, f.clock.Now());
   CHECK_FALSE(paused->evidence.IsStalled(f.clock.Now()));
 }
 
@@ -124,12 +130,12 @@
 
 TEST_CASE("a server whose queue takes all the time there is gets no more") {
   Fixture f(1);
-  for (int i = 0; i < 10; ++i) f.Call("s0a", milliseconds(300));
   auto server = f.table.Find("s0a");
-  for (int i = 0; i < 8; ++i) server->evidence.OnSent(f.clock.Now());
-  server->max_outstanding = 100;
+  server->max_outstanding = 1000;
+  // Each call takes the usual 10 ms, three at a time: after 300 calls a second is used up.
+  for (int i = 0; i < 299; ++i) server->evidence.OnSent(f.clock.Now());
   CHECK(f.Choose() == "s0a");
-  for (int i = 0; i < 8; ++i) server->evidence.OnSent(f.clock.Now());
+  server->evidence.OnSent(f.clock.Now());
   CHECK(f.Choose().empty());
 }
 
@@ -170,5 +176,60 @@
   CHECK_FALSE(f.table.Find("s0a")->evidence.IsAvoided(f.clock.Now()));
 }
 
+// A server that is 8 times slower cannot answer before the objective; a call to it would only
+// lengthen its queue.
+TEST_CASE("a server that is too slow for the time wanted stands behind a doubtful one") {
+  Fixture f;
+  for (int i = 0; i < 20; ++i) f.Call("s0a", milliseconds(100));
+  f.Call("s0b", milliseconds(10), EvidenceOf::kShed);
+  f.wanted = f.clock.Now() + milliseconds(70);
+  auto choice =
+      f.table.Choose("s0", {}, {f.clock.Now() + seconds(1), f.wanted, kUsual}, f.clock.Now());
+  CHECK(choice.backend->entry.id == "s0b");
+  CHECK(choice.standing == BackendStanding::kDoubtful);
+}
+
+// replace_with_reuse: another service's server listens at the address of a dead one, whose entry
+// is still there for seconds.
+TEST_CASE("a server whose address another one has taken is not called again") {
+  Fixture f(1);
+  f.table.Find("s0a")->misdirected = true;
+  f.clock.Advance(seconds(60));
+  CHECK(f.Choose().empty());
+}
+
+// srv_crash dark: the server is silent, so each of its calls is copied and cancelled, and it would
+// look idle right after.
+TEST_CASE("a server that was silent until its call was cancelled is avoided") {
+  Fixture f;
+  for (int i = 0; i < 5; ++i) f.Call("s0a", milliseconds(10));
+  f.Call("s0a", milliseconds(60), EvidenceOf::kCancellation);
+  CHECK(f.table.Find("s0a")->evidence.IsAvoided(f.clock.Now()));
+  CHECK(f.Choose() == "s0b");
+}
+
+TEST_CASE("a call that was cancelled while the server answered others is no sign of silence") {
+  Fixture f;
+  for (int i = 0; i < 5; ++i) f.Call("s0a", milliseconds(10));
+  auto server = f.table.Find("s0a");
+  TimePoint sent = f.clock.Now();
+  server->evidence.OnSent(sent);
+  for (int i = 0; i < 6; ++i) f.Call("s0a", milliseconds(10));
+  server->evidence.OnEnded(sent, EvidenceOf::kCancellation, kUsual, f.clock.Now());
+  CHECK_FALSE(server->evidence.IsAvoided(f.clock.Now()));
+}
+
+TEST_CASE("long calls of one route do not make a server slow for another") {
+  Fixture f;
+  auto server = f.table.Find("s0a");
+  for (int i = 0; i < 20; ++i) {
+    TimePoint sent = f.clock.Now();
+    server->evidence.OnSent(sent);
+    f.clock.Advance(milliseconds(220));
+    server->evidence.OnEnded(sent, EvidenceOf::kAnswer, milliseconds(220), f.clock.Now());
+  }
+  CHECK(server->evidence.Slowness(f.clock.Now()) < 1.1);
+}
+
 }  // namespace
 }  // namespace damaskroute
--- a/tests/feed_schedule_test.cc
+++ b/tests/feed_schedule_test.cc
@@ -33,7 +33,8 @@
   CHECK(step.after_revision == 7);
 }
 
-TEST_CASE("changes between two pages are watched from the first page on, as pages are no snapshot") {
+TEST_CASE(
+    "changes between two pages are watched from the first page on, as pages are no snapshot") {
   Fixture f;
   f.schedule.OnPage("key-500", true, 10, f.clock.Now());
   CHECK(f.Next().kind == FeedStepKind::kRead);
@@ -63,7 +64,8 @@
 
 // brekke-staffeli-grown, trouble-1: a node that the store had turned away fetched 3,000 changes in
 // batches of 500 with a pause of 1.25 s between them and served by old routes for five seconds.
-TEST_CASE("a backlog after an outage is fetched without pauses, so routes are not old for seconds") {
+TEST_CASE(
+    "a backlog after an outage is fetched without pauses, so routes are not old for seconds") {
   Fixture f;
   f.ReadAll(282);
   f.schedule.OnChanges(500, 782, f.clock.Now());
@@ -96,8 +98,8 @@
     f.Fail(milliseconds(2), false);
     FeedStep step = f.Next();
     CHECK(step.kind == FeedStepKind::kPause);
-    longest = std::max(longest,
-                       std::chrono::duration_cast<milliseconds>(step.until - f.clock.Now()));
+    longest =
+        std::max(longest, std::chrono::duration_cast<milliseconds>(step.until - f.clock.Now()));
     f.clock.Advance(step.until - f.clock.Now());
   }
   CHECK(longest <= f.options.longest_pause);
--- a/tests/forward_run_test.cc
+++ b/tests/forward_run_test.cc
@@ -206,6 +206,46 @@
   CHECK(w.run->counts().over_budget > 0);
 }
 
+// scale-2 of cajon-sur: a zone goes dark while servers of the other are slow. Queries that could
+// not be served took the room of those that could, and all of them failed.
+TEST_CASE("a query leaves out shards that cannot be reached, or is refused without any call") {
+  for (std::size_t min_parts : {2U, 3U}) {
+    ForwardWorld w(3);
+    for (const char* server : {"s2a", "s2b"}) {
+      w.table.Find(server)->evidence.OnEnded(w.clock.Now(), EvidenceOf::kUnreachable,
+                                             milliseconds(10), w.clock.Now());
+    }
+    w.Begin(w.Query(3, min_parts));
+    if (min_parts == 2) {
+      CHECK(w.sent == std::vector<std::string>{"s0a", "s1a"});
+    } else {
+      REQUIRE(w.answer);
+      CHECK(w.answer->kind == AnswerKind::kRefused);
+      CHECK(w.sent.empty());
+      CHECK(w.answer->retry_after == milliseconds(300));
+    }
+  }
+}
+
+TEST_CASE("a shard that could not be reached is tried again after a while") {
+  ForwardWorld w(1);
+  for (const char* server : {"s0a", "s0b"}) {
+    w.table.Find(server)->evidence.OnEnded(w.clock.Now(), EvidenceOf::kUnreachable,
+                                           milliseconds(10), w.clock.Now());
+  }
+  w.clock.Advance(milliseconds(250));
+  w.Begin(w.Query(1, 1));
+  CHECK(w.sent.size() == 1);
+}
+
+TEST_CASE("a plain request is tried even if its servers could not be reached") {
+  ForwardWorld w(1, 1);
+  w.table.Find("s0a")->evidence.OnEnded(w.clock.Now(), EvidenceOf::kUnreachable, milliseconds(10),
+                                        w.clock.Now());
+  w.Begin(w.Plain(true));
+  CHECK(w.sent.size() == 1);
+}
+
 TEST_CASE("a process that ends answers with what is there") {
   ForwardWorld w(4);
   w.Begin(w.Query(4, 3));
--- a/tests/support/forward_world.h
+++ b/tests/support/forward_world.h
@@ -19,7 +19,8 @@
 struct ForwardWorld {
   explicit ForwardWorld(int shards = 1, int servers = 2) {
     for (int shard = 0; shard < shards; ++shard) {
-      for (int i = 0; i < servers; ++i) AddServer(shard, fmt::format("{}", static_cast<char>('a' + i)));
+      for (int i = 0; i < servers; ++i)
+        AddServer(shard, fmt::format("{}", static_cast<char>('a' + i)));
     }
   }
 
@@ -63,7 +64,7 @@
 
   void Begin(ForwardSpec spec) {
     run = std::make_unique<ForwardRun>(std::move(spec),
-                                       ForwardPolicies{table, budgets, budget_options});
+                                       ForwardPolicies{table, budgets, budget_options, latency});
     Take(run->Start(clock.Now()));
   }
 
@@ -120,6 +121,7 @@
   BackendTable table{{.own_zone = "a"}, 1};
   std::unordered_map<ServiceName, ExtraBudget> budgets;
   ExtraBudgetOptions budget_options{.node_slack = 20};
+  RouteLatency latency{std::chrono::milliseconds(80)};
   std::unique_ptr<ForwardRun> run;
   std::map<std::uint32_t, std::string> open;  // Servers by call.
   std::vector<std::string> sent;
