--- a/src/forward/backend_evidence.cc
+++ b/src/forward/backend_evidence.cc
@@ -56,6 +56,7 @@
       return;
     case EvidenceOf::kShed:
       last_heard_ = now;
+      AddOutcome(/*failed=*/true, now);
       avoid_until_ = std::max(avoid_until_, now + kShedPause);
       return;
     case EvidenceOf::kCancellation:
--- a/tests/backend_table_test.cc
+++ b/tests/backend_table_test.cc
@@ -122,6 +122,21 @@
   CHECK(chosen < 100);
 }
 
+// srv_grey, shed: half of the servers turn away four of ten requests while their health is good.
+// Each such call costs a repeat out of a small budget.
+TEST_CASE("a server that sheds a part of its calls gets few of them") {
+  Fixture f;
+  int chosen = 0;
+  for (int i = 0; i < 300; ++i) {
+    f.clock.Advance(milliseconds(40));
+    std::string id = f.Choose();
+    bool sheds = id == "s0a" && i % 5 < 2;
+    if (id == "s0a") ++chosen;
+    f.Call(id, milliseconds(5), sheds ? EvidenceOf::kShed : EvidenceOf::kAnswer);
+  }
+  CHECK(chosen < 100);
+}
+
 TEST_CASE("an avoided server is used when there is no other") {
   Fixture f(1);
   f.Call("s0a", milliseconds(1), EvidenceOf::kUnreachable);
