--- a/daemons/damaskrouted.cc
+++ b/daemons/damaskrouted.cc
@@ -23,7 +23,7 @@
 
 usage: damaskrouted --settings=FILE [--check]
 
-  --settings=FILE    settings file (YAML), see docs/operations.md
+  --settings=FILE    settings file (YAML), see docs/OPERATIONS.md
   --check            check the settings file, then exit
   --help, --version
 
--- a/include/damaskroute/forward/forward_run.h
+++ b/include/damaskroute/forward/forward_run.h
@@ -41,6 +41,9 @@
   const ForwardSpec& spec() const { return spec_; }
   const ForwardCounts& counts() const { return counts_; }
 
+  /// Shards that were left out from the start, as none of their servers could be used.
+  const std::vector<ServiceName>& left_out() const { return left_out_; }
+
  private:
   enum class PartState : std::uint8_t { kOpen, kDone, kFailed };
   struct Part {
@@ -90,6 +93,7 @@
   bool finished_ = false;
   TimePoint wake_at_ = TimePoint::max();
   ForwardCounts counts_;
+  std::vector<ServiceName> left_out_;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -73,6 +73,7 @@
   struct Exchange;
   struct OpenCall {
     std::shared_ptr<BackendClient> client;
+    BackendName backend;
     std::uint64_t id = 0;
     TimePoint sent;
   };
@@ -80,6 +81,7 @@
   void Carry(const std::shared_ptr<Exchange>& exchange, std::vector<ForwardAction> actions);
   void StartCall(const std::shared_ptr<Exchange>& exchange, SendCall send);
   void Wake(const std::shared_ptr<Exchange>& exchange, TimePoint at);
+  static std::string Unanswered(const Exchange& exchange);
   void Respond(const std::shared_ptr<Exchange>& exchange, ForwardAnswer answer);
   void RefuseWith(const CallerRequest& request, int status, const char* reason,
                   const HttpResponder& respond);
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -147,8 +147,8 @@
   void OnFailure(const absl::Status& error, bool watch, TimePoint sent, TimePoint now) {
     bool before = schedule_.in_outage();
     schedule_.OnFailure(now - sent, watch, now);
-    LogLine(LogLevel::kWarning,
-            schedule_.in_outage() && !before ? "store lost" : "store call failed")
+    if (schedule_.in_outage() && !before) LogLine(LogLevel::kWarning, "store lost");
+    LogLine(LogLevel::kWarning, "store call failed")
         .Field("call", watch ? "watch" : "read")
         .Field("error", ErrorText(error))
         .Field("took_ms",
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -65,16 +65,15 @@
 // Leaves out the shards that cannot come in before the objective, and refuses a query that would
 // have too few of them: its calls would only take room from queries that can be served.
 bool ForwardRun::RefuseAtOnce(TimePoint now, Actions& actions) {
-  std::size_t hopeless = 0;
   for (std::uint32_t i = 0; i < parts_.size(); ++i) {
     if (!IsHopeless(Choose(i, now))) continue;
     parts_[i].state = PartState::kFailed;
-    ++hopeless;
+    left_out_.push_back(spec_.services[i]);
   }
-  failed_ = hopeless;
-  if (parts_.size() - hopeless >= spec_.min_parts) return false;
+  failed_ = left_out_.size();
+  if (parts_.size() - failed_ >= spec_.min_parts) return false;
   ForwardAnswer answer;
-  answer.missing = hopeless;
+  answer.missing = failed_;
   answer.retry_after = RetryAfter(now);
   answer.reason = "too few backend servers can serve it in time";
   Finish(std::move(answer), now, actions);
--- a/src/forward/route_latency.cc
+++ b/src/forward/route_latency.cc
@@ -17,8 +17,9 @@
 }  // namespace
 
 RouteLatency::RouteLatency(std::chrono::milliseconds objective)
-    : usual_(objective.count() > 0 ? std::chrono::duration_cast<Duration>(objective * kObjectivePart)
-                                   : Duration(kUnknown)) {}
+    : usual_(objective.count() > 0
+                 ? std::chrono::duration_cast<Duration>(objective * kObjectivePart)
+                 : Duration(kUnknown)) {}
 
 void RouteLatency::Add(Duration latency) {
   samples_ = std::min(samples_ + 1, kSamples);
--- a/src/node/forward_front.cc
+++ b/src/node/forward_front.cc
@@ -165,13 +165,13 @@
 void ForwardFront::HandleMetrics(const HttpResponder& respond) const {
   Exposition page;
   service_.metrics().WriteTo(page);
-  page.Family("damask_forward_active_requests", "gauge", "Requests that are served now.");
+  page.Family("damaskroute_forward_active_requests", "gauge", "Requests that are served now.");
   page.Sample("", static_cast<double>(service_.active()));
-  page.Family("damask_forward_backends", "gauge", "Backend servers that are known.");
+  page.Family("damaskroute_forward_backends", "gauge", "Backend servers that are known.");
   page.Sample("", static_cast<double>(service_.backends().size()));
-  page.Family("damask_forward_routes_version", "gauge", "Version of the routes in force.");
+  page.Family("damaskroute_forward_routes_version", "gauge", "Version of the routes in force.");
   page.Sample("", static_cast<double>(service_.routes_version()));
-  page.Family("damask_forward_connects_total", "counter", "Connections opened to servers.");
+  page.Family("damaskroute_forward_connects_total", "counter", "Connections opened to servers.");
   page.Sample("", static_cast<double>(service_.pool().connects()));
   HttpResponse response;
   response.content_type = "text/plain; version=0.0.4";
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -7,6 +7,7 @@
 
 #include "damaskroute/log/log_line.h"
 #include "damaskroute/node/forward_call.h"
+#include "fmt/format.h"
 
 namespace damaskroute {
 namespace {
@@ -28,6 +29,20 @@
   return client;
 }
 
+// Cancelled calls that the log line of a request names.
+constexpr std::size_t kLoggedCalls = 8;
+
+// Names of services that a log line holds at most.
+constexpr std::size_t kLoggedServices = 8;
+
+std::string LeftOut(const ForwardRun& run) {
+  std::string text;
+  for (std::size_t i = 0; i < std::min(run.left_out().size(), kLoggedServices); ++i) {
+    text += run.left_out()[i] + "; ";
+  }
+  return text;
+}
+
 const char* OutcomeName(const ForwardAnswer& answer) {
   switch (answer.kind) {
     case AnswerKind::kPassedOn:
@@ -59,6 +74,7 @@
   ForwardRun run;
   std::unordered_map<std::uint32_t, OpenCall> calls;
   asio::steady_timer timer;
+  std::vector<std::pair<BackendName, Duration>> cancelled;  // Their ages, for the log.
   std::string failures;  // Short text on the calls that failed, for the log.
 };
 
@@ -132,6 +148,9 @@
       OpenCall call = std::move(found->second);
       exchange->calls.erase(found);
       call.client->Cancel(call.id);
+      if (exchange->cancelled.size() < kLoggedCalls) {
+        exchange->cancelled.emplace_back(call.backend, Now() - call.sent);
+      }
     } else if (auto* wake = std::get_if<WakeAt>(&action)) {
       Wake(exchange, wake->at);
     } else if (auto* answer = std::get_if<Answer>(&action)) {
@@ -144,6 +163,7 @@
   TimePoint now = Now();
   OpenCall& call = exchange->calls[send.call];
   call.client = pool_.For(send.backend);
+  call.backend = send.backend->entry.id;
   call.sent = now;
   // The client is shared, so that it outlives its place in the pool while the call runs.
   call.id = call.client->Start(
@@ -178,9 +198,20 @@
   });
 }
 
+// The servers whose answers were not waited for, with the age of the call: the cancellations come
+// before the answer.
+std::string ForwardService::Unanswered(const Exchange& exchange) {
+  std::string text;
+  for (const auto& [backend, age] : exchange.cancelled) {
+    text += fmt::format("{}: {} us; ", backend, Microseconds(age));
+  }
+  return text;
+}
+
 void ForwardService::Respond(const std::shared_ptr<Exchange>& exchange, ForwardAnswer answer) {
   exchange->timer.cancel();
   const char* outcome = OutcomeName(answer);
+  std::string unanswered = Unanswered(*exchange);
   Duration latency = Now() - exchange->request.received;
   metrics_.request_latency.Record(latency);
   Count(*exchange, outcome);
@@ -200,6 +231,8 @@
       .Field("over_budget", counts.over_budget)
       .Field("without_room", counts.without_room)
       .Field("failures", exchange->failures)
+      .Field("unanswered", unanswered)
+      .Field("left_out", LeftOut(exchange->run))
       .Field("routes_version", exchange->routes->document().version)
       .Field("routes_age_us", Microseconds(Now() - routes_since_));
   if (exchange->presence) exchange->presence->on_gone = nullptr;
--- a/src/node/reach_prober.cc
+++ b/src/node/reach_prober.cc
@@ -32,6 +32,11 @@
   if (backend->gone || probed_.contains(backend.get())) return;
   auto probe = std::make_shared<Probe>(loop_, backend);
   probed_.emplace(backend.get(), probe);
+  LogLine(LogLevel::kInfo, "backend server not reached")
+      .Field("backend", backend->entry.id)
+      .Field("service", backend->entry.service)
+      .Field("zone", backend->entry.zone)
+      .Field("outstanding", backend->evidence.outstanding());
   Wait(probe);
 }
 
@@ -57,8 +62,7 @@
     probed_.erase(probe->backend.get());
     LogLine(LogLevel::kInfo, "backend server reached again")
         .Field("backend", probe->backend->entry.id)
-        .Field("away_ms",
-               std::chrono::duration_cast<milliseconds>(now - probe->since).count());
+        .Field("away_ms", std::chrono::duration_cast<milliseconds>(now - probe->since).count());
   });
 }
 
--- a/tests/operations_doc_test.cc
+++ b/tests/operations_doc_test.cc
@@ -19,7 +19,7 @@
 
 constexpr char kSources[] = DAMASKROUTE_SOURCE_DIR;
 constexpr char kDirectory[] = DAMASKROUTE_BINARY_DIR "/operations_doc";
-constexpr char kPage[] = DAMASKROUTE_SOURCE_DIR "/docs/operations.md";
+constexpr char kPage[] = DAMASKROUTE_SOURCE_DIR "/docs/OPERATIONS.md";
 constexpr KeyRange kLowHalf{0, kKeySpaceSize / 2};
 constexpr KeyRange kHighHalf{kKeySpaceSize / 2, kKeySpaceSize};
 
@@ -186,7 +186,7 @@
 };
 
 // Guards against commands on the page that do not work, or that end otherwise than it says.
-TEST_CASE("each damaskctl command of docs/operations.md has the exit code that the page states") {
+TEST_CASE("each damaskctl command of docs/OPERATIONS.md has the exit code that the page states") {
   std::vector<Command> commands = ReadCommands();
   REQUIRE(commands.size() >= 20);
   Deployment deployment;
@@ -198,7 +198,7 @@
 }
 
 // Guards against a settings example that the program refuses, and against missing keys.
-TEST_CASE("the settings of docs/operations.md are valid and in its table") {
+TEST_CASE("the settings of docs/OPERATIONS.md are valid and in its table") {
   std::filesystem::path directory(kDirectory);
   std::filesystem::create_directories(directory);
   WriteText(directory / "token", "operators-secret-0123\n");
