--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,7 +5,7 @@
 if (($#)); then
   files=("$@")
 else
-  mapfile -t files < <(git ls-files 'src/*.cc' 'standins/*.cc' 'daemons/*.cc' 'tools/*.cc' \
+  mapfile -t files < <(git ls-files 'src/*.cc' 'platform/*.cc' 'standins/*.cc' 'daemons/*.cc' 'tools/*.cc' \
     'benchmark/*.cc')
 fi
 printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p build/release \
--- a/standins/http_connection.cc
+++ b/standins/http_connection.cc
@@ -86,6 +86,16 @@
                                                 std::size_t) { self->OnWritten(write_error); });
 }
 
+void HttpConnection::RespondRaw(std::string bytes, bool close) {
+  on_peer_closed_ = nullptr;
+  if (closed_) return;
+  if (close) keep_alive_ = false;
+  output_ = std::move(bytes);
+  asio::async_write(socket_, asio::buffer(output_),
+                    [self = shared_from_this()](const boost::system::error_code& write_error,
+                                                std::size_t) { self->OnWritten(write_error); });
+}
+
 void HttpConnection::OnWritten(const boost::system::error_code& error) {
   if (closed_) return;
   if (error || !keep_alive_) {
--- a/standins/http_connection.h
+++ b/standins/http_connection.h
@@ -47,6 +47,10 @@
   /// Does nothing on a closed connection.
   void Respond(int status, std::string_view headers, std::string_view body);
 
+  /// Sends `bytes` as they are in place of an answer, and closes the connection after them if
+  /// `close`.
+  void RespondRaw(std::string bytes, bool close);
+
   /// Closes with TCP RST, without an answer.
   void Reset();
 
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -19,6 +19,7 @@
 #include "standins/loop.h"
 #include "standins/platform_standin.h"
 #include "tests/support/http_call.h"
+#include "tests/support/stable_endpoint.h"
 
 namespace damaskroute::testing {
 
@@ -33,24 +34,6 @@
   return false;
 }
 
-/// A port that is free for TCP and UDP and below the range from which the kernel takes the ports of
-/// outgoing connections, so that a node that restarts finds its port free.
-inline Endpoint StableEndpoint() {
-  static std::atomic<int> next{static_cast<int>(getpid()) * 131 % 16000};
-  for (;;) {
-    auto port = static_cast<std::uint16_t>(12000 + next++ % 16000);
-    asio::io_context context;
-    boost::system::error_code error;
-    asio::ip::tcp::acceptor tcp(context);
-    asio::ip::udp::socket udp(context);
-    tcp.open(asio::ip::tcp::v4());
-    tcp.bind({asio::ip::make_address("127.0.0.1"), port}, error);
-    if (!error) udp.open(asio::ip::udp::v4(), error);
-    if (!error) udp.bind({asio::ip::make_address("127.0.0.1"), port}, error);
-    if (!error) return {"127.0.0.1", port};
-  }
-}
-
 /// Entry nodes and stand-in backend servers in one process, over real sockets on loopback. The
 /// configuration and the roster are installed directly, or with `UseStore` come from a stand-in of
 /// the platform.
