--- a/include/damaskroute/forward/forward_run.h
+++ b/include/damaskroute/forward/forward_run.h
@@ -11,6 +11,7 @@
 #include "damaskroute/forward/forward_counts.h"
 #include "damaskroute/forward/forward_policies.h"
 #include "damaskroute/forward/forward_spec.h"
+#include "damaskroute/forward/overload_limit.h"
 
 namespace damaskroute {
 
@@ -41,6 +42,9 @@
   const ForwardSpec& spec() const { return spec_; }
   const ForwardCounts& counts() const { return counts_; }
 
+  /// What the run tells about the load, once it has ended.
+  LoadSign load_sign() const { return load_sign_; }
+
   /// Shards that were left out from the start, as none of their servers could be used.
   const std::vector<ServiceName>& left_out() const { return left_out_; }
 
@@ -50,6 +54,7 @@
     PartState state = PartState::kOpen;
     int attempts = 0;  // Calls whose server may have run the request.
     int open_calls = 0;
+    bool strained = false;                  // Shed, or late by half of the time wanted.
     TimePoint check_at = TimePoint::max();  // When the open call may be late.
     std::vector<std::shared_ptr<Backend>> tried;
     std::optional<CallResult> result;  // Of a finished part, or the last error of a server.
@@ -77,6 +82,8 @@
   void CheckCopy(std::uint32_t part, TimePoint now, Actions& actions);
   TimePoint LateAt(const Call& call) const;
   const Call* OldestOpenCall(std::uint32_t part) const;
+  bool IsLateFor(TimePoint now) const;
+  LoadSign SignOf(const ForwardAnswer& answer, TimePoint now) const;
   void Conclude(TimePoint now, Actions& actions);
   void FinishQuery(TimePoint now, Actions& actions);
   void Finish(ForwardAnswer answer, TimePoint now, Actions& actions);
@@ -94,6 +101,8 @@
   TimePoint wake_at_ = TimePoint::max();
   ForwardCounts counts_;
   std::vector<ServiceName> left_out_;
+  TimePoint started_;
+  LoadSign load_sign_ = LoadSign::kNone;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/node/forward_metrics.h
+++ b/include/damaskroute/node/forward_metrics.h
@@ -15,7 +15,7 @@
 /// Counters and latencies of the forwarding path of one node.
 struct ForwardMetrics {
   /// Answers by outcome: `passed_on`, `merged`, `partial`, `refused`, `failed`, `timed_out`,
-  /// `abandoned`, `not_found`, `not_ready`.
+  /// `abandoned`, `not_found`, `turned_away`.
   std::map<std::string, std::uint64_t> answers;
   std::map<std::string, std::uint64_t> failed_calls;  ///< By reason.
   ForwardCounts counts;
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -84,7 +84,10 @@
   static std::string Unanswered(const Exchange& exchange);
   void Respond(const std::shared_ptr<Exchange>& exchange, ForwardAnswer answer);
   void RefuseWith(const CallerRequest& request, int status, const char* reason,
-                  const HttpResponder& respond);
+                  const HttpResponder& respond, std::chrono::milliseconds retry_after);
+  std::chrono::milliseconds ReturnTime(Duration patience);
+  bool AdmitQuery(Exchange& exchange);
+  void ReleaseQuery(Exchange& exchange);
   void OnCallerGone(const std::shared_ptr<Exchange>& exchange);
   void Count(const Exchange& exchange, const std::string& outcome);
   void Drop(const BackendName& id, const char* reason);
@@ -95,6 +98,7 @@
   const ForwardProtocol protocol_;
   std::shared_ptr<const RouteTable> routes_;
   TimePoint routes_since_;
+  Random random_;
   BackendDirectory directory_;
   BackendTable backends_;
   BackendPool pool_;
@@ -103,6 +107,7 @@
   int nodes_ = 1;
   std::unordered_map<ServiceName, ExtraBudget> budgets_;
   std::unordered_map<std::string, WeightedSplit> splits_;    // By route.
+  std::unordered_map<std::uint64_t, OverloadLimit> limits_;  // By set of shards.
   std::unordered_map<std::string, RouteLatency> latencies_;  // By route.
   std::set<std::shared_ptr<Exchange>> active_;
   asio::steady_timer expiry_timer_;
--- a/include/damaskroute/node/forward_service_options.h
+++ b/include/damaskroute/node/forward_service_options.h
@@ -17,8 +17,8 @@
   std::chrono::milliseconds connect_timeout{60};
   /// After which the kernel gives up a silent connection to a backend server.
   std::chrono::milliseconds silence_timeout{3000};
-  /// Retry-After of a node that has no routes yet.
-  std::chrono::milliseconds not_ready_retry{300};
+  /// Retry-After of a node that has no routes yet, or too many queries.
+  std::chrono::milliseconds refusal_retry{300};
 };
 
 }  // namespace damaskroute
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -16,6 +16,9 @@
 // Calls for one part, however they end. Bounds the search for a server while all are unreachable.
 constexpr std::size_t kMaxTries = 6;
 
+// Share of the shards that must be strained at once for the load to be too high.
+constexpr double kStrainedShare = 0.8;
+
 // An open call is looked at again after this time if its server has become silent meanwhile.
 constexpr std::chrono::milliseconds kCheckInterval{5};
 
@@ -46,6 +49,7 @@
 
 std::vector<ForwardAction> ForwardRun::Start(TimePoint now) {
   Actions actions;
+  started_ = now;
   for (const ServiceName& service : spec_.services) {
     policies_.budgets[service].OnRequest(policies_.budget_options, now);
   }
@@ -115,6 +119,7 @@
     --part.attempts;
   }
   if (part.state != PartState::kOpen) return actions;
+  if (result.end == CallEnd::kNotRun || IsLateFor(now)) part.strained = true;
   if (result.end == CallEnd::kAnswered) {
     part.state = PartState::kDone;
     part.result = std::move(result);
@@ -289,8 +294,26 @@
   return answer;
 }
 
+// A few strained shards mean slow servers, which are left to the choice of servers; many at once
+// mean too much load.
+LoadSign ForwardRun::SignOf(const ForwardAnswer& answer, TimePoint now) const {
+  if (!spec_.query || calls_.empty() || spec_.answer_by == TimePoint::max()) return LoadSign::kNone;
+  auto strained = std::count_if(parts_.begin(), parts_.end(), [&](const Part& part) {
+    return part.strained || (part.state == PartState::kOpen && IsLateFor(now));
+  });
+  bool many = static_cast<double>(strained) >= kStrainedShare * static_cast<double>(parts_.size());
+  bool whole = answer.kind == AnswerKind::kMerged && now <= spec_.answer_by;
+  if (many) return LoadSign::kStrained;
+  return whole ? LoadSign::kFine : LoadSign::kNone;
+}
+
+bool ForwardRun::IsLateFor(TimePoint now) const {
+  return spec_.answer_by != TimePoint::max() && now - started_ > (spec_.answer_by - started_) / 2;
+}
+
 void ForwardRun::Finish(ForwardAnswer answer, TimePoint now, Actions& actions) {
   finished_ = true;
+  load_sign_ = SignOf(answer, now);
   for (std::uint32_t i = 0; i < calls_.size(); ++i) {
     if (calls_[i].open) Cancel(i, now, actions);
   }
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "damaskroute/core/hash.h"
 #include "damaskroute/log/log_line.h"
 #include "damaskroute/node/forward_call.h"
 #include "fmt/format.h"
@@ -43,6 +44,13 @@
   return text;
 }
 
+// When callers that a full limit turned away may come back, as a part of their patience. They
+// honour up to a third of it.
+constexpr double kLeastReturnPart = 0.15;
+constexpr double kMostReturnPart = 0.3;
+constexpr std::chrono::milliseconds kLeastReturn{50};
+constexpr std::chrono::milliseconds kMostReturn{1000};
+
 const char* OutcomeName(const ForwardAnswer& answer) {
   switch (answer.kind) {
     case AnswerKind::kPassedOn:
@@ -72,6 +80,7 @@
   std::shared_ptr<const RouteTable> routes;  // Keeps `route` alive.
   const Route* route = nullptr;
   ForwardRun run;
+  OverloadLimit* limit = nullptr;  // Of the set of shards, while the query holds a place in it.
   std::unordered_map<std::uint32_t, OpenCall> calls;
   asio::steady_timer timer;
   std::vector<std::pair<BackendName, Duration>> cancelled;  // Their ages, for the log.
@@ -83,6 +92,7 @@
     : loop_(loop),
       options_(std::move(options)),
       protocol_(std::move(protocol)),
+      random_(options_.seed),
       backends_(options_.backends, options_.seed),
       pool_(loop, ClientOptions(options_, protocol_)),
       prober_(loop, pool_),
@@ -94,8 +104,10 @@
   auto presence = http_request.presence;
   CallerRequest request = ReadCallerRequest(std::move(http_request), protocol_);
   const Route* route = routes_ ? routes_->Find(request.host, request.target) : nullptr;
-  if (!routes_) return RefuseWith(request, 503, "no routes are known yet", respond);
-  if (route == nullptr) return RefuseWith(request, 404, "no route matches", respond);
+  if (!routes_) {
+    return RefuseWith(request, 503, "no routes are known yet", respond, options_.refusal_retry);
+  }
+  if (route == nullptr) return RefuseWith(request, 404, "no route matches", respond, {});
   ServiceName service;
   if (!route->targets.empty()) {
     service = route->targets[splits_[route->name].Next(route->targets)].service;
@@ -111,6 +123,10 @@
   exchange->presence = std::move(presence);
   exchange->routes = routes_;
   exchange->route = route;
+  if (!AdmitQuery(*exchange)) {
+    return RefuseWith(exchange->request, 503, "too many queries", exchange->respond,
+                      ReturnTime(deadline - exchange->request.received));
+  }
   active_.insert(exchange);
   if (exchange->presence) {
     exchange->presence->on_gone = [this, weak = std::weak_ptr<Exchange>(exchange)] {
@@ -120,20 +136,52 @@
   Carry(exchange, exchange->run.Start(Now()));
 }
 
+// Callers of a crowd are told different times, so that they do not come back as a crowd.
+std::chrono::milliseconds ForwardService::ReturnTime(Duration patience) {
+  double part = kLeastReturnPart + (kMostReturnPart - kLeastReturnPart) * random_.Unit();
+  auto time = std::chrono::duration_cast<std::chrono::milliseconds>(patience * part);
+  return std::clamp(time, kLeastReturn, kMostReturn);
+}
+
+// Queries over the same shards share a limit; the most urgent route among them comes first.
+bool ForwardService::AdmitQuery(Exchange& exchange) {
+  const Route& route = *exchange.route;
+  if (route.shards.empty()) return true;
+  std::uint64_t key = 0;
+  for (const ServiceName& shard : route.shards) key = Hash64(shard, key);
+  bool urgent =
+      std::none_of(routes_->document().routes.begin(), routes_->document().routes.end(),
+                   [&](const Route& other) {
+                     return other.priority < route.priority && other.shards == route.shards;
+                   });
+  OverloadLimit& limit = limits_[key];
+  if (!limit.TryStart(urgent)) return false;
+  exchange.limit = &limit;
+  return true;
+}
+
+void ForwardService::ReleaseQuery(Exchange& exchange) {
+  if (exchange.limit == nullptr) return;
+  exchange.limit->OnEnd(exchange.run.load_sign(), Now());
+  exchange.limit = nullptr;
+}
+
 void ForwardService::Refuse(HttpRequest request, const char* reason, const HttpResponder& respond) {
-  RefuseWith(ReadCallerRequest(std::move(request), protocol_), 503, reason, respond);
+  RefuseWith(ReadCallerRequest(std::move(request), protocol_), 503, reason, respond,
+             options_.refusal_retry);
 }
 
 void ForwardService::RefuseWith(const CallerRequest& request, int status, const char* reason,
-                                const HttpResponder& respond) {
-  ++metrics_.answers[status == 404 ? "not_found" : "not_ready"];
+                                const HttpResponder& respond,
+                                std::chrono::milliseconds retry_after) {
+  ++metrics_.answers[status == 404 ? "not_found" : "turned_away"];
   LogLine(LogLevel::kInfo, "request refused")
       .Field("request", request.id)
       .Field("host", request.host)
       .Field("target", request.target)
+      .Field("status", status)
       .Field("reason", reason)
       .Field("routes_version", routes_version());
-  auto retry_after = status == 404 ? std::chrono::milliseconds(0) : options_.not_ready_retry;
   respond(MakeForwardRefusal(request, status, reason, retry_after, protocol_));
 }
 
@@ -210,6 +258,7 @@
 
 void ForwardService::Respond(const std::shared_ptr<Exchange>& exchange, ForwardAnswer answer) {
   exchange->timer.cancel();
+  ReleaseQuery(*exchange);
   const char* outcome = OutcomeName(answer);
   std::string unanswered = Unanswered(*exchange);
   Duration latency = Now() - exchange->request.received;
@@ -250,6 +299,7 @@
       .Field("route", exchange->route->name)
       .Field("waited_us", Microseconds(Now() - exchange->request.received));
   Carry(exchange, exchange->run.Abandon(Now()));
+  ReleaseQuery(*exchange);
   active_.erase(exchange);
   // The connection is closed by the server once it tries to send this.
   exchange->respond(MakeForwardRefusal(exchange->request, 504, "the caller left", {}, protocol_));
