Send no copies of late calls while the load is too high

Cause: copies of calls that wait in full queues only lengthen them. Change: after a strained query no copies go out for 0.4 s; failed calls are still repeated.

--- a/include/damaskroute/forward/forward_run.h
+++ b/include/damaskroute/forward/forward_run.h
@@ -23,6 +23,9 @@
   ForwardRun(const ForwardRun&) = delete;
   ForwardRun& operator=(const ForwardRun&) = delete;
 
+  /// Late calls get no copies. Call before `Start`.
+  void ForbidCopies() { spec_.copy_after = Duration::max(); }
+
   /// Sends the first calls. Call once, before any other event.
   std::vector<ForwardAction> Start(TimePoint now);
 
@@ -90,7 +93,7 @@
   ForwardAnswer Shortfall(AnswerKind kind_if_run, const char* reason, TimePoint now) const;
   void ScheduleWake(Actions& actions);
 
-  const ForwardSpec spec_;
+  ForwardSpec spec_;
   ForwardPolicies policies_;
   std::vector<Part> parts_;
   std::vector<Call> calls_;  // Position is the number of the call.
--- a/include/damaskroute/forward/overload_limit.h
+++ b/include/damaskroute/forward/overload_limit.h
@@ -26,6 +26,9 @@
 
   void OnEnd(LoadSign sign, TimePoint now);
 
+  /// Whether the load was too high a moment ago. Copies of late calls would then only add to it.
+  bool IsPressed(TimePoint now) const { return now < pressed_until_; }
+
   double limit() const { return limit_; }
   int in_progress() const { return in_progress_; }
 
@@ -35,6 +38,7 @@
   double limit_ = kInitial;
   int in_progress_ = 0;
   TimePoint next_decrease_;
+  TimePoint pressed_until_;
 };
 
 }  // namespace damaskroute
--- a/src/forward/overload_limit.cc
+++ b/src/forward/overload_limit.cc
@@ -12,6 +12,9 @@
 // long as a query takes.
 constexpr std::chrono::milliseconds kDecreasePause{80};
 
+// How long the load counts as too high after a strained query.
+constexpr std::chrono::milliseconds kPressed{400};
+
 // Above the limit of this size nothing is decided any more; it bounds the way down when a crowd
 // comes.
 constexpr double kMost = 64;
@@ -36,6 +39,7 @@
   if (sign == LoadSign::kFine && in_use) limit_ = std::min(limit_ + 1 / limit_, kMost);
   if (sign != LoadSign::kStrained || now < next_decrease_) return;
   next_decrease_ = now + kDecreasePause;
+  pressed_until_ = now + kPressed;
   limit_ = std::max(std::min<double>(limit_, before) * kDecrease, kLeast);
 }
 
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -157,6 +157,7 @@
   OverloadLimit& limit = limits_[key];
   if (!limit.TryStart(urgent)) return false;
   exchange.limit = &limit;
+  if (limit.IsPressed(Now())) exchange.run.ForbidCopies();
   return true;
 }
 
--- a/tests/forward_run_test.cc
+++ b/tests/forward_run_test.cc
@@ -246,6 +246,15 @@
   CHECK(w.sent.size() == 1);
 }
 
+TEST_CASE("while the load is too high, late calls get no copies but failed ones are repeated") {
+  ForwardWorld w(2);
+  w.Begin(w.Query(2, 2), /*copies=*/false);
+  w.End("s1a", CallEnd::kNotRun);
+  CHECK(w.IsOpen("s1b"));
+  w.Advance(milliseconds(60));
+  CHECK_FALSE(w.IsOpen("s0b"));
+}
+
 TEST_CASE("a process that ends answers with what is there") {
   ForwardWorld w(4);
   w.Begin(w.Query(4, 3));
--- a/tests/overload_limit_test.cc
+++ b/tests/overload_limit_test.cc
@@ -100,8 +100,8 @@
   }
 };
 
-// deploy/days/crowds.toml: 2.5 times the traffic with clients that repeat at once. Without the limit
-// the queues are always full, and hardly any query gets all the parts that it needs.
+// deploy/days/crowds.toml: 2.5 times the traffic with clients that repeat at once. Without the
+// limit the queues are always full, and hardly any query gets all the parts that it needs.
 TEST_CASE("a crowd that repeats at once leaves most of the capacity to queries in time") {
   Crowd crowd;
   double with = crowd.Goodput(2.5, true);
@@ -145,6 +145,17 @@
   CHECK(limit.limit() == after_first);
 }
 
+TEST_CASE("the load counts as too high for a moment after a strained query") {
+  OverloadLimit limit;
+  ManualClock clock;
+  REQUIRE(limit.TryStart(true));
+  CHECK_FALSE(limit.IsPressed(clock.Now()));
+  limit.OnEnd(LoadSign::kStrained, clock.Now());
+  CHECK(limit.IsPressed(clock.Now()));
+  clock.Advance(seconds(1));
+  CHECK_FALSE(limit.IsPressed(clock.Now()));
+}
+
 TEST_CASE("less urgent queries leave a part of the limit to urgent ones") {
   OverloadLimit limit;
   int others = 0;
--- a/tests/support/forward_world.h
+++ b/tests/support/forward_world.h
@@ -62,9 +62,10 @@
     return spec;
   }
 
-  void Begin(ForwardSpec spec) {
+  void Begin(ForwardSpec spec, bool copies = true) {
     run = std::make_unique<ForwardRun>(std::move(spec),
                                        ForwardPolicies{table, budgets, budget_options, latency});
+    if (!copies) run->ForbidCopies();
     Take(run->Start(clock.Now()));
   }
 
