--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -22,6 +22,11 @@
 // An open call is looked at again after this time if its server has become silent meanwhile.
 constexpr std::chrono::milliseconds kCheckInterval{5};
 
+// A copy at a server that is silent as well would not come back sooner.
+bool MayTakeCopy(const BackendChoice& choice, TimePoint now) {
+  return choice.standing <= BackendStanding::kDoubtful && !choice.backend->evidence.IsStalled(now);
+}
+
 EvidenceOf EvidenceFrom(CallEnd end) {
   switch (end) {
     case CallEnd::kAnswered:
@@ -155,7 +160,7 @@
     ++counts_.without_room;
     return false;
   }
-  if (kind == CallKind::kCopy && choice.standing != BackendStanding::kGood) return false;
+  if (kind == CallKind::kCopy && !MayTakeCopy(choice, now)) return false;
   if (kind != CallKind::kFirst) {
     auto extra = kind == CallKind::kCopy ? ExtraKind::kCopy : ExtraKind::kRepeat;
     ExtraBudget& budget = policies_.budgets[spec_.services[index]];
--- a/src/forward/forward_spec.cc
+++ b/src/forward/forward_spec.cc
@@ -14,7 +14,7 @@
 
 // Time kept for merging and for the way back to the caller: two one-way delays of 1 ms, and the
 // scheduling delay of a small machine.
-constexpr std::chrono::milliseconds kReturnTime{10};
+constexpr std::chrono::milliseconds kReturnTime{6};
 
 // Rounding error of the share of parts.
 constexpr double kShareEpsilon = 1e-9;
--- a/src/http/response_reader.cc
+++ b/src/http/response_reader.cc
@@ -14,8 +14,6 @@
 // A stated length is not trusted beyond this size.
 constexpr std::uint64_t kMaxReservedBytes = 256 << 10;
 
-constexpr std::string_view kPrefix = "Damask-";
-
 template <typename T>
 T NumberOr(std::string_view text, T fallback) {
   T value{};
