--- a/include/damaskroute/node/forward_front.h
+++ b/include/damaskroute/node/forward_front.h
@@ -52,7 +52,6 @@
   void End();
   void HandleCaller(HttpRequest request, HttpResponder respond);
 
-  asio::io_context& loop_;
   ForwardNodeSettings settings_;
   ForwardService service_;
   HttpServer callers_;
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -79,7 +79,7 @@
   };
 
   void Carry(const std::shared_ptr<Exchange>& exchange, std::vector<ForwardAction> actions);
-  void StartCall(const std::shared_ptr<Exchange>& exchange, SendCall send);
+  void StartCall(const std::shared_ptr<Exchange>& exchange, const SendCall& send);
   void Wake(const std::shared_ptr<Exchange>& exchange, TimePoint at);
   static std::string Unanswered(const Exchange& exchange);
   void Respond(const std::shared_ptr<Exchange>& exchange, ForwardAnswer answer);
--- a/src/forward/forward_spec.cc
+++ b/src/forward/forward_spec.cc
@@ -12,9 +12,12 @@
 // Plain requests have a wider spread of work, and one call in place of many.
 constexpr double kPlainCopyAfterPart = 0.5;
 
-// Time kept for merging and for the way back to the caller: two one-way delays of 1 ms, and the
-// scheduling delay of a small machine.
-constexpr std::chrono::milliseconds kReturnTime{6};
+// Time kept for the way back to the caller: two one-way delays of 1 ms, and the scheduling delay of
+// a small machine.
+constexpr std::chrono::milliseconds kReturnTime{5};
+
+// Time kept for merging the part of one shard and ending its call: 20 us on a third of a core.
+constexpr std::chrono::microseconds kReturnTimePerShard{60};
 
 // Rounding error of the share of parts.
 constexpr double kShareEpsilon = 1e-9;
@@ -35,7 +38,8 @@
   spec.deadline = deadline;
   if (route.objective.count() > 0) {
     spec.copy_after = Part(route.objective, spec.query ? kCopyAfterPart : kPlainCopyAfterPart);
-    spec.answer_by = received + route.objective - kReturnTime;
+    auto shards = static_cast<std::int64_t>(route.shards.size());
+    spec.answer_by = received + route.objective - kReturnTime - shards * kReturnTimePerShard;
   }
   if (spec.query) {
     double least = route.min_coverage * static_cast<double>(route.shards.size());
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -189,11 +189,13 @@
                          if (error || self->abort_reason.has_value()) return self->Fail(error);
                          self->connecting = false;
                          self->deadline = final_deadline;
-                         if (final_deadline < self->state->timer_at)
+                         if (final_deadline < self->state->timer_at) {
                            self->state->ArmTimer(final_deadline);
+                         }
                          self->SetSocketOptions();
-                         if (self->request.empty())
+                         if (self->request.empty()) {
                            return self->Finish({.end = ExchangeEnd::kAnswered}, true);
+                         }
                          self->Write();
                        });
 }
--- a/src/node/forward_front.cc
+++ b/src/node/forward_front.cc
@@ -72,8 +72,7 @@
 
 ForwardFront::ForwardFront(asio::io_context& loop, const ForwardNodeSettings& settings,
                            const ForwardProtocol& protocol, std::uint64_t seed)
-    : loop_(loop),
-      settings_(settings),
+    : settings_(settings),
       service_(loop,
                {.backends = {.own_zone = settings.zone,
                              .cold_overshoot = settings.cold_overshoot,
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -190,7 +190,7 @@
                            std::vector<ForwardAction> actions) {
   for (ForwardAction& action : actions) {
     if (auto* send = std::get_if<SendCall>(&action)) {
-      StartCall(exchange, std::move(*send));
+      StartCall(exchange, *send);
     } else if (auto* cancel = std::get_if<CancelCall>(&action)) {
       auto found = exchange->calls.find(cancel->call);
       if (found == exchange->calls.end()) continue;
@@ -208,7 +208,7 @@
   }
 }
 
-void ForwardService::StartCall(const std::shared_ptr<Exchange>& exchange, SendCall send) {
+void ForwardService::StartCall(const std::shared_ptr<Exchange>& exchange, const SendCall& send) {
   TimePoint now = Now();
   OpenCall& call = exchange->calls[send.call];
   call.client = pool_.For(send.backend);
