--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -71,7 +71,8 @@
            Row{R"({"version":1,"routes":[{"name":"a","host":"b","prefix":"/","type":"idempotent",)"
                R"("timeoutMs":1,"fanout":[1]}]})",
                "fanout"},
-           Row{R"({"version":1,"services":[{"name":"a","maxConnections":1e99}]})", "maxConnections"},
+           Row{R"({"version":1,"services":[{"name":"a","maxConnections":1e99}]})",
+               "maxConnections"},
            Row{R"({"version":1,"services":[{"name":"a","warmupS":-4}]})", "warmupS"},
            Row{R"({"version":1,"limits":{"maxBodyBytes":0}})", "maxBodyBytes"},
        }) {
