--- a/tests/support/stable_endpoint.h
+++ b/standins/stable_endpoint.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_SUPPORT_STABLE_ENDPOINT_H_
-#define TESTS_SUPPORT_STABLE_ENDPOINT_H_
+#ifndef STANDINS_STABLE_ENDPOINT_H_
+#define STANDINS_STABLE_ENDPOINT_H_
 
 #include <unistd.h>
 
@@ -9,7 +9,7 @@
 #include "damaskroute/core/asio.h"
 #include "damaskroute/core/endpoint.h"
 
-namespace damaskroute {
+namespace damaskroute::standins {
 
 /// A port that is free for TCP and UDP and below the range from which the kernel takes the ports of
 /// outgoing connections, so that a node that restarts finds its port free.
@@ -29,6 +29,6 @@
   }
 }
 
-}  // namespace damaskroute
+}  // namespace damaskroute::standins
 
-#endif  // TESTS_SUPPORT_STABLE_ENDPOINT_H_
+#endif  // STANDINS_STABLE_ENDPOINT_H_
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -18,8 +18,8 @@
 #include "standins/backend_standin.h"
 #include "standins/loop.h"
 #include "standins/platform_standin.h"
+#include "standins/stable_endpoint.h"
 #include "tests/support/http_call.h"
-#include "tests/support/stable_endpoint.h"
 
 namespace damaskroute::testing {
 
@@ -56,8 +56,8 @@
   /// Configuration and roster go through a store. Call before `AddNode`.
   standins::PlatformStandin& UseStore(const standins::PlatformOptions& options = {}) {
     InitializeHttpThreads();
-    platform_ =
-        std::make_unique<standins::PlatformStandin>(platform_loop_, StableEndpoint(), options);
+    platform_ = std::make_unique<standins::PlatformStandin>(platform_loop_,
+                                                            standins::StableEndpoint(), options);
     (void)platform_->Start();
     return *platform_;
   }
@@ -69,10 +69,10 @@
     settings.node = name;
     settings.zone = zone;
     settings.loops = 2;
-    settings.callers = StableEndpoint();
-    settings.operators = StableEndpoint();
+    settings.callers = standins::StableEndpoint();
+    settings.operators = standins::StableEndpoint();
     settings.operator_token = "operators-secret-0123";
-    settings.peers = StableEndpoint();
+    settings.peers = standins::StableEndpoint();
     if (platform_) settings.store = platform_->endpoint();
     settings.peer_keys.current = {1, "0123456789abcdef0123456789abcdef"};
     settings.drain_time = std::chrono::milliseconds(0);
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -15,8 +15,8 @@
 #include "platform/standins/server_standin.h"
 #include "platform/standins/store_standin.h"
 #include "platform/wire_names.h"
+#include "standins/stable_endpoint.h"
 #include "tests/http_test_client.h"
-#include "tests/support/stable_endpoint.h"
 
 namespace damaskroute {
 
@@ -70,9 +70,9 @@
   void StartNode() {
     settings.node = "node-1";
     settings.zone = "a";
-    settings.callers = StableEndpoint();
-    settings.ready = StableEndpoint();
-    settings.metrics = StableEndpoint();
+    settings.callers = standins::StableEndpoint();
+    settings.ready = standins::StableEndpoint();
+    settings.metrics = standins::StableEndpoint();
     settings.ready_path = platform::kReadyPath;
     settings.store = store.endpoint();
     settings.grace = std::chrono::milliseconds(1500);
