--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,7 +5,8 @@
 cd "$(dirname "$0")/.."
 ./scripts/install_packages.sh
 cmake --preset release >/dev/null
-cmake --build --preset release --target damaskrouted damaskctl damask_standin damaskbench
+cmake --build --preset release --target damaskrouted damaskctl damask_standin damaskbench \
+  damaskroute_node damask_soak
 source scripts/cluster.sh
 dir=$(mktemp -d)
 trap 'stop_cluster; [[ -n "${KEEP:-}" ]] || rm -rf "$dir"' EXIT
@@ -45,3 +46,6 @@
 ctl status
 ctl history
 ctl burn
+
+echo "== the nodes of the users' platform, with random faults for 5 s"
+build/release/damask_soak --folder="$dir/platform" --seed=1 --seconds=5
