--- a/include/damaskroute/forward/cold_gate.h
+++ b/include/damaskroute/forward/cold_gate.h
@@ -12,8 +12,11 @@
 /// part of the server's limit, so the sum holds without any message between nodes.
 class ColdGate {
  public:
-  /// The server is cold until `until` and takes `node_rate` calls per second from this node.
-  void SetCold(TimePoint until, double node_rate);
+  /// The server is cold until `until`.
+  void SetCold(TimePoint until) { cold_until_ = until; }
+
+  /// A cold server takes `node_rate` calls per second from this node. Until this is known, none.
+  void SetRate(double node_rate) { node_rate_ = node_rate; }
 
   bool IsCold(TimePoint now) const { return now < cold_until_; }
 
--- /dev/null
+++ b/include/damaskroute/node/forward_beliefs.h
@@ -0,0 +1,73 @@
+#ifndef DAMASKROUTE_NODE_FORWARD_BELIEFS_H_
+#define DAMASKROUTE_NODE_FORWARD_BELIEFS_H_
+
+#include <cstdint>
+#include <memory>
+#include <set>
+
+#include "damaskroute/core/asio.h"
+#include "damaskroute/forward/backend_table.h"
+#include "damaskroute/http/backend_client_options.h"
+#include "damaskroute/node/backend_pool.h"
+#include "damaskroute/node/reach_prober.h"
+#include "damaskroute/routing/backend_directory.h"
+#include "damaskroute/routing/route_table.h"
+
+namespace damaskroute {
+
+/// What a node believes of the routes in force and of the backend servers, with its connections to
+/// them. Each change leaves a log line. Used on its loop only.
+class ForwardBeliefs {
+ public:
+  ForwardBeliefs(asio::io_context& loop, const BackendTableOptions& options,
+                 const BackendClientOptions& client_options, std::uint64_t seed);
+  ForwardBeliefs(const ForwardBeliefs&) = delete;
+  ForwardBeliefs& operator=(const ForwardBeliefs&) = delete;
+
+  /// Puts a version of the routes in force. A version that is not newer has no effect; returns
+  /// whether it was installed.
+  bool InstallRoutes(RoutingDocument document);
+
+  /// The store says that a backend server exists.
+  void OnBackend(const BackendEntry& entry);
+
+  /// The entry of a backend server is missing.
+  void OnBackendRemoved(const BackendName& id, bool after_outage);
+
+  /// All entries were read, and these are the servers that have one.
+  void OnAllBackends(const std::set<BackendName>& present, bool after_outage);
+
+  /// Zones that get no more work.
+  void SetClosedZones(std::set<ZoneName> zones);
+
+  /// Number of nodes that share the limits of backend servers.
+  void SetNodes(int nodes);
+
+  /// Null before the first version.
+  const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
+  Revision routes_version() const { return routes_ ? routes_->document().version : 0; }
+  TimePoint routes_since() const { return routes_since_; }
+
+  BackendTable& backends() { return backends_; }
+  const BackendTable& backends() const { return backends_; }
+  BackendPool& pool() { return pool_; }
+  const BackendPool& pool() const { return pool_; }
+  ReachProber& prober() { return prober_; }
+
+ private:
+  void Drop(const BackendName& id, const char* reason);
+  void ScheduleExpiry();
+
+  std::shared_ptr<const RouteTable> routes_;
+  TimePoint routes_since_;
+  int nodes_ = 1;
+  BackendDirectory directory_;
+  BackendTable backends_;
+  BackendPool pool_;
+  ReachProber prober_;
+  asio::steady_timer expiry_timer_;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_NODE_FORWARD_BELIEFS_H_
--- a/include/damaskroute/node/forward_front.h
+++ b/include/damaskroute/node/forward_front.h
@@ -44,7 +44,7 @@
   ForwardService& service() { return service_; }
 
  private:
-  bool IsReady() const { return service_.has_routes() && !stopping_; }
+  bool IsReady() const { return service_.beliefs().routes() != nullptr && !stopping_; }
   void HandleReady(const HttpRequest& request, const HttpResponder& respond) const;
   void HandleMetrics(const HttpResponder& respond) const;
   void StopAccepting();
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -104,13 +104,14 @@
           .Field("revision", item.revision)
           .Field("error", ErrorText(fact.status()));
       // What cannot be read names no server, whatever it was before.
-      if (key.kind == FactKind::kBackend) front_.service().OnBackendRemoved(key.name, after_outage);
+      if (key.kind == FactKind::kBackend)
+        front_.service().beliefs().OnBackendRemoved(key.name, after_outage);
       return;
     }
     if (auto* document = std::get_if<RoutingDocument>(&*fact)) {
       front_.InstallRoutes(std::move(*document));
     } else if (auto* entry = std::get_if<BackendEntry>(&*fact)) {
-      front_.service().OnBackend(*entry);
+      front_.service().beliefs().OnBackend(*entry);
     } else if (auto* closed = std::get_if<ClosedZone>(&*fact)) {
       closed_zones_.insert(closed->zone);
     } else if (auto* node = std::get_if<LiveNode>(&*fact)) {
@@ -119,7 +120,8 @@
   }
 
   void OnRemoved(const FactKey& key, bool after_outage) {
-    if (key.kind == FactKind::kBackend) front_.service().OnBackendRemoved(key.name, after_outage);
+    if (key.kind == FactKind::kBackend)
+      front_.service().beliefs().OnBackendRemoved(key.name, after_outage);
     if (key.kind == FactKind::kClosedZone) closed_zones_.erase(key.name);
     if (key.kind == FactKind::kNode) nodes_.Remove(key.name, Now());
   }
@@ -134,7 +136,7 @@
       if (key.kind == FactKind::kClosedZone) zones.insert(key.name);
       if (key.kind == FactKind::kNode) nodes.insert(key.name);
     }
-    front_.service().OnAllBackends(backends, after_outage);
+    front_.service().beliefs().OnAllBackends(backends, after_outage);
     closed_zones_ = std::move(zones);
     front_.SetClosedZones(closed_zones_);
     nodes_.Keep(nodes, Now());
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -66,10 +66,7 @@
   }
   backend->entry = entry;
   ApplyPolicy(*backend);
-  if (entry.warmup_left.count() > 0 && routes_) {
-    const ServicePolicy& policy = routes_->Policy(entry.service);
-    backend->cold.SetCold(now + entry.warmup_left, NodeColdRate(policy));
-  }
+  if (entry.warmup_left.count() > 0) backend->cold.SetCold(now + entry.warmup_left);
 }
 
 void BackendTable::Remove(const BackendName& id) {
@@ -97,7 +94,9 @@
 
 void BackendTable::ApplyPolicy(Backend& backend) const {
   if (!routes_) return;
-  int connections = routes_->Policy(backend.entry.service).max_connections;
+  const ServicePolicy& policy = routes_->Policy(backend.entry.service);
+  backend.cold.SetRate(NodeColdRate(policy));
+  int connections = policy.max_connections;
   int share = std::max(1, static_cast<int>(connections * kConnectionPart / nodes_));
   backend.max_kept = share;
   backend.max_outstanding = std::max(kLeastOutstanding, share * kOutstandingShares);
--- a/src/forward/cold_gate.cc
+++ b/src/forward/cold_gate.cc
@@ -8,11 +8,6 @@
 
 }  // namespace
 
-void ColdGate::SetCold(TimePoint until, double node_rate) {
-  cold_until_ = until;
-  node_rate_ = node_rate;
-}
-
 bool ColdGate::Allows(TimePoint now) const {
   if (!IsCold(now)) return true;
   int recent = 0;
--- /dev/null
+++ b/src/http/http_server_shared.h
@@ -0,0 +1,48 @@
+#ifndef DAMASKROUTE_SRC_HTTP_HTTP_SERVER_SHARED_H_
+#define DAMASKROUTE_SRC_HTTP_HTTP_SERVER_SHARED_H_
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+#include "damaskroute/core/asio.h"
+#include "damaskroute/http/http_server.h"
+
+namespace damaskroute {
+
+/// State that a server and its connections share.
+struct HttpServer::Shared {
+  std::vector<asio::io_context*> loops;
+  HttpServerOptions options;
+  HttpHandler handler;
+  std::unique_ptr<asio::ip::tcp::acceptor> acceptor;
+  std::atomic<bool> draining{false};
+  std::atomic<bool> close_after_responses{false};
+  std::atomic<std::size_t> active_requests{0};
+  std::atomic<std::size_t> connections{0};
+  std::atomic<std::size_t> buffered_bytes{0};
+};
+
+namespace internal {
+
+/// Counts a resource for as long as it is held.
+class Counted {
+ public:
+  Counted(std::atomic<std::size_t>& counter, std::size_t amount)
+      : counter_(counter), amount_(amount) {
+    counter_ += amount_;
+  }
+  ~Counted() { counter_ -= amount_; }
+  Counted(const Counted&) = delete;
+  Counted& operator=(const Counted&) = delete;
+
+ private:
+  std::atomic<std::size_t>& counter_;
+  std::size_t amount_;
+};
+
+}  // namespace internal
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_SRC_HTTP_HTTP_SERVER_SHARED_H_
--- /dev/null
+++ b/src/node/forward_beliefs.cc
@@ -0,0 +1,98 @@
+#include "damaskroute/node/forward_beliefs.h"
+
+#include <string>
+#include <utility>
+
+#include "damaskroute/log/log_line.h"
+
+namespace damaskroute {
+namespace {
+
+TimePoint Now() { return SteadyClock().Now(); }
+
+}  // namespace
+
+ForwardBeliefs::ForwardBeliefs(asio::io_context& loop, const BackendTableOptions& options,
+                               const BackendClientOptions& client_options, std::uint64_t seed)
+    : backends_(options, seed),
+      pool_(loop, client_options),
+      prober_(loop, pool_),
+      expiry_timer_(loop) {}
+
+bool ForwardBeliefs::InstallRoutes(RoutingDocument document) {
+  if (routes_ && document.version <= routes_version()) return false;
+  Revision before = routes_version();
+  routes_ = std::make_shared<const RouteTable>(std::move(document));
+  routes_since_ = Now();
+  backends_.SetPolicies(routes_, nodes_);
+  LogLine(LogLevel::kInfo, "routes installed")
+      .Field("version", routes_version())
+      .Field("before", before)
+      .Field("routes", routes_->document().routes.size())
+      .Field("services", routes_->document().services.size());
+  return true;
+}
+
+void ForwardBeliefs::OnBackend(const BackendEntry& entry) {
+  DirectoryChange change = directory_.OnEntry(entry);
+  if (change == DirectoryChange::kNone) return;
+  bool fresh = change == DirectoryChange::kReplaced;
+  if (fresh) Drop(entry.id, "replaced by a new incarnation");
+  backends_.Put(entry, fresh, Now());
+  LogLine(LogLevel::kInfo, "backend server known")
+      .Field("backend", entry.id)
+      .Field("service", entry.service)
+      .Field("endpoint", FormatEndpoint(entry.endpoint))
+      .Field("zone", entry.zone)
+      .Field("draining", entry.draining ? "yes" : "no")
+      .Field("warmup_left_ms", entry.warmup_left.count())
+      .Field("sequence", entry.sequence)
+      .Field("new", change == DirectoryChange::kUpdated ? "no" : "yes");
+}
+
+void ForwardBeliefs::OnBackendRemoved(const BackendName& id, bool after_outage) {
+  DirectoryChange change = directory_.OnRemoved(id, after_outage, Now());
+  if (change == DirectoryChange::kRemoved) Drop(id, "entry removed");
+  if (change == DirectoryChange::kHeld) ScheduleExpiry();
+}
+
+void ForwardBeliefs::OnAllBackends(const std::set<BackendName>& present, bool after_outage) {
+  for (const BackendName& id : directory_.OnAllRead(present, after_outage, Now())) {
+    Drop(id, "entry missing");
+  }
+  ScheduleExpiry();
+}
+
+void ForwardBeliefs::Drop(const BackendName& id, const char* reason) {
+  LogLine(LogLevel::kInfo, "backend server gone").Field("backend", id).Field("reason", reason);
+  pool_.Forget(backends_.Find(id).get());
+  backends_.Remove(id);
+}
+
+void ForwardBeliefs::ScheduleExpiry() {
+  TimePoint next = directory_.next_expiry();
+  if (next == TimePoint::max()) return;
+  expiry_timer_.expires_at(next);
+  expiry_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    for (const BackendName& id : directory_.Expire(Now())) Drop(id, "entry did not come back");
+    ScheduleExpiry();
+  });
+}
+
+void ForwardBeliefs::SetClosedZones(std::set<ZoneName> zones) {
+  if (zones == backends_.closed_zones()) return;
+  std::string names;
+  for (const ZoneName& zone : zones) names += zone + " ";
+  LogLine(LogLevel::kInfo, "zones closed").Field("zones", names);
+  backends_.SetClosedZones(std::move(zones));
+}
+
+void ForwardBeliefs::SetNodes(int nodes) {
+  if (nodes == nodes_) return;
+  LogLine(LogLevel::kInfo, "number of nodes changed").Field("nodes", nodes).Field("before", nodes_);
+  nodes_ = nodes;
+  backends_.SetPolicies(routes_, nodes_);
+}
+
+}  // namespace damaskroute
--- a/src/node/forward_front.cc
+++ b/src/node/forward_front.cc
@@ -129,13 +129,13 @@
 void ForwardFront::InstallRoutes(RoutingDocument document) {
   ClientLimits limits = document.client_limits;
   bool was_ready = IsReady();
-  if (!service_.InstallRoutes(std::move(document))) return;
+  if (!service_.beliefs().InstallRoutes(std::move(document))) return;
   callers_.SetClientLimits(limits);
   if (!was_ready && IsReady()) LogLine(LogLevel::kInfo, "node ready");
 }
 
 void ForwardFront::SetClosedZones(const std::set<ZoneName>& zones) {
-  service_.SetClosedZones(zones);
+  service_.beliefs().SetClosedZones(zones);
 }
 
 void ForwardFront::SetNodes(int nodes) {
@@ -167,11 +167,11 @@
   page.Family("damaskroute_forward_active_requests", "gauge", "Requests that are served now.");
   page.Sample("", static_cast<double>(service_.active()));
   page.Family("damaskroute_forward_backends", "gauge", "Backend servers that are known.");
-  page.Sample("", static_cast<double>(service_.backends().size()));
+  page.Sample("", static_cast<double>(service_.beliefs().backends().size()));
   page.Family("damaskroute_forward_routes_version", "gauge", "Version of the routes in force.");
-  page.Sample("", static_cast<double>(service_.routes_version()));
+  page.Sample("", static_cast<double>(service_.beliefs().routes_version()));
   page.Family("damaskroute_forward_connects_total", "counter", "Connections opened to servers.");
-  page.Sample("", static_cast<double>(service_.pool().connects()));
+  page.Sample("", static_cast<double>(service_.beliefs().pool().connects()));
   HttpResponse response;
   response.content_type = "text/plain; version=0.0.4";
   response.body = page.text();
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -93,20 +93,18 @@
       options_(std::move(options)),
       protocol_(std::move(protocol)),
       random_(options_.seed),
-      backends_(options_.backends, options_.seed),
-      pool_(loop, ClientOptions(options_, protocol_)),
-      prober_(loop, pool_),
-      expiry_timer_(loop) {}
+      beliefs_(loop, options_.backends, ClientOptions(options_, protocol_), options_.seed) {}
 
 ForwardService::~ForwardService() = default;
 
 void ForwardService::Handle(HttpRequest http_request, HttpResponder respond) {
   auto presence = http_request.presence;
   CallerRequest request = ReadCallerRequest(std::move(http_request), protocol_);
-  const Route* route = routes_ ? routes_->Find(request.host, request.target) : nullptr;
-  if (!routes_) {
+  const auto& routes = beliefs_.routes();
+  if (!routes) {
     return RefuseWith(request, 503, "no routes are known yet", respond, options_.refusal_retry);
   }
+  const Route* route = routes->Find(request.host, request.target);
   if (route == nullptr) return RefuseWith(request, 404, "no route matches", respond, {});
   ServiceName service;
   if (!route->targets.empty()) {
@@ -116,12 +114,12 @@
       request.received + std::min(request.patience.value_or(route->timeout), route->timeout);
   auto exchange = std::make_shared<Exchange>(
       loop_, MakeForwardSpec(*route, service, request.received, deadline),
-      ForwardPolicies{backends_, budgets_, budget_options_,
+      ForwardPolicies{beliefs_.backends(), budgets_, budget_options_,
                       latencies_.try_emplace(route->name, route->objective).first->second});
   exchange->request = std::move(request);
   exchange->respond = std::move(respond);
   exchange->presence = std::move(presence);
-  exchange->routes = routes_;
+  exchange->routes = routes;
   exchange->route = route;
   if (!AdmitQuery(*exchange)) {
     return RefuseWith(exchange->request, 503, "too many queries", exchange->respond,
@@ -150,8 +148,8 @@
   std::uint64_t key = 0;
   for (const ServiceName& shard : route.shards) key = Hash64(shard, key);
   bool urgent =
-      std::none_of(routes_->document().routes.begin(), routes_->document().routes.end(),
-                   [&](const Route& other) {
+      std::none_of(exchange.routes->document().routes.begin(),
+                   exchange.routes->document().routes.end(), [&](const Route& other) {
                      return other.priority < route.priority && other.shards == route.shards;
                    });
   OverloadLimit& limit = limits_[key];
@@ -182,7 +180,7 @@
       .Field("target", request.target)
       .Field("status", status)
       .Field("reason", reason)
-      .Field("routes_version", routes_version());
+      .Field("routes_version", beliefs_.routes_version());
   respond(MakeForwardRefusal(request, status, reason, retry_after, protocol_));
 }
 
@@ -211,7 +209,7 @@
 void ForwardService::StartCall(const std::shared_ptr<Exchange>& exchange, const SendCall& send) {
   TimePoint now = Now();
   OpenCall& call = exchange->calls[send.call];
-  call.client = pool_.For(send.backend);
+  call.client = beliefs_.pool().For(send.backend);
   call.backend = send.backend->entry.id;
   call.sent = now;
   // The client is shared, so that it outlives its place in the pool while the call runs.
@@ -233,7 +231,7 @@
         } else {
           ++metrics_.failed_calls[judged.reason];
           exchange->failures += backend->entry.id + ": " + judged.reason + "; ";
-          if (judged.end == CallEnd::kUnreachable) prober_.OnUnreachable(backend);
+          if (judged.end == CallEnd::kUnreachable) beliefs_.prober().OnUnreachable(backend);
         }
         Carry(exchange, exchange->run.OnResult(number, std::move(judged), ended));
       });
@@ -284,7 +282,7 @@
       .Field("unanswered", unanswered)
       .Field("left_out", LeftOut(exchange->run))
       .Field("routes_version", exchange->routes->document().version)
-      .Field("routes_age_us", Microseconds(Now() - routes_since_));
+      .Field("routes_age_us", Microseconds(Now() - beliefs_.routes_since()));
   if (exchange->presence) exchange->presence->on_gone = nullptr;
   exchange->respond(MakeForwardResponse(exchange->request, std::move(answer),
                                         exchange->route->top_records, protocol_));
@@ -321,81 +319,9 @@
   metrics_.counts.without_room += counts.without_room;
 }
 
-bool ForwardService::InstallRoutes(RoutingDocument document) {
-  if (routes_ && document.version <= routes_version()) return false;
-  Revision before = routes_version();
-  routes_ = std::make_shared<const RouteTable>(std::move(document));
-  routes_since_ = Now();
-  backends_.SetPolicies(routes_, nodes_);
-  LogLine(LogLevel::kInfo, "routes installed")
-      .Field("version", routes_version())
-      .Field("before", before)
-      .Field("routes", routes_->document().routes.size())
-      .Field("services", routes_->document().services.size());
-  return true;
-}
-
-void ForwardService::OnBackend(const BackendEntry& entry) {
-  DirectoryChange change = directory_.OnEntry(entry);
-  if (change == DirectoryChange::kNone) return;
-  bool fresh = change == DirectoryChange::kReplaced;
-  if (fresh) Drop(entry.id, "replaced by a new incarnation");
-  backends_.Put(entry, fresh, Now());
-  LogLine(LogLevel::kInfo, "backend server known")
-      .Field("backend", entry.id)
-      .Field("service", entry.service)
-      .Field("endpoint", FormatEndpoint(entry.endpoint))
-      .Field("zone", entry.zone)
-      .Field("draining", entry.draining ? "yes" : "no")
-      .Field("warmup_left_ms", entry.warmup_left.count())
-      .Field("sequence", entry.sequence)
-      .Field("new", change == DirectoryChange::kUpdated ? "no" : "yes");
-}
-
-void ForwardService::OnBackendRemoved(const BackendName& id, bool after_outage) {
-  DirectoryChange change = directory_.OnRemoved(id, after_outage, Now());
-  if (change == DirectoryChange::kRemoved) Drop(id, "entry removed");
-  if (change == DirectoryChange::kHeld) ScheduleExpiry();
-}
-
-void ForwardService::OnAllBackends(const std::set<BackendName>& present, bool after_outage) {
-  for (const BackendName& id : directory_.OnAllRead(present, after_outage, Now())) {
-    Drop(id, "entry missing");
-  }
-  ScheduleExpiry();
-}
-
-void ForwardService::Drop(const BackendName& id, const char* reason) {
-  LogLine(LogLevel::kInfo, "backend server gone").Field("backend", id).Field("reason", reason);
-  pool_.Forget(backends_.Find(id).get());
-  backends_.Remove(id);
-}
-
-void ForwardService::ScheduleExpiry() {
-  TimePoint next = directory_.next_expiry();
-  if (next == TimePoint::max()) return;
-  expiry_timer_.expires_at(next);
-  expiry_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error) return;
-    for (const BackendName& id : directory_.Expire(Now())) Drop(id, "entry did not come back");
-    ScheduleExpiry();
-  });
-}
-
-void ForwardService::SetClosedZones(std::set<ZoneName> zones) {
-  if (zones == backends_.closed_zones()) return;
-  std::string names;
-  for (const ZoneName& zone : zones) names += zone + " ";
-  LogLine(LogLevel::kInfo, "zones closed").Field("zones", names);
-  backends_.SetClosedZones(std::move(zones));
-}
-
 void ForwardService::SetShares(int nodes, const ExtraBudgetOptions& budget) {
   budget_options_ = budget;
-  if (nodes == nodes_) return;
-  LogLine(LogLevel::kInfo, "number of nodes changed").Field("nodes", nodes).Field("before", nodes_);
-  nodes_ = nodes;
-  backends_.SetPolicies(routes_, nodes_);
+  beliefs_.SetNodes(nodes);
 }
 
 }  // namespace damaskroute
--- a/tests/backend_table_test.cc
+++ b/tests/backend_table_test.cc
@@ -182,6 +182,19 @@
   CHECK(f.Choose() == "s0a");
 }
 
+TEST_CASE("a cold server keeps its limit although its entry came before the routes") {
+  Fixture f(1);
+  BackendEntry cold = ForwardWorld::Entry(0, "a");
+  cold.warmup_left = seconds(3);
+  f.table.Put(cold, false, f.clock.Now());
+  RoutingDocument document;
+  document.services["s0"] = {.max_connections = 100, .cold_rate = 2};
+  f.table.SetPolicies(std::make_shared<const RouteTable>(document), /*nodes=*/4);
+  int sent = 0;
+  for (; sent < 50 && !f.Choose().empty(); ++sent) f.table.Find("s0a")->cold.OnSent(f.clock.Now());
+  CHECK(sent == 2);
+}
+
 TEST_CASE("a server that starts anew is judged anew") {
   Fixture f(1);
   f.Call("s0a", milliseconds(1), EvidenceOf::kUnreachable);
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -108,7 +108,8 @@
   bool AwaitServers(std::size_t count) {
     return Await([&] {
       std::promise<std::size_t> known;
-      asio::post(*node_loop, [&] { known.set_value(node->front().service().backends().size()); });
+      asio::post(*node_loop,
+                 [&] { known.set_value(node->front().service().beliefs().backends().size()); });
       return known.get_future().get() == count;
     });
   }
