--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -65,11 +65,12 @@
   void ReadSome() {
     watching_ = true;
     stream_.expires_never();
-    stream_.async_read_some(buffer_.prepare(kWatchReadSize),
-                            [self = shared_from_this()](const boost::system::error_code& error, std::size_t size) {
-                              self->watching_ = false;
-                              self->OnBytes(error, size);
-                            });
+    stream_.async_read_some(
+        buffer_.prepare(kWatchReadSize),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t size) {
+          self->watching_ = false;
+          self->OnBytes(error, size);
+        });
   }
 
   void OnBytes(const boost::system::error_code& error, std::size_t size) {
@@ -96,11 +97,12 @@
     // Counted from its first byte, so that a shutdown waits for a request that is being received.
     active_.emplace(shared_->active_requests, 1);
     stream_.expires_after(shared_->options.limits.header_timeout);
-    boost::beast::http::async_read_header(stream_, buffer_, *parser_,
-                            [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-                              if (error) return self->RejectAfter(error);
-                              self->OnHeader();
-                            });
+    boost::beast::http::async_read_header(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+          if (error) return self->RejectAfter(error);
+          self->OnHeader();
+        });
   }
 
   void OnHeader() {
@@ -109,7 +111,8 @@
     if (auto problem = CheckHeader(parser_->get())) return Reject(*problem);
     std::size_t length =
         parser_->content_length().value_or(parser_->chunked() ? options.limits.max_body_bytes : 0);
-    if (length > options.limits.max_body_bytes) return Reject(ProblemOf(boost::beast::http::error::body_limit));
+    if (length > options.limits.max_body_bytes)
+      return Reject(ProblemOf(boost::beast::http::error::body_limit));
     buffered_.emplace(shared_->buffered_bytes, length);
     if (shared_->buffered_bytes > options.max_buffered_bytes) {
       return Reject({503, "overloaded", "too many request bodies at once", Verdict::kNotRun,
@@ -123,20 +126,22 @@
 
   void SendContinue() {
     continue_.emplace(boost::beast::http::status::continue_, 11);
-    boost::beast::http::async_write(stream_, *continue_,
-                      [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-                        if (error) return self->Close();
-                        self->ReadBody();
-                      });
+    boost::beast::http::async_write(
+        stream_, *continue_,
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+          if (error) return self->Close();
+          self->ReadBody();
+        });
   }
 
   void ReadBody() {
     stream_.expires_after(shared_->options.body_timeout);
-    boost::beast::http::async_read(stream_, buffer_, *parser_,
-                     [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-                       if (error) return self->RejectAfter(error);
-                       self->Handle();
-                     });
+    boost::beast::http::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+          if (error) return self->RejectAfter(error);
+          self->Handle();
+        });
   }
 
   void Handle() {
@@ -193,23 +198,26 @@
   void Write(HttpResponse response) {
     response_.emplace(ToBeast(std::move(response), keep_alive_));
     stream_.expires_after(shared_->options.write_timeout);
-    boost::beast::http::async_write(stream_, *response_,
-                      [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-                        self->active_.reset();
-                        self->response_.reset();
-                        if (self->rejected_) return self->DiscardRest();
-                        if (error || self->caller_left_) return self->Close();
-                        if (!self->keep_alive_) return self->CloseGracefully();
-                        self->Next();
-                      });
+    boost::beast::http::async_write(
+        stream_, *response_,
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+          self->active_.reset();
+          self->response_.reset();
+          if (self->rejected_) return self->DiscardRest();
+          if (error || self->caller_left_) return self->Close();
+          if (!self->keep_alive_) return self->CloseGracefully();
+          self->Next();
+        });
   }
 
   // Ends a connection whose request could not be read.
   void RejectAfter(const boost::system::error_code& error) {
     bool closed = error == boost::beast::http::error::end_of_stream || error == asio::error::eof ||
-                  error == asio::error::connection_reset || error == boost::beast::http::error::partial_message;
+                  error == asio::error::connection_reset ||
+                  error == boost::beast::http::error::partial_message;
     // Beast closes the socket on a timeout, so nothing can be sent then.
-    if (closed || error == boost::beast::error::timeout || error == asio::error::operation_aborted) {
+    if (closed || error == boost::beast::error::timeout ||
+        error == asio::error::operation_aborted) {
       return Close();
     }
     Reject(ProblemOf(error));
@@ -237,14 +245,15 @@
       stream_.expires_after(kDiscardTime);
     }
     buffer_.consume(buffer_.size());
-    stream_.async_read_some(buffer_.prepare(4096),
-                            [self = shared_from_this()](const boost::system::error_code& error, std::size_t size) {
-                              self->discarded_ += size;
-                              if (error || self->discarded_ > kMaxDiscardedBytes) {
-                                return self->Close();
-                              }
-                              self->DiscardRest();
-                            });
+    stream_.async_read_some(
+        buffer_.prepare(4096),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t size) {
+          self->discarded_ += size;
+          if (error || self->discarded_ > kMaxDiscardedBytes) {
+            return self->Close();
+          }
+          self->DiscardRest();
+        });
   }
 
   // Closes after a response. Bytes of a next request may be on their way, and a plain close would
@@ -255,7 +264,8 @@
     boost::system::error_code ignored;
     stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     timer_.expires_after(kDiscardTime);
-    timer_.async_wait([self = shared_from_this()](const boost::system::error_code&) { self->Close(); });
+    timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code&) { self->Close(); });
   }
 
   void Close() {
--- a/tests/backend_client_test.cc
+++ b/tests/backend_client_test.cc
@@ -75,9 +75,11 @@
 constexpr char kRequest[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 
 struct Fixture {
-  explicit Fixture(ScriptedServer::Script script, int connections = 4)
+  explicit Fixture(ScriptedServer::Script script, int connections = 4,
+                   BackendClientOptions options = {})
       : server(loop, std::move(script)),
-        client(std::make_unique<BackendClient>(loop, server.endpoint(), connections)) {}
+        client(std::make_unique<BackendClient>(loop, server.endpoint(), connections,
+                                               std::move(options))) {}
 
   std::uint64_t Start(microseconds time_left = seconds(20)) {
     return client->Start({kRequest, time_left},
@@ -257,5 +259,81 @@
   CHECK(f.results.empty());
 }
 
+BackendClientOptions ForwardingOptions() {
+  BackendClientOptions options;
+  options.request_id_header = "X-Id";
+  options.keep_headers = true;
+  options.skip_foreign_answers = true;
+  return options;
+}
+
+// A late second answer to an earlier request arrives where the next answer is due.
+TEST_CASE("an answer to another request is skipped, and the right one is read behind it") {
+  Fixture f(Answer("HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 1\r\n\r\na"
+                   "HTTP/1.1 200 OK\r\nX-Id: new\r\nContent-Length: 1\r\n\r\nb"),
+            4, ForwardingOptions());
+  f.client->Start({kRequest, seconds(20), "new"},
+                  [&](ExchangeResult r) { f.results.push_back(std::move(r)); });
+  REQUIRE(f.Wait(1));
+  CHECK(f.results[0].end == ExchangeEnd::kAnswered);
+  CHECK(f.results[0].body == "b");
+  CHECK(HeaderValue(f.results[0].headers, "x-id") == "new");
+}
+
+TEST_CASE("a server that only sends answers to other requests does not hold the exchange") {
+  std::string foreign = "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 0\r\n\r\n";
+  std::string many;
+  for (int i = 0; i < 50; ++i) many += foreign;
+  Fixture f(Answer(many), 4, ForwardingOptions());
+  f.client->Start({kRequest, seconds(20), "new"},
+                  [&](ExchangeResult r) { f.results.push_back(std::move(r)); });
+  REQUIRE(f.Wait(1));
+  CHECK(f.results[0].request_id == "old");
+  CHECK(f.client->open_connections() == 0);
+}
+
+TEST_CASE("an idle connection is not used when the server is about to close it") {
+  Fixture f(Answer("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n"));
+  f.One();
+  f.Start();
+  REQUIRE(f.Wait(2));
+  CHECK(f.client->connects() == 2);
+}
+
+TEST_CASE("a connection is opened without a request and kept for the next one") {
+  Fixture f(Answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+  bool opened = false;
+  f.client->OpenConnection([&](bool result) { opened = result; });
+  auto limit = std::chrono::steady_clock::now() + seconds(10);
+  while (!opened && std::chrono::steady_clock::now() < limit) f.loop.run_one_for(seconds(1));
+  CHECK(opened);
+  f.One();
+  CHECK(f.client->connects() == 1);
+}
+
+TEST_CASE("a connection that cannot be opened is reported") {
+  Fixture f(Answer(""));
+  f.server.Close();
+  int answers = 0;
+  bool opened = true;
+  f.client->OpenConnection([&](bool result) {
+    opened = result;
+    ++answers;
+  });
+  auto limit = std::chrono::steady_clock::now() + seconds(10);
+  while (answers == 0 && std::chrono::steady_clock::now() < limit) f.loop.run_one_for(seconds(1));
+  CHECK(answers == 1);
+  CHECK_FALSE(opened);
+}
+
+TEST_CASE("connections above the number to keep are closed when they become idle") {
+  Fixture f(Answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+  f.client->SetMaxKept(1);
+  for (int i = 0; i < 3; ++i) f.Start();
+  CHECK(f.client->CanStart());
+  REQUIRE(f.Wait(3));
+  CHECK(f.client->open_connections() == 1);
+}
+
 }  // namespace
 }  // namespace damaskroute
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -2,8 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <functional>
 #include <string>
+#include <thread>
 
 #include "damaskroute/node/event_loop.h"
 #include "tests/support/http_call.h"
@@ -198,5 +200,104 @@
   loop.Stop();
 }
 
+// Answers are given by the test, and the handler sees who leaves.
+struct HeldServer {
+  HeldServer() : loop(1) {
+    HttpServerOptions options;
+    options.listen = testing::FreeEndpoint();
+    options.watch_callers = true;
+    options.pass_headers = true;
+    endpoint = options.listen;
+    server = std::make_unique<HttpServer>(std::vector<asio::io_context*>{&loop.context()}, options,
+                                          [this](HttpRequest request, HttpResponder respond) {
+                                            request.presence->on_gone = [this] { ++gone; };
+                                            responder = std::move(respond);
+                                            headers = std::move(request.headers);
+                                            ++handled;
+                                          });
+    REQUIRE(server->Start().ok());
+    loop.Start();
+  }
+  ~HeldServer() { loop.Stop(); }
+
+  template <typename Condition>
+  static bool Await(Condition condition) {
+    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    return condition();
+  }
+
+  EventLoop loop;
+  Endpoint endpoint;
+  std::unique_ptr<HttpServer> server;
+  HttpResponder responder;
+  std::vector<HeaderField> headers;
+  std::atomic<int> handled{0};
+  std::atomic<int> gone{0};
+};
+
+constexpr char kGet[] = "GET /x HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nx-a: 2\r\n\r\n";
+
+TEST_CASE("a caller that closes while its request is served is noticed") {
+  HeldServer held;
+  asio::io_context io;
+  {
+    Tcp::socket socket(io);
+    socket.connect({asio::ip::make_address("127.0.0.1"), held.endpoint.port});
+    asio::write(socket, asio::buffer(kGet, sizeof kGet - 1));
+    REQUIRE(HeldServer::Await([&] { return held.handled == 1; }));
+    CHECK(held.gone == 0);
+    CHECK(HeaderValue(held.headers, "X-a") == "1");
+    CHECK(held.headers.size() == 3);
+  }
+  CHECK(HeldServer::Await([&] { return held.gone == 1; }));
+  held.responder({});  // Too late, without effect.
+  held.responder = nullptr;
+  CHECK(HeldServer::Await([&] { return held.server->open_connections() == 0; }));
+}
+
+TEST_CASE("a request that comes early on a watched connection is served after the first") {
+  HeldServer held;
+  asio::io_context io;
+  Tcp::socket socket(io);
+  socket.connect({asio::ip::make_address("127.0.0.1"), held.endpoint.port});
+  std::string two = std::string(kGet) + kGet;
+  asio::write(socket, asio::buffer(two));
+  for (int i = 1; i <= 2; ++i) {
+    REQUIRE(HeldServer::Await([&] { return held.handled == i; }));
+    HttpResponse response;
+    response.headers.push_back({"X-Number", std::to_string(i)});
+    held.responder(response);
+  }
+  std::string answers;
+  boost::system::error_code error;
+  while (answers.find("X-Number: 2") == std::string::npos && !error) {
+    char bytes[512];
+    answers.append(bytes, socket.read_some(asio::buffer(bytes), error));
+  }
+  CHECK(answers.find("X-Number: 1") < answers.find("X-Number: 2"));
+  CHECK(held.gone == 0);
+}
+
+TEST_CASE("the last response before the end of a watched connection is not lost to a reset") {
+  HeldServer held;
+  asio::io_context io;
+  Tcp::socket socket(io);
+  socket.connect({asio::ip::make_address("127.0.0.1"), held.endpoint.port});
+  asio::write(socket, asio::buffer(kGet, sizeof kGet - 1));
+  REQUIRE(HeldServer::Await([&] { return held.handled == 1; }));
+  held.server->CloseAfterResponses();
+  // Bytes of a next request arrive while the response goes out.
+  asio::write(socket, asio::buffer(kGet, sizeof kGet - 1));
+  held.responder({200, "text/plain", "whole"});
+  std::string answer;
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  CHECK(error == asio::error::eof);
+  CHECK(answer.find("whole") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace damaskroute
