--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -104,8 +104,9 @@
           .Field("revision", item.revision)
           .Field("error", ErrorText(fact.status()));
       // What cannot be read names no server, whatever it was before.
-      if (key.kind == FactKind::kBackend)
+      if (key.kind == FactKind::kBackend) {
         front_.service().beliefs().OnBackendRemoved(key.name, after_outage);
+      }
       return;
     }
     if (auto* document = std::get_if<RoutingDocument>(&*fact)) {
@@ -120,8 +121,9 @@
   }
 
   void OnRemoved(const FactKey& key, bool after_outage) {
-    if (key.kind == FactKind::kBackend)
+    if (key.kind == FactKind::kBackend) {
       front_.service().beliefs().OnBackendRemoved(key.name, after_outage);
+    }
     if (key.kind == FactKind::kClosedZone) closed_zones_.erase(key.name);
     if (key.kind == FactKind::kNode) nodes_.Remove(key.name, Now());
   }
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -111,8 +111,9 @@
     if (auto problem = CheckHeader(parser_->get())) return Reject(*problem);
     std::size_t length =
         parser_->content_length().value_or(parser_->chunked() ? options.limits.max_body_bytes : 0);
-    if (length > options.limits.max_body_bytes)
+    if (length > options.limits.max_body_bytes) {
       return Reject(ProblemOf(boost::beast::http::error::body_limit));
+    }
     buffered_.emplace(shared_->buffered_bytes, length);
     if (shared_->buffered_bytes > options.max_buffered_bytes) {
       return Reject({503, "overloaded", "too many request bodies at once", Verdict::kNotRun,
