--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -65,6 +65,8 @@
     backend = found->second;
   }
   backend->entry = entry;
+  // A newer entry shows that the server lives, whoever answered at its address before.
+  backend->misdirected = false;
   ApplyPolicy(*backend);
   if (entry.warmup_left.count() > 0) backend->cold.SetCold(now + entry.warmup_left);
 }
--- a/tests/backend_table_test.cc
+++ b/tests/backend_table_test.cc
@@ -224,6 +224,8 @@
   f.table.Find("s0a")->misdirected = true;
   f.clock.Advance(seconds(60));
   CHECK(f.Choose().empty());
+  f.table.Put(ForwardWorld::Entry(0, "a"), false, f.clock.Now());
+  CHECK(f.Choose() == "s0a");
 }
 
 // srv_crash dark: the server is silent, so each of its calls is copied and cancelled, and it would
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -18,9 +18,7 @@
 TEST_CASE("a plain request passes unchanged in both directions") {
   PlatformWorld w;
   auto& server = w.AddServer("i-1", "desk");
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(1));
+  REQUIRE(w.StartServing(1));
   auto response = w.Call("POST", "/one/x?q=1", "id-7", "payload");
   CHECK(response.status == 200);
   CHECK(response.body == "body");
@@ -45,9 +43,7 @@
     auto& server = w.AddServer(fmt::format("i-{}", i), fmt::format("s{}", i));
     server.SetBody(Record(static_cast<char>('a' + i)) + Record(static_cast<char>('b' + i)));
   }
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(3));
+  REQUIRE(w.StartServing(3));
   auto response = w.Get("/all/x");
   CHECK(response.status == 200);
   CHECK(response.body == Record('d') + Record('c'));
@@ -59,9 +55,7 @@
   PlatformWorld w;
   w.AddServer("i-0", "s0");
   w.AddServer("i-1", "s1");
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(2));
+  REQUIRE(w.StartServing(2));
   auto response = w.Get("/all/x");
   CHECK(response.status == 200);
   CHECK(response[platform::kMissingPartsHeader] == "1");
@@ -85,9 +79,7 @@
 TEST_CASE("no route is 404, and a route that is added later is served") {
   PlatformWorld w;
   w.AddServer("i-1", "desk");
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(1));
+  REQUIRE(w.StartServing(1));
   CHECK(w.Get("/new/x").status == 404);
   w.store.Write(platform::kConfigKey, PlatformWorld::Config(4, 0.6, "new"));
   CHECK(PlatformWorld::Await([&] { return w.Get("/new/x").status == 200; }));
@@ -97,9 +89,7 @@
   PlatformWorld w;
   w.AddServer("i-1", "desk");
   w.store.Write(platform::kConfigKey, PlatformWorld::Config(4, 0.6, "new"));
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(1));
+  REQUIRE(w.StartServing(1));
   w.store.Write(platform::kConfigKey, PlatformWorld::Config(3));
   w.store.Write(platform::kConfigKey, "{");
   w.AddServer("i-2", "desk");
@@ -113,9 +103,7 @@
   auto& second = w.AddServer("i-2", "desk");
   first.SetMode(ServerMode::kReset);
   second.SetMode(ServerMode::kReset);
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(2));
+  REQUIRE(w.StartServing(2));
   CHECK(w.Call("POST", "/act/x", "id-1", "book").status == 502);
   CHECK(first.runs().size() + second.runs().size() == 1);
 }
@@ -125,9 +113,7 @@
   auto& first = w.AddServer("i-1", "desk", "a");
   auto& second = w.AddServer("i-2", "desk", "b");
   first.SetMode(ServerMode::kShed);
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(2));
+  REQUIRE(w.StartServing(2));
   CHECK(w.Call("POST", "/act/x", "id-1", "book").status == 200);
   CHECK(first.runs().empty());
   CHECK(second.runs().size() == 1);
@@ -137,9 +123,7 @@
   PlatformWorld w;
   auto& server = w.AddServer("i-1", "desk");
   server.SetMode(ServerMode::kShed);
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(1));
+  REQUIRE(w.StartServing(1));
   CHECK(w.Call("POST", "/act/x", "id-1", "book").status == 503);
   CHECK(server.runs().empty());
 }
@@ -147,9 +131,7 @@
 TEST_CASE("a server's error is passed on with its own status and signature") {
   PlatformWorld w;
   w.AddServer("i-1", "desk").SetMode(ServerMode::kError);
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(1));
+  REQUIRE(w.StartServing(1));
   auto response = w.Call("POST", "/act/x", "id-1", "book");
   CHECK(response.status == 500);
   CHECK(response[platform::kServerStampHeader] == "stamp-i-1");
@@ -158,9 +140,7 @@
 TEST_CASE("another server at the address does not run the request") {
   PlatformWorld w;
   auto& server = w.AddServer("i-1", "desk");
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(1));
+  REQUIRE(w.StartServing(1));
   server.Become("i-9");
   CHECK(w.Get("/one/x").status == 503);
   CHECK(server.runs().empty());
@@ -180,9 +160,7 @@
     PlatformWorld w;
     auto& server = w.AddServer("i-1", "desk");
     server.SetBody("x");
-    w.StartNode();
-    REQUIRE(w.AwaitReady());
-    REQUIRE(w.AwaitServers(1));
+    REQUIRE(w.StartServing(1));
     server.SetMode(row.mode);
     for (int i = 0; i < 3; ++i) {
       auto response = w.Call("POST", "/act/x", fmt::format("id-{}", i), "book");
@@ -197,9 +175,7 @@
   PlatformWorld w;
   auto& server = w.AddServer("i-1", "desk");
   server.SetMode(ServerMode::kSilent);
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(1));
+  REQUIRE(w.StartServing(1));
   CHECK(w.Call("POST", "/act/x", "id-1", "book", 200).status == 504);
   CHECK(std::stoi(server.runs().at(0).deadline_ms) <= 200);
 }
@@ -208,9 +184,7 @@
   PlatformWorld w;
   w.AddServer("i-1", "desk", "a").SetMode(ServerMode::kSilent);
   w.AddServer("i-2", "desk", "b");
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(2));
+  REQUIRE(w.StartServing(2));
   auto response = w.Get("/one/x");
   CHECK(response.status == 200);
   CHECK(response[platform::kServerStampHeader] == "stamp-i-2");
@@ -220,9 +194,7 @@
   PlatformWorld w;
   auto& server = w.AddServer("i-1", "desk");
   server.SetMode(ServerMode::kSilent);
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(1));
+  REQUIRE(w.StartServing(1));
   HttpTestClient client(w.settings.callers);
   client.SendRaw(PlatformWorld::Render("POST", "/act/x", "id-1", "book"));
   REQUIRE(PlatformWorld::Await([&] { return server.runs().size() == 1; }));
@@ -233,9 +205,7 @@
 TEST_CASE("two requests on one connection are answered in order") {
   PlatformWorld w;
   w.AddServer("i-1", "desk");
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(1));
+  REQUIRE(w.StartServing(1));
   HttpTestClient client(w.settings.callers);
   client.SendRaw(PlatformWorld::Render("GET", "/one/x", "id-1") +
                  PlatformWorld::Render("GET", "/one/x", "id-2"));
@@ -247,9 +217,7 @@
   PlatformWorld w;
   auto& leaving = w.AddServer("i-1", "desk", "a");
   auto& staying = w.AddServer("i-2", "desk", "b");
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(2));
+  REQUIRE(w.StartServing(2));
   std::string entry = leaving.Entry("desk", "a", "draining");
   entry.replace(entry.find("\"sequence\":1"), 12, "\"sequence\":2");
   w.store.Write(platform::kServerPrefix + std::string("i-1"), entry);
@@ -265,9 +233,7 @@
   PlatformWorld w;
   auto& own = w.AddServer("i-1", "desk", "a");
   w.AddServer("i-2", "desk", "b");
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(2));
+  REQUIRE(w.StartServing(2));
   std::string key = platform::kEvacuatePrefix + std::string("a");
   w.store.Write(key, "{}");
   REQUIRE(PlatformWorld::Await([&] {
@@ -285,9 +251,7 @@
   w.AddServer("i-1", "desk");
   w.store.Write(platform::kServerPrefix + std::string("i-2"), "\xff{");
   w.store.Write(platform::kServerPrefix + std::string("i-3"), R"({"service":7})");
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(1));
+  REQUIRE(w.StartServing(1));
   CHECK(w.Get("/one/x").status == 200);
 }
 
@@ -295,9 +259,7 @@
   for (StoreMode mode : {StoreMode::kReset, StoreMode::kBusy}) {
     PlatformWorld w;
     w.AddServer("i-1", "desk");
-    w.StartNode();
-    REQUIRE(w.AwaitReady());
-    REQUIRE(w.AwaitServers(1));
+    REQUIRE(w.StartServing(1));
     w.store.SetMode(mode);
     std::uint64_t calls = w.store.calls();
     REQUIRE(PlatformWorld::Await([&] { return w.store.calls() > calls + 2; }));
@@ -316,9 +278,7 @@
 TEST_CASE("changes are seen although the store forgets its history") {
   PlatformWorld w;
   w.AddServer("i-1", "desk");
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(1));
+  REQUIRE(w.StartServing(1));
   w.store.SetMode(StoreMode::kBusy);
   w.store.Remove(platform::kServerPrefix + std::string("i-1"));
   w.AddServer("i-2", "desk");
@@ -338,9 +298,7 @@
 TEST_CASE("a node that is told to end is not ready at once and answers what runs") {
   PlatformWorld w;
   auto& server = w.AddServer("i-1", "desk");
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(1));
+  REQUIRE(w.StartServing(1));
   HttpTestClient kept(w.settings.callers);
   kept.SendRaw(PlatformWorld::Render("GET", "/one/x", "id-0"));
   CHECK(kept.Receive().status == 200);
@@ -364,9 +322,7 @@
 TEST_CASE("metrics are served on their own address") {
   PlatformWorld w;
   w.AddServer("i-1", "desk");
-  w.StartNode();
-  REQUIRE(w.AwaitReady());
-  REQUIRE(w.AwaitServers(1));
+  REQUIRE(w.StartServing(1));
   CHECK(w.Get("/one/x").status == 200);
   auto page = PlatformWorld::Client(*w.settings.metrics).Call("GET", "/metrics");
   CHECK(page.status == 200);
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -84,6 +84,12 @@
     node_thread = std::thread([this] { node_loop->run(); });
   }
 
+  /// Starts the node and waits until it is ready and knows so many servers.
+  bool StartServing(std::size_t servers) {
+    StartNode();
+    return AwaitReady() && AwaitServers(servers);
+  }
+
   /// Ends the node at once, as a kill does.
   void StopNode() {
     if (!node_thread.joinable()) return;
