Cancel open calls in one place and drop unused members of the store feed

Found on the last read: Finish and Abandon had the same loop, and StoreFeed kept a loop, options and a counter that nothing read. No change of behaviour.

--- a/include/damaskroute/forward/forward_run.h
+++ b/include/damaskroute/forward/forward_run.h
@@ -81,6 +81,7 @@
               Actions& actions);
   void Close(Call& call, EvidenceOf kind, TimePoint now);
   void Cancel(std::uint32_t call, TimePoint now, Actions& actions);
+  void CancelOpenCalls(TimePoint now, Actions& actions);
   void OnPartFailed(std::uint32_t part, CallResult result, TimePoint now, Actions& actions);
   void CheckCopy(std::uint32_t part, TimePoint now, Actions& actions);
   TimePoint LateAt(const Call& call) const;
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -52,10 +52,8 @@
  public:
   StoreFeed(asio::io_context& loop, const Endpoint& store, Codec codec, const FeedOptions& options,
             std::uint64_t seed, StoreFeedHooks hooks)
-      : loop_(loop),
-        store_(store),
+      : store_(store),
         codec_(std::move(codec)),
-        options_(options),
         schedule_(options, seed),
         hooks_(std::move(hooks)),
         client_(loop, store, kConnections, ClientOptions(options)),
@@ -66,10 +64,6 @@
   /// The client of the store, for other calls on the same loop.
   BackendClient& client() { return client_; }
 
-  /// Calls sent so far; each is priced.
-  std::uint64_t calls() const { return calls_; }
-  bool in_outage() const { return schedule_.in_outage(); }
-
  private:
   static constexpr int kConnections = 2;
 
@@ -102,7 +96,6 @@
                           : codec_.RenderRead(store_, step.after_key);
     request.time_left = step.timeout;
     if (!watch && step.after_key.empty()) keys_.clear();
-    ++calls_;
     client_.Start(std::move(request), [this, watch, sent = Now()](ExchangeResult result) {
       OnAnswer(watch, sent, result);
       Step();
@@ -155,16 +148,13 @@
                std::chrono::duration_cast<std::chrono::milliseconds>(now - sent).count());
   }
 
-  asio::io_context& loop_;
   const Endpoint store_;
   const Codec codec_;
-  const FeedOptions options_;
   FeedSchedule schedule_;
   const StoreFeedHooks hooks_;
   BackendClient client_;
   asio::steady_timer timer_;
   std::vector<std::string> keys_;
-  std::uint64_t calls_ = 0;
 };
 
 }  // namespace damaskroute
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -208,6 +208,12 @@
   actions.push_back(CancelCall{number});
 }
 
+void ForwardRun::CancelOpenCalls(TimePoint now, Actions& actions) {
+  for (std::uint32_t i = 0; i < calls_.size(); ++i) {
+    if (calls_[i].open) Cancel(i, now, actions);
+  }
+}
+
 std::vector<ForwardAction> ForwardRun::OnTimer(TimePoint now) {
   Actions actions;
   if (finished_) return actions;
@@ -319,9 +325,7 @@
 void ForwardRun::Finish(ForwardAnswer answer, TimePoint now, Actions& actions) {
   finished_ = true;
   load_sign_ = SignOf(answer, now);
-  for (std::uint32_t i = 0; i < calls_.size(); ++i) {
-    if (calls_[i].open) Cancel(i, now, actions);
-  }
+  CancelOpenCalls(now, actions);
   actions.push_back(Answer{std::move(answer)});
 }
 
@@ -340,9 +344,7 @@
   Actions actions;
   if (finished_) return actions;
   finished_ = true;
-  for (std::uint32_t i = 0; i < calls_.size(); ++i) {
-    if (calls_[i].open) Cancel(i, now, actions);
-  }
+  CancelOpenCalls(now, actions);
   return actions;
 }
 
