Tell a restarted coordinator the reports whatever is noticed first; let the test start settled

Cause, found in traces of config_restart_without_store: (1) reports were forgotten when a peer's connection was lost, and not sent again when membership found its new process, until the repetition every 10 s; (2) the larger part: the test went on as soon as one zone's backend servers answered. Shares of the other zones were still being claimed, and a claim needs the promise of every seat: a node that restarts while the store is down has none (docs/design.md 3.3). All nodes then answered half, with the holders of the other zones alive.

Change: lost reports are sent again after 300 ms and whenever a node is found; a node that is gone is sent nothing. The test's set-up waits for all shares to be held, as node_lifecycle_test does; its checks and bounds are as they were.

--- a/include/damaskroute/node/control_plane.h
+++ b/include/damaskroute/node/control_plane.h
@@ -101,7 +101,7 @@
   void SendReport(const BackendReport& report);
   void TellNewCoordinators();
   void RepeatReports();
-  bool ForgetTold(const Endpoint& peer);
+  void ForgetTold(const Endpoint& peer);
   void ArmReportTimer();
 
   const ControlIdentity identity_;
@@ -121,6 +121,7 @@
   std::map<FrontName, std::shared_ptr<FrontMetrics>> fronts_;
   std::map<BackendName, SetLimit> limits_;
   std::map<BackendName, BackendReport> own_reports_;
+  std::set<NodeName> lost_nodes_;  // Membership calls them gone; nothing is sent to them.
   // Processes that have been sent all own reports of the service.
   std::map<ServiceName, std::set<std::pair<Endpoint, Incarnation>>> told_;
   std::uint64_t repeat_round_ = 0;
@@ -129,6 +130,7 @@
   asio::steady_timer flush_timer_;
   asio::steady_timer report_timer_;
   asio::steady_timer share_timer_;
+  asio::steady_timer retell_timer_;
 };
 
 }  // namespace damaskroute
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -19,6 +19,10 @@
 constexpr std::chrono::seconds kReportPeriod{10};
 constexpr std::size_t kRepeatedCoordinators = 8;
 
+// Reports that were lost with a connection are sent again after this time, about what a process
+// needs to start again. Membership takes a few seconds to call a peer dead.
+constexpr std::chrono::milliseconds kRetellDelay{300};
+
 TimePoint Now() { return SteadyClock().Now(); }
 
 // Removes the entries whose names are not declared. A search of the list for each entry took 30 ms
@@ -43,7 +47,8 @@
       report_sequence_(identity_.incarnation),
       flush_timer_(loop.context()),
       report_timer_(loop.context()),
-      share_timer_(loop.context()) {
+      share_timer_(loop.context()),
+      retell_timer_(loop.context()) {
   ArmReportTimer();
 }
 
@@ -196,7 +201,7 @@
     const auto& before = told_[report.service];
     for (const NodeName& node : placement_->CoordinatorsOf(report.service)) {
       const Seat* seat = roster_->Find(node);
-      if (node == identity_.node || seat == nullptr) continue;
+      if (node == identity_.node || seat == nullptr || lost_nodes_.contains(node)) continue;
       std::pair<Endpoint, Incarnation> process{seat->peer, seat->incarnation};
       if (!before.contains(process)) fresh[report.service].push_back(node);
       now_told.insert(std::move(process));
@@ -223,18 +228,26 @@
 }
 
 void ControlPlane::OnNodeFound(const NodeName& node) {
+  lost_nodes_.erase(node);
   const Seat* seat = roster_->Find(node);
-  if (seat != nullptr && ForgetTold(seat->peer)) TellNewCoordinators();
+  if (seat != nullptr) ForgetTold(seat->peer);
+  TellNewCoordinators();
 }
 
-void ControlPlane::OnPeerLost(const Endpoint& peer) { ForgetTold(peer); }
+// A node that restarts while the store is down keeps its seat and its address, so only the lost
+// connection shows that it needs the reports again.
+void ControlPlane::OnPeerLost(const Endpoint& peer) {
+  ForgetTold(peer);
+  retell_timer_.expires_after(kRetellDelay);
+  retell_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) TellNewCoordinators();
+  });
+}
 
-bool ControlPlane::ForgetTold(const Endpoint& peer) {
-  std::size_t erased = 0;
+void ControlPlane::ForgetTold(const Endpoint& peer) {
   for (auto& [service, processes] : told_) {
-    erased += std::erase_if(processes, [&](const auto& process) { return process.first == peer; });
+    std::erase_if(processes, [&](const auto& process) { return process.first == peer; });
   }
-  return erased > 0;
 }
 
 void ControlPlane::OnPeerReport(const BackendReport& report) {
@@ -242,6 +255,7 @@
 }
 
 void ControlPlane::OnNodeLost(const NodeName& node) {
+  lost_nodes_.insert(node);
   if (!reports_.RemoveHolder(node)) return;
   for (const auto& [name, runtime] : services_) MarkDirty(name);
 }
--- a/tests/config_faults_test.cc
+++ b/tests/config_faults_test.cc
@@ -24,6 +24,8 @@
 constexpr KeyRange kHigh{kKeySpaceSize / 2, kKeySpaceSize};
 constexpr std::size_t kNodes = 5;
 
+constexpr int kBackends = 6;
+
 // Zone a has three nodes, of which two at most read the store, so one hears from peers only.
 void StartCluster(Cluster& cluster, standins::BackendOptions options = {}) {
   SetLogLevel(LogLevel::kError);
@@ -42,12 +44,16 @@
   for (std::size_t node = 0; node < kNodes; ++node) {
     REQUIRE(WaitFor([&] { return cluster.AnswersFully(node, "desk"); }));
   }
-  // All seats are taken, so that no share moves while a test runs.
+  // All seats are taken, so that no share moves while a test runs, and all shares are held: a share
+  // that is still being claimed stays idle while a seat cannot promise it, and a restarted node has
+  // no seat until the store is back.
   REQUIRE(WaitFor([&] {
+    int held = 0;
     for (std::size_t node = 0; node < kNodes; ++node) {
       if (cluster.node(node).view()->roster.seats.size() != kNodes) return false;
+      held += cluster.node(node).HeldSlots();
     }
-    return true;
+    return held == kBackends * options.slots;
   }));
 }
 
--- a/tests/control_plane_test.cc
+++ b/tests/control_plane_test.cc
@@ -51,6 +51,12 @@
   // Reports sent since the last call, by receiver.
   std::map<NodeName, int> TakeSent() { return std::exchange(sent_, {}); }
 
+  // Runs the loop until a report is sent.
+  std::map<NodeName, int> AwaitSent() {
+    while (sent_.empty()) loop_.context().run_one();
+    return TakeSent();
+  }
+
   ConfigDocument& config() { return config_; }
   Roster& roster() { return roster_; }
   ControlPlane& control() { return control_; }
@@ -116,5 +122,36 @@
   CHECK(world.TakeSent() == Sent{{"node-3", 1}});
 }
 
+// Guards against a node that restarts while the store is down, and coordinates without the reports
+// of its peers: neither its seat nor its address changes.
+TEST_CASE("a coordinator that restarted is told again, whatever is noticed first") {
+  ControlWorld world;
+  world.TakeSent();
+  Endpoint peer{"127.0.0.1", 7001};
+  SUBCASE("its lost connection") {
+    world.control().OnPeerLost(peer);
+    world.control().OnNodeFound("node-1");
+    CHECK(world.TakeSent() == Sent{{"node-1", 1}});
+  }
+  SUBCASE("its new process") {
+    world.control().OnNodeFound("node-1");
+    CHECK(world.TakeSent() == Sent{{"node-1", 1}});
+    world.control().OnPeerLost(peer);  // What was sent went into the old connection.
+    CHECK(world.AwaitSent() == Sent{{"node-1", 1}});
+  }
+}
+
+// Guards against messages to a dead node again and again: each fails and ends in a lost connection.
+TEST_CASE("a node that membership calls gone is told nothing until it is found again") {
+  ControlWorld world;
+  world.TakeSent();
+  world.control().OnNodeLost("node-1");
+  world.control().OnPeerLost({"127.0.0.1", 7001});
+  world.InstallConfig();
+  CHECK(world.TakeSent().empty());
+  world.control().OnNodeFound("node-1");
+  CHECK(world.TakeSent() == Sent{{"node-1", 1}});
+}
+
 }  // namespace
 }  // namespace damaskroute
