Free a query's place in the overload limit when only its last parts are open

Change: a query leaves its place when four fifths of its shards are done; its sign of load still counts when it ends.

--- a/include/damaskroute/forward/forward_run.h
+++ b/include/damaskroute/forward/forward_run.h
@@ -45,6 +45,10 @@
   const ForwardSpec& spec() const { return spec_; }
   const ForwardCounts& counts() const { return counts_; }
 
+  /// Whether few of the first calls are still open, so that the run no longer loads the servers as
+  /// a whole.
+  bool is_mostly_done() const;
+
   /// What the run tells about the load, once it has ended.
   LoadSign load_sign() const { return load_sign_; }
 
--- a/include/damaskroute/forward/overload_limit.h
+++ b/include/damaskroute/forward/overload_limit.h
@@ -20,10 +20,15 @@
 /// Jain, "Analysis of the increase and decrease algorithms", 1989.
 class OverloadLimit {
  public:
-  /// Whether a query may start now. If so, `OnEnd` must follow. `urgent`: no other route over these
+  /// Whether a query may start now. If so, `Leave` and `OnEnd` must follow. `urgent`: no other route over these
   /// shards comes before it; the others leave it a part of the limit.
   bool TryStart(bool urgent);
 
+  /// A query that started no longer loads the servers: it has ended, or only few of its calls are
+  /// still open. Call once for each start.
+  void Leave() { --in_progress_; }
+
+  /// Learns from a query that has ended. Call after `Leave`.
   void OnEnd(LoadSign sign, TimePoint now);
 
   /// Whether the load was too high a moment ago. Copies of late calls would then only add to it.
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -68,6 +68,7 @@
   std::chrono::milliseconds ReturnTime(Duration patience);
   bool AdmitQuery(Exchange& exchange);
   void ReleaseQuery(Exchange& exchange);
+  static void LeaveLimit(Exchange& exchange);
   void OnCallerGone(const std::shared_ptr<Exchange>& exchange);
   void Count(const Exchange& exchange, const std::string& outcome);
 
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -19,6 +19,9 @@
 // Share of the shards that must be strained at once for the load to be too high.
 constexpr double kStrainedShare = 0.8;
 
+// A query with this part of its shards done waits for slow servers only.
+constexpr double kMostParts = 0.8;
+
 // An open call is looked at again after this time if its server has become silent meanwhile.
 constexpr std::chrono::milliseconds kCheckInterval{5};
 
@@ -329,6 +332,10 @@
   actions.push_back(Answer{std::move(answer)});
 }
 
+bool ForwardRun::is_mostly_done() const {
+  return finished_ || static_cast<double>(done_ + failed_) >= kMostParts * static_cast<double>(parts_.size());
+}
+
 std::vector<ForwardAction> ForwardRun::GiveUp(const char* reason, TimePoint now) {
   Actions actions;
   if (finished_) return actions;
--- a/src/forward/overload_limit.cc
+++ b/src/forward/overload_limit.cc
@@ -34,8 +34,8 @@
 
 void OverloadLimit::OnEnd(LoadSign sign, TimePoint now) {
   // A limit that is far from being reached says nothing about more load.
-  bool in_use = 2 * in_progress_ >= limit_;
-  int before = in_progress_--;
+  int before = in_progress_ + 1;
+  bool in_use = 2 * before >= limit_;
   if (sign == LoadSign::kFine && in_use) limit_ = std::min(limit_ + 1 / limit_, kMost);
   if (sign != LoadSign::kStrained || now < next_decrease_) return;
   next_decrease_ = now + kDecreasePause;
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -80,7 +80,8 @@
   std::shared_ptr<const RouteTable> routes;  // Keeps `route` alive.
   const Route* route = nullptr;
   ForwardRun run;
-  OverloadLimit* limit = nullptr;  // Of the set of shards, while the query holds a place in it.
+  OverloadLimit* limit = nullptr;  // Of the set of shards, until the query has ended.
+  bool left_limit = false;         // Its place in the limit is free again.
   std::unordered_map<std::uint32_t, OpenCall> calls;
   asio::steady_timer timer;
   std::vector<std::pair<BackendName, Duration>> cancelled;  // Their ages, for the log.
@@ -159,8 +160,16 @@
   return true;
 }
 
+// A query that only waits for its last parts leaves its place to others.
+void ForwardService::LeaveLimit(Exchange& exchange) {
+  if (exchange.limit == nullptr || exchange.left_limit) return;
+  exchange.left_limit = true;
+  exchange.limit->Leave();
+}
+
 void ForwardService::ReleaseQuery(Exchange& exchange) {
   if (exchange.limit == nullptr) return;
+  LeaveLimit(exchange);
   exchange.limit->OnEnd(exchange.run.load_sign(), Now());
   exchange.limit = nullptr;
 }
@@ -234,6 +243,7 @@
           if (judged.end == CallEnd::kUnreachable) beliefs_.prober().OnUnreachable(backend);
         }
         Carry(exchange, exchange->run.OnResult(number, std::move(judged), ended));
+        if (exchange->run.is_mostly_done()) LeaveLimit(*exchange);
       });
 }
 
