Limit the calls in progress at a server to what it does not shed

Shed calls also count as extra calls.

Change: each node bounds its calls in progress at a server by additive increase and multiplicative decrease on shed calls, so a query that cannot get enough parts is refused before its first call.

--- a/include/damaskroute/forward/backend_evidence.h
+++ b/include/damaskroute/forward/backend_evidence.h
@@ -27,6 +27,8 @@
   /// A call that was sent at `sent` ended. `usual`: latency of such calls over all servers.
   void OnEnded(TimePoint sent, EvidenceOf kind, Duration usual, TimePoint now);
 
+  bool HasRoom() const { return outstanding() + 1 <= room_; }
+
   /// Calls without an end.
   int outstanding() const { return static_cast<int>(sent_.size()); }
 
@@ -72,6 +74,7 @@
   TimePoint last_outcome_;
   Duration latency_{};  // Average over all routes; 0 without samples.
   double slowness_ = 1;
+  double room_ = 1e9;
   double failure_rate_ = 0;
   int failures_in_a_row_ = 0;
   bool unreachable_ = false;
--- a/src/forward/backend_evidence.cc
+++ b/src/forward/backend_evidence.cc
@@ -33,6 +33,8 @@
 // A server that sheds load gets nothing for this time.
 constexpr milliseconds kShedPause{30};
 
+constexpr double kRoomDecrease = 0.7;
+
 double Fade(Duration age) {
   return std::exp(-std::chrono::duration<double>(age).count() / kFade.count());
 }
@@ -47,6 +49,7 @@
   if (found != sent_.end()) sent_.erase(found);
   switch (kind) {
     case EvidenceOf::kAnswer:
+      if (outstanding() + 2 > room_) room_ += 1 / room_;
       last_heard_ = now;
       failures_in_a_row_ = 0;
       unreachable_ = false;
@@ -55,6 +58,7 @@
       AddOutcome(/*failed=*/false, now);
       return;
     case EvidenceOf::kShed:
+      room_ = std::max(1.0, std::min(room_, outstanding() + 1.0) * kRoomDecrease);
       last_heard_ = now;
       AddOutcome(/*failed=*/true, now);
       avoid_until_ = std::max(avoid_until_, now + kShedPause);
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -110,6 +110,7 @@
   if (closed_zones_.contains(backend.entry.zone)) return false;
   if (backend.evidence.outstanding() >= backend.max_outstanding) return false;
   if (!backend.cold.Allows(now)) return false;
+  if (!backend.evidence.HasRoom()) return false;
   int waiting = backend.evidence.outstanding() / std::max(backend.entry.slots, 1);
   return now + waiting * Expected(backend, times, now) < times.deadline;
 }
