Send the callers of a cut-off node elsewhere

Change: Isolation. A node that reaches too few shards for every query probes the store with a new connection (no call, so no price); if that fails too, or the store's calls have lost it, the node is not ready and closes connections after each answer. A node that reaches the store stays in service, as the servers are then gone for all nodes. What a route table says of its queries is worked out once per version (QueryPlan). A broken connection no longer makes an unreachable server count as reached.

--- a/include/damaskroute/forward/backend_evidence.h
+++ b/include/damaskroute/forward/backend_evidence.h
@@ -27,6 +27,9 @@
   /// A call that was sent at `sent` ended. `usual`: latency of such calls over all servers.
   void OnEnded(TimePoint sent, EvidenceOf kind, Duration usual, TimePoint now);
 
+  /// Whether the server is expected to take one more call now. It sheds what its queue cannot hold,
+  /// and all nodes share the queue, so the number of calls in progress shrinks by a factor with
+  /// each shed call and grows slowly with answers (additive increase, multiplicative decrease).
   bool HasRoom() const { return outstanding() + 1 <= room_; }
 
   /// Calls without an end.
@@ -63,6 +66,8 @@
   double FailureRate(TimePoint now) const;
 
  private:
+  static constexpr double kUnlimited = 1e9;
+
   void AddLatency(Duration latency, Duration usual, TimePoint now);
   void Avoid(std::chrono::milliseconds first, TimePoint now);
   void AddOutcome(bool failed, TimePoint now);
@@ -74,7 +79,7 @@
   TimePoint last_outcome_;
   Duration latency_{};  // Average over all routes; 0 without samples.
   double slowness_ = 1;
-  double room_ = 1e9;
+  double room_ = kUnlimited;  // Calls in progress that the server takes.
   double failure_rate_ = 0;
   int failures_in_a_row_ = 0;
   bool unreachable_ = false;
--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -62,6 +62,9 @@
                        const std::vector<std::shared_ptr<Backend>>& tried, const CallTimes& times,
                        TimePoint now);
 
+  /// Whether a server of the service can be reached as far as is known, busy or not.
+  bool IsReached(const ServiceName& service) const;
+
   /// All servers of a service.
   const std::vector<std::shared_ptr<Backend>>& Of(const ServiceName& service) const;
 
--- a/include/damaskroute/forward/forward_spec.h
+++ b/include/damaskroute/forward/forward_spec.h
@@ -7,6 +7,7 @@
 
 #include "damaskroute/core/ids.h"
 #include "damaskroute/core/time.h"
+#include "damaskroute/routing/query_plan.h"
 #include "damaskroute/routing/route.h"
 
 namespace damaskroute {
@@ -25,10 +26,14 @@
   Duration copy_after = Duration::max();  ///< Age at which a call is late.
 };
 
-/// Spec for a request on `route` that was received at `received`. `service` is the one chosen from
-/// the targets of a route without shards. The caller waits until `deadline`.
-ForwardSpec MakeForwardSpec(const Route& route, const ServiceName& service, TimePoint received,
-                            TimePoint deadline);
+/// Spec for a plain request on `route` that was received at `received`. `service` is the one chosen
+/// from the targets. The caller waits until `deadline`.
+ForwardSpec MakePlainSpec(const Route& route, const ServiceName& service, TimePoint received,
+                          TimePoint deadline);
+
+/// The same for a query, on a route with shards.
+ForwardSpec MakeQuerySpec(const Route& route, const QueryPlan& plan, TimePoint received,
+                          TimePoint deadline);
 
 }  // namespace damaskroute
 
--- a/include/damaskroute/forward/overload_limit.h
+++ b/include/damaskroute/forward/overload_limit.h
@@ -20,8 +20,8 @@
 /// Jain, "Analysis of the increase and decrease algorithms", 1989.
 class OverloadLimit {
  public:
-  /// Whether a query may start now. If so, `Leave` and `OnEnd` must follow. `urgent`: no other route over these
-  /// shards comes before it; the others leave it a part of the limit.
+  /// Whether a query may start now. If so, `Leave` and `OnEnd` must follow. `urgent`: no other
+  /// route over these shards comes before it; the others leave it a part of the limit.
   bool TryStart(bool urgent);
 
   /// A query that started no longer loads the servers: it has ended, or only few of its calls are
--- a/include/damaskroute/http/http_server.h
+++ b/include/damaskroute/http/http_server.h
@@ -36,9 +36,9 @@
   /// Stops accepting; each connection is closed after the response to its current request.
   void BeginDrain();
 
-  /// From now on each response closes its connection, so that callers move to other nodes while
+  /// Whether each response closes its connection, so that callers move to other nodes while
   /// requests are still accepted. Thread-safe.
-  void CloseAfterResponses();
+  void CloseAfterResponses(bool close);
 
   /// Changes the limits for requests that begin from now on. Call on the server's loop; only for a
   /// server with one loop.
--- a/include/damaskroute/node/forward_front.h
+++ b/include/damaskroute/node/forward_front.h
@@ -8,6 +8,7 @@
 
 #include "absl/status/status.h"
 #include "damaskroute/core/asio.h"
+#include "damaskroute/forward/isolation.h"
 #include "damaskroute/http/http_server.h"
 #include "damaskroute/node/forward_node_settings.h"
 #include "damaskroute/node/forward_protocol.h"
@@ -41,11 +42,20 @@
   /// are answered or the grace is over.
   void Stop(std::function<void()> done);
 
+  /// The store was lost, or reached again.
+  void OnStoreReached(bool reached);
+
+  /// Sets how the store is probed; `done` is called on the loop.
+  using StoreProbe = std::function<void(std::function<void(bool reached)> done)>;
+  void SetStoreProbe(StoreProbe probe) { probe_store_ = std::move(probe); }
+
   ForwardService& service() { return service_; }
 
  private:
-  bool IsReady() const { return service_.beliefs().routes() != nullptr && !stopping_; }
-  void HandleReady(const HttpRequest& request, const HttpResponder& respond) const;
+  bool IsReady() const { return service_.beliefs().routes() != nullptr && !stopping_ && !cut_off_; }
+  void HandleReady(const HttpRequest& request, const HttpResponder& respond);
+  void CheckReach();
+  void ApplyReach();
   void HandleMetrics(const HttpResponder& respond) const;
   void StopAccepting();
   void AwaitEnd();
@@ -61,6 +71,10 @@
   TimePoint started_;
   asio::steady_timer stop_timer_;
   TimePoint stop_at_;
+  Isolation isolation_;
+  StoreProbe probe_store_;
+  TimePoint next_reach_check_;
+  bool cut_off_ = false;  // What was last acted on.
   bool stopping_ = false;
   bool ending_ = false;
   int nodes_ = 1;
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -52,9 +52,12 @@
         feed_(loop, settings.store, platform_.Codec(), MakeFeedOptions(settings),
               Hash64(settings.node),
               {[this](const auto& items, bool after_outage) { OnItems(items, after_outage); },
-               [this](const auto& keys, bool after_outage) { OnAllRead(keys, after_outage); }}),
+               [this](const auto& keys, bool after_outage) { OnAllRead(keys, after_outage); },
+               [this](bool reached) { front_.OnStoreReached(reached); }}),
         own_key_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
-                 settings.node_lease, Hash64(settings.node, /*seed=*/1)) {}
+                 settings.node_lease, Hash64(settings.node, /*seed=*/1)) {
+    front_.SetStoreProbe([this](auto done) { feed_.Probe(std::move(done)); });
+  }
 
   /// Opens the ports and begins to follow the store. Unavailable if a port is taken.
   absl::Status Start() {
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -42,6 +42,12 @@
   /// Ends all requests that still run, as the process is about to end.
   void FinishAll();
 
+  /// Whether the node reaches enough shards for a query of any route; true without such routes.
+  bool ReachesShards() const;
+
+  /// Calls `hook` whenever a backend server could not be reached.
+  void SetOnUnreachable(std::function<void()> hook) { on_unreachable_ = std::move(hook); }
+
   /// The routes and backend servers that requests are served by.
   ForwardBeliefs& beliefs() { return beliefs_; }
   const ForwardBeliefs& beliefs() const { return beliefs_; }
@@ -58,8 +64,10 @@
     TimePoint sent;
   };
 
+  ForwardSpec MakeSpec(const Route& route, TimePoint received, TimePoint deadline);
   void Carry(const std::shared_ptr<Exchange>& exchange, std::vector<ForwardAction> actions);
   void StartCall(const std::shared_ptr<Exchange>& exchange, const SendCall& send);
+  void OnUnreachable(const std::shared_ptr<Backend>& backend);
   void Wake(const std::shared_ptr<Exchange>& exchange, TimePoint at);
   static std::string Unanswered(const Exchange& exchange);
   void Respond(const std::shared_ptr<Exchange>& exchange, ForwardAnswer answer);
@@ -84,6 +92,7 @@
   std::unordered_map<std::string, RouteLatency> latencies_;  // By route.
   std::set<std::shared_ptr<Exchange>> active_;
   ForwardMetrics metrics_;
+  std::function<void()> on_unreachable_;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/routing/route_table.h
+++ b/include/damaskroute/routing/route_table.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "damaskroute/routing/query_plan.h"
 #include "damaskroute/routing/routing_document.h"
 
 namespace damaskroute {
@@ -21,11 +22,17 @@
 
   const RoutingDocument& document() const { return document_; }
 
+  /// Plan of a route of this table that has shards.
+  const QueryPlan& Plan(const Route& route) const { return plans_.at(&route); }
+
   /// Policy of a service; the default one if the configuration does not name it.
   const ServicePolicy& Policy(const ServiceName& service) const;
 
  private:
+  void MakePlans();
+
   RoutingDocument document_;
+  std::unordered_map<const Route*, QueryPlan> plans_;
   // Longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> by_host_;
 };
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -43,6 +43,8 @@
   std::function<void(const std::vector<StoreItem>&, bool after_outage)> on_items;
   /// Everything was read: these are all items there are.
   std::function<void(const std::vector<std::string>& keys, bool after_outage)> on_all_read;
+  /// The store was lost, or reached again.
+  std::function<void(bool reached)> on_reached;
 };
 
 /// Follows a store on an event loop: carries out the steps of `FeedSchedule`. Used on its loop
@@ -57,16 +59,27 @@
         schedule_(options, seed),
         hooks_(std::move(hooks)),
         client_(loop, store, kConnections, ClientOptions(options)),
-        timer_(loop) {}
+        probe_client_(loop, store, /*max_connections=*/1, ProbeOptions()),
+        timer_(loop) {
+    probe_client_.SetMaxKept(0);
+  }
 
   void Start() { Step(); }
 
+  /// Finds out whether the store can be reached, by a new connection without a call. One at a time.
+  void Probe(std::function<void(bool reached)> done) {
+    probe_client_.OpenConnection(std::move(done));
+  }
+
   /// The client of the store, for other calls on the same loop.
   BackendClient& client() { return client_; }
 
  private:
   static constexpr int kConnections = 2;
 
+  // A connection takes one round trip, 2 to 10 ms between the zones of today's deployments.
+  static constexpr std::chrono::milliseconds kProbeTimeout{400};
+
   static BackendClientOptions ClientOptions(const FeedOptions& options) {
     BackendClientOptions client;
     client.connect_timeout = options.watch_slack;
@@ -75,6 +88,12 @@
     return client;
   }
 
+  static BackendClientOptions ProbeOptions() {
+    BackendClientOptions client;
+    client.connect_timeout = kProbeTimeout;
+    return client;
+  }
+
   static TimePoint Now() { return SteadyClock().Now(); }
 
   void Step() {
@@ -117,6 +136,7 @@
     if (!page.ok()) return OnFailure(page.status(), watch, sent, now);
     if (schedule_.in_outage()) {
       LogLine(LogLevel::kInfo, "store reached again").Field("as_of", page->as_of);
+      hooks_.on_reached(true);
     }
     if (watch) {
       schedule_.OnChanges(page->items.size(), page->as_of, now);
@@ -140,7 +160,10 @@
   void OnFailure(const absl::Status& error, bool watch, TimePoint sent, TimePoint now) {
     bool before = schedule_.in_outage();
     schedule_.OnFailure(now - sent, watch, now);
-    if (schedule_.in_outage() && !before) LogLine(LogLevel::kWarning, "store lost");
+    if (schedule_.in_outage() && !before) {
+      LogLine(LogLevel::kWarning, "store lost");
+      hooks_.on_reached(false);
+    }
     LogLine(LogLevel::kWarning, "store call failed")
         .Field("call", watch ? "watch" : "read")
         .Field("error", ErrorText(error))
@@ -153,6 +176,7 @@
   FeedSchedule schedule_;
   const StoreFeedHooks hooks_;
   BackendClient client_;
+  BackendClient probe_client_;
   asio::steady_timer timer_;
   std::vector<std::string> keys_;
 };
--- a/src/forward/backend_evidence.cc
+++ b/src/forward/backend_evidence.cc
@@ -33,6 +33,7 @@
 // A server that sheds load gets nothing for this time.
 constexpr milliseconds kShedPause{30};
 
+// Part of the calls in progress that is left after a shed call. Factors from 0.5 to 0.8 are usual.
 constexpr double kRoomDecrease = 0.7;
 
 double Fade(Duration age) {
@@ -49,6 +50,7 @@
   if (found != sent_.end()) sent_.erase(found);
   switch (kind) {
     case EvidenceOf::kAnswer:
+      // Only room that is in use shows that there is more.
       if (outstanding() + 2 > room_) room_ += 1 / room_;
       last_heard_ = now;
       failures_in_a_row_ = 0;
@@ -71,7 +73,8 @@
     case EvidenceOf::kFailure:
     case EvidenceOf::kUnreachable:
       last_heard_ = now;
-      unreachable_ = kind == EvidenceOf::kUnreachable;
+      // A connection that breaks says nothing about the next one.
+      if (kind == EvidenceOf::kUnreachable) unreachable_ = true;
       AddOutcome(/*failed=*/true, now);
       Avoid(kFirstAvoidance, now);
       return;
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -155,6 +155,14 @@
   return best;
 }
 
+bool BackendTable::IsReached(const ServiceName& service) const {
+  const auto& servers = Of(service);
+  return std::any_of(servers.begin(), servers.end(), [this](const auto& server) {
+    return !server->misdirected && !server->evidence.is_unreachable() &&
+           !closed_zones_.contains(server->entry.zone);
+  });
+}
+
 const std::vector<std::shared_ptr<Backend>>& BackendTable::Of(const ServiceName& service) const {
   static const auto* const none = new std::vector<std::shared_ptr<Backend>>();
   auto found = by_service_.find(service);
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -333,7 +333,8 @@
 }
 
 bool ForwardRun::is_mostly_done() const {
-  return finished_ || static_cast<double>(done_ + failed_) >= kMostParts * static_cast<double>(parts_.size());
+  return finished_ ||
+         static_cast<double>(done_ + failed_) >= kMostParts * static_cast<double>(parts_.size());
 }
 
 std::vector<ForwardAction> ForwardRun::GiveUp(const char* reason, TimePoint now) {
--- a/src/forward/forward_spec.cc
+++ b/src/forward/forward_spec.cc
@@ -1,7 +1,6 @@
 #include "damaskroute/forward/forward_spec.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace damaskroute {
 namespace {
@@ -19,32 +18,40 @@
 // Time kept for merging the part of one shard and ending its call: 20 us on a third of a core.
 constexpr std::chrono::microseconds kReturnTimePerShard{60};
 
-// Rounding error of the share of parts.
-constexpr double kShareEpsilon = 1e-9;
-
 Duration Part(std::chrono::milliseconds whole, double part) {
   return std::chrono::duration_cast<Duration>(whole * part);
 }
 
 }  // namespace
 
-ForwardSpec MakeForwardSpec(const Route& route, const ServiceName& service, TimePoint received,
-                            TimePoint deadline) {
+ForwardSpec MakePlainSpec(const Route& route, const ServiceName& service, TimePoint received,
+                          TimePoint deadline) {
+  ForwardSpec spec;
+  spec.services = {service};
+  spec.idempotent = route.idempotent;
+  spec.max_attempts = std::max(route.max_attempts, 1);
+  spec.deadline = deadline;
+  if (route.objective.count() > 0) {
+    spec.copy_after = Part(route.objective, kPlainCopyAfterPart);
+    spec.answer_by = received + route.objective - kReturnTime;
+  }
+  return spec;
+}
+
+ForwardSpec MakeQuerySpec(const Route& route, const QueryPlan& plan, TimePoint received,
+                          TimePoint deadline) {
   ForwardSpec spec;
-  spec.query = !route.shards.empty();
-  spec.services = spec.query ? route.shards : std::vector<ServiceName>{service};
-  spec.idempotent = route.idempotent || spec.query;
+  spec.query = true;
+  spec.services = route.shards;
+  spec.idempotent = true;
   spec.max_attempts = std::max(route.max_attempts, 1);
+  spec.min_parts = plan.least_parts;
   spec.deadline = deadline;
   if (route.objective.count() > 0) {
-    spec.copy_after = Part(route.objective, spec.query ? kCopyAfterPart : kPlainCopyAfterPart);
+    spec.copy_after = Part(route.objective, kCopyAfterPart);
     auto shards = static_cast<std::int64_t>(route.shards.size());
     spec.answer_by = received + route.objective - kReturnTime - shards * kReturnTimePerShard;
   }
-  if (spec.query) {
-    double least = route.min_coverage * static_cast<double>(route.shards.size());
-    spec.min_parts = static_cast<std::size_t>(std::max(1.0, std::ceil(least - kShareEpsilon)));
-  }
   return spec;
 }
 
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -101,7 +101,7 @@
   bytes = std::min(bytes, internal::kMaxHeaderBytes);
 }
 
-void HttpServer::CloseAfterResponses() { shared_->close_after_responses = true; }
+void HttpServer::CloseAfterResponses(bool close) { shared_->close_after_responses = close; }
 
 std::size_t HttpServer::active_requests() const { return shared_->active_requests; }
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -393,7 +393,7 @@
   if (draining_.exchange(true)) return;
   LogLine(LogLevel::kInfo, "draining");
   // Requests that the balancer sent before it saw the failing readiness check are still accepted.
-  callers_->CloseAfterResponses();
+  callers_->CloseAfterResponses(true);
   std::this_thread::sleep_for(settings_.drain_time);
   callers_->BeginDrain();
   TimePoint limit = Now() + kLongestDrain;
--- a/src/node/forward_front.cc
+++ b/src/node/forward_front.cc
@@ -28,6 +28,9 @@
 
 constexpr milliseconds kEndCheck{20};
 
+// Many servers are lost at the same moment, and one look at all shards is enough.
+constexpr milliseconds kReachCheckInterval{100};
+
 // For the last answers to reach their callers.
 constexpr milliseconds kLastAnswers{100};
 
@@ -89,6 +92,7 @@
              }),
       window_timer_(loop),
       stop_timer_(loop) {
+  service_.SetOnUnreachable([this] { CheckReach(); });
   if (settings.metrics) {
     metrics_ = std::make_unique<HttpServer>(
         std::vector<asio::io_context*>{&loop}, SmallServer(*settings.metrics),
@@ -149,18 +153,48 @@
   service_.SetShares(nodes, budget);
 }
 
-void ForwardFront::HandleReady(const HttpRequest& request, const HttpResponder& respond) const {
+void ForwardFront::HandleReady(const HttpRequest& request, const HttpResponder& respond) {
+  CheckReach();
   HttpResponse response;
   response.content_type = "text/plain";
   if (request.target != settings_.ready_path) {
     response.status = 404;
   } else {
-    response.status = IsReady() ? 200 : 503;
-    response.body = IsReady() ? "ready\n" : "not ready\n";
+    bool ready = IsReady();
+    response.status = ready ? 200 : 503;
+    response.body = ready ? "ready\n" : "not ready\n";
   }
   respond(std::move(response));
 }
 
+void ForwardFront::CheckReach() {
+  TimePoint now = SteadyClock().Now();
+  if (now < next_reach_check_) return;
+  next_reach_check_ = now + kReachCheckInterval;
+  if (isolation_.OnShards(service_.ReachesShards(), now)) {
+    probe_store_([this](bool reached) {
+      isolation_.OnProbe(reached);
+      ApplyReach();
+    });
+  }
+  ApplyReach();
+}
+
+void ForwardFront::OnStoreReached(bool reached) {
+  isolation_.OnStore(reached);
+  ApplyReach();
+}
+
+// Callers on open connections are sent to other nodes as well.
+void ForwardFront::ApplyReach() {
+  if (isolation_.is_cut_off() == cut_off_) return;
+  cut_off_ = isolation_.is_cut_off();
+  LogLine(LogLevel::kWarning, cut_off_ ? "node cut off, not ready" : "node no longer cut off")
+      .Field("backends", service_.beliefs().backends().size())
+      .Field("active", service_.active());
+  if (!stopping_) callers_.CloseAfterResponses(cut_off_);
+}
+
 void ForwardFront::HandleMetrics(const HttpResponder& respond) const {
   Exposition page;
   service_.metrics().WriteTo(page);
@@ -184,7 +218,7 @@
   done_ = std::move(done);
   stop_at_ = SteadyClock().Now() + settings_.grace - kEndMargin;
   LogLine(LogLevel::kInfo, "node stopping").Field("active", service_.active());
-  callers_.CloseAfterResponses();
+  callers_.CloseAfterResponses(true);
   stop_timer_.expires_after(std::min(kBalancerDelay, settings_.grace / 2));
   stop_timer_.async_wait([this](const boost::system::error_code&) { StopAccepting(); });
 }
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -5,7 +5,6 @@
 #include <utility>
 #include <vector>
 
-#include "damaskroute/core/hash.h"
 #include "damaskroute/log/log_line.h"
 #include "damaskroute/node/forward_call.h"
 #include "fmt/format.h"
@@ -107,14 +106,10 @@
   }
   const Route* route = routes->Find(request.host, request.target);
   if (route == nullptr) return RefuseWith(request, 404, "no route matches", respond, {});
-  ServiceName service;
-  if (!route->targets.empty()) {
-    service = route->targets[splits_[route->name].Next(route->targets)].service;
-  }
   TimePoint deadline =
       request.received + std::min(request.patience.value_or(route->timeout), route->timeout);
   auto exchange = std::make_shared<Exchange>(
-      loop_, MakeForwardSpec(*route, service, request.received, deadline),
+      loop_, MakeSpec(*route, request.received, deadline),
       ForwardPolicies{beliefs_.backends(), budgets_, budget_options_,
                       latencies_.try_emplace(route->name, route->objective).first->second});
   exchange->request = std::move(request);
@@ -135,6 +130,17 @@
   Carry(exchange, exchange->run.Start(Now()));
 }
 
+ForwardSpec ForwardService::MakeSpec(const Route& route, TimePoint received, TimePoint deadline) {
+  if (!route.shards.empty()) {
+    return MakeQuerySpec(route, beliefs_.routes()->Plan(route), received, deadline);
+  }
+  ServiceName service;
+  if (!route.targets.empty()) {
+    service = route.targets[splits_[route.name].Next(route.targets)].service;
+  }
+  return MakePlainSpec(route, service, received, deadline);
+}
+
 // Callers of a crowd are told different times, so that they do not come back as a crowd.
 std::chrono::milliseconds ForwardService::ReturnTime(Duration patience) {
   double part = kLeastReturnPart + (kMostReturnPart - kLeastReturnPart) * random_.Unit();
@@ -146,15 +152,9 @@
 bool ForwardService::AdmitQuery(Exchange& exchange) {
   const Route& route = *exchange.route;
   if (route.shards.empty()) return true;
-  std::uint64_t key = 0;
-  for (const ServiceName& shard : route.shards) key = Hash64(shard, key);
-  bool urgent =
-      std::none_of(exchange.routes->document().routes.begin(),
-                   exchange.routes->document().routes.end(), [&](const Route& other) {
-                     return other.priority < route.priority && other.shards == route.shards;
-                   });
-  OverloadLimit& limit = limits_[key];
-  if (!limit.TryStart(urgent)) return false;
+  const QueryPlan& plan = exchange.routes->Plan(route);
+  OverloadLimit& limit = limits_[plan.shard_set];
+  if (!limit.TryStart(plan.urgent)) return false;
   exchange.limit = &limit;
   if (limit.IsPressed(Now())) exchange.run.ForbidCopies();
   return true;
@@ -240,13 +240,18 @@
         } else {
           ++metrics_.failed_calls[judged.reason];
           exchange->failures += backend->entry.id + ": " + judged.reason + "; ";
-          if (judged.end == CallEnd::kUnreachable) beliefs_.prober().OnUnreachable(backend);
+          if (judged.end == CallEnd::kUnreachable) OnUnreachable(backend);
         }
         Carry(exchange, exchange->run.OnResult(number, std::move(judged), ended));
         if (exchange->run.is_mostly_done()) LeaveLimit(*exchange);
       });
 }
 
+void ForwardService::OnUnreachable(const std::shared_ptr<Backend>& backend) {
+  beliefs_.prober().OnUnreachable(backend);
+  if (on_unreachable_) on_unreachable_();
+}
+
 void ForwardService::Wake(const std::shared_ptr<Exchange>& exchange, TimePoint at) {
   exchange->timer.expires_at(at);
   exchange->timer.async_wait([this, exchange](const boost::system::error_code& error) {
@@ -319,6 +324,21 @@
   for (const auto& exchange : active) Carry(exchange, exchange->run.GiveUp("the node ends", Now()));
 }
 
+bool ForwardService::ReachesShards() const {
+  if (!beliefs_.routes()) return true;
+  bool queries = false;
+  for (const Route& route : beliefs_.routes()->document().routes) {
+    if (route.shards.empty()) continue;
+    queries = true;
+    auto reached = std::count_if(
+        route.shards.begin(), route.shards.end(),
+        [this](const ServiceName& shard) { return beliefs_.backends().IsReached(shard); });
+    if (static_cast<std::size_t>(reached) >= beliefs_.routes()->Plan(route).least_parts)
+      return true;
+  }
+  return !queries;
+}
+
 void ForwardService::Count(const Exchange& exchange, const std::string& outcome) {
   const ForwardCounts& counts = exchange.run.counts();
   ++metrics_.answers[outcome];
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -1,11 +1,25 @@
 #include "damaskroute/routing/route_table.h"
 
 #include <algorithm>
+#include <cmath>
+#include <map>
 #include <utility>
 
 #include "absl/strings/ascii.h"
+#include "damaskroute/core/hash.h"
 
 namespace damaskroute {
+namespace {
+
+// Rounding error of the share of parts.
+constexpr double kShareEpsilon = 1e-9;
+
+std::size_t LeastParts(const Route& route) {
+  double least = route.min_coverage * static_cast<double>(route.shards.size());
+  return static_cast<std::size_t>(std::max(1.0, std::ceil(least - kShareEpsilon)));
+}
+
+}  // namespace
 
 RouteTable::RouteTable(RoutingDocument document) : document_(std::move(document)) {
   for (const Route& route : document_.routes) by_host_[route.host].push_back(&route);
@@ -14,6 +28,23 @@
       return a->prefix.size() > b->prefix.size();
     });
   }
+  MakePlans();
+}
+
+void RouteTable::MakePlans() {
+  std::map<std::uint64_t, int> first_priority;  // Of the routes with the same shards.
+  for (const Route& route : document_.routes) {
+    if (route.shards.empty()) continue;
+    QueryPlan plan;
+    for (const ServiceName& shard : route.shards) plan.shard_set = Hash64(shard, plan.shard_set);
+    plan.least_parts = LeastParts(route);
+    plans_.emplace(&route, plan);
+    auto [first, added] = first_priority.try_emplace(plan.shard_set, route.priority);
+    first->second = std::min(first->second, route.priority);
+  }
+  for (auto& [route, plan] : plans_) {
+    plan.urgent = route->priority <= first_priority.at(plan.shard_set);
+  }
 }
 
 const Route* RouteTable::Find(std::string_view host, std::string_view target) const {
--- a/tests/backend_table_test.cc
+++ b/tests/backend_table_test.cc
@@ -195,6 +195,50 @@
   CHECK(sent == 2);
 }
 
+// trouble-1 of brekke-staffeli: three quarters of the calls that a slow server shed were counted as
+// extra calls, and each cost a query the part.
+TEST_CASE("calls in progress at a server stay below what it shed, and grow again with answers") {
+  Fixture f(1);
+  auto server = f.table.Find("s0a");
+  std::vector<TimePoint> sent;
+  for (int i = 0; i < 8; ++i) {
+    sent.push_back(f.clock.Now());
+    server->evidence.OnSent(sent.back());
+    f.clock.Advance(milliseconds(1));
+  }
+  server->evidence.OnEnded(sent.back(), EvidenceOf::kShed, kUsual, f.clock.Now());
+  CHECK(f.Choose().empty());
+  for (int i = 0; i < 3; ++i) {
+    server->evidence.OnEnded(sent[i], EvidenceOf::kAnswer, kUsual, f.clock.Now());
+  }
+  CHECK(f.Choose() == "s0a");
+  for (int more = 0; more < 4; ++more) {
+    for (int i = 0; i < 20; ++i) f.Call("s0a", milliseconds(5));
+    CHECK(f.Choose() == "s0a");
+    server->evidence.OnSent(f.clock.Now());
+  }
+}
+
+TEST_CASE("a server that sheds everything still gets one call at a time") {
+  Fixture f(1);
+  for (int i = 0; i < 20; ++i) f.Call("s0a", milliseconds(1), EvidenceOf::kShed);
+  CHECK(f.Choose() == "s0a");
+  f.table.Find("s0a")->evidence.OnSent(f.clock.Now());
+  CHECK(f.Choose().empty());
+}
+
+// scale-1 of cajon-sur: in a cut zone each old connection that timed out made its server count as
+// reached again, so the node went in and out of service.
+TEST_CASE("a broken connection does not make a server that cannot be reached count as reached") {
+  Fixture f(1);
+  f.Call("s0a", milliseconds(1), EvidenceOf::kUnreachable);
+  CHECK_FALSE(f.table.IsReached("s0"));
+  f.Call("s0a", milliseconds(1), EvidenceOf::kFailure);
+  CHECK_FALSE(f.table.IsReached("s0"));
+  f.table.Find("s0a")->evidence.OnReachable(f.clock.Now());
+  CHECK(f.table.IsReached("s0"));
+}
+
 TEST_CASE("a server that starts anew is judged anew") {
   Fixture f(1);
   f.Call("s0a", milliseconds(1), EvidenceOf::kUnreachable);
--- a/tests/forward_run_test.cc
+++ b/tests/forward_run_test.cc
@@ -255,6 +255,17 @@
   CHECK_FALSE(w.IsOpen("s0b"));
 }
 
+// deploy/days/evacuations.toml: one slow shard kept queries in the limit of those in progress.
+TEST_CASE("a query that waits for its last fifth no longer counts as load") {
+  ForwardWorld w(5);
+  w.Begin(w.Query(5, 5));
+  for (const char* server : {"s0a", "s1a", "s2a"}) w.Answer200(server);
+  CHECK_FALSE(w.run->is_mostly_done());
+  w.Answer200("s3a");
+  CHECK(w.run->is_mostly_done());
+  CHECK_FALSE(w.answer);
+}
+
 TEST_CASE("a process that ends answers with what is there") {
   ForwardWorld w(4);
   w.Begin(w.Query(4, 3));
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -288,7 +288,7 @@
   socket.connect({asio::ip::make_address("127.0.0.1"), held.endpoint.port});
   asio::write(socket, asio::buffer(kGet, sizeof kGet - 1));
   REQUIRE(HeldServer::Await([&] { return held.handled == 1; }));
-  held.server->CloseAfterResponses();
+  held.server->CloseAfterResponses(true);
   // Bytes of a next request arrive while the response goes out.
   asio::write(socket, asio::buffer(kGet, sizeof kGet - 1));
   held.responder({200, "text/plain", "whole"});
--- a/tests/overload_limit_test.cc
+++ b/tests/overload_limit_test.cc
@@ -17,6 +17,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// The query ends at once with its last part.
+void End(OverloadLimit& limit, LoadSign sign, TimePoint now) {
+  limit.Leave();
+  limit.OnEnd(sign, now);
+}
+
 // Queries over 20 shards, of which each has slots and a bounded queue, and clients that repeat a
 // failed or refused query at once, up to four times. All times are simulated.
 struct Crowd {
@@ -76,7 +82,7 @@
       events.pop();
       if (!event.arrival) {
         if (event.sign == LoadSign::kFine) ++good;
-        if (limited) limit.OnEnd(event.sign, event.at);
+        if (limited) End(limit, event.sign, event.at);
         if (event.sign != LoadSign::kFine) repeat(event);
         continue;
       }
@@ -122,7 +128,7 @@
   ManualClock clock;
   for (int i = 0; i < 200; ++i) {
     if (!limit.TryStart(true)) FAIL("closed");
-    limit.OnEnd(LoadSign::kStrained, clock.Now());
+    End(limit, LoadSign::kStrained, clock.Now());
     clock.Advance(milliseconds(100));
   }
   CHECK(limit.limit() >= 1);
@@ -130,7 +136,7 @@
   for (int i = 0; i < 50; ++i) {
     while (limit.TryStart(true)) {
     }
-    while (limit.in_progress() > 0) limit.OnEnd(LoadSign::kFine, clock.Now());
+    while (limit.in_progress() > 0) End(limit, LoadSign::kFine, clock.Now());
   }
   CHECK(limit.limit() > 2 * low);
 }
@@ -139,9 +145,9 @@
   OverloadLimit limit;
   ManualClock clock;
   for (int i = 0; i < 40; ++i) REQUIRE(limit.TryStart(true));
-  limit.OnEnd(LoadSign::kStrained, clock.Now());
+  End(limit, LoadSign::kStrained, clock.Now());
   double after_first = limit.limit();
-  for (int i = 0; i < 39; ++i) limit.OnEnd(LoadSign::kStrained, clock.Now());
+  for (int i = 0; i < 39; ++i) End(limit, LoadSign::kStrained, clock.Now());
   CHECK(limit.limit() == after_first);
 }
 
@@ -150,7 +156,7 @@
   ManualClock clock;
   REQUIRE(limit.TryStart(true));
   CHECK_FALSE(limit.IsPressed(clock.Now()));
-  limit.OnEnd(LoadSign::kStrained, clock.Now());
+  End(limit, LoadSign::kStrained, clock.Now());
   CHECK(limit.IsPressed(clock.Now()));
   clock.Advance(seconds(1));
   CHECK_FALSE(limit.IsPressed(clock.Now()));
@@ -164,5 +170,20 @@
   CHECK(others > 0);
 }
 
+// deploy/days/crowds.toml and evacuations.toml: queries that wait up to their objective for a slow
+// shard kept all places, and the others were turned away from servers that had room.
+TEST_CASE("a query that has left its place makes room for another, and still tells its sign") {
+  OverloadLimit limit;
+  ManualClock clock;
+  int started = 0;
+  while (limit.TryStart(true)) ++started;
+  for (int i = 0; i < started; ++i) limit.Leave();
+  for (int i = 0; i < started; ++i) CHECK(limit.TryStart(true));
+  double before = limit.limit();
+  limit.OnEnd(LoadSign::kStrained, clock.Now());
+  CHECK(limit.limit() < before);
+  CHECK(limit.in_progress() == started);
+}
+
 }  // namespace
 }  // namespace damaskroute
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -319,6 +319,26 @@
   CHECK(w.ended.get_future().wait_for(PlatformWorld::kPatience) == std::future_status::ready);
 }
 
+// Guards against callers of a zone that is cut off and are refused for as long as the cut lasts,
+// while nodes of other zones could serve them.
+TEST_CASE("a node that reaches neither its shards nor the store sends its callers away") {
+  PlatformWorld w;
+  for (int i = 0; i < 3; ++i) w.AddServer(fmt::format("i-{}", i), fmt::format("s{}", i));
+  REQUIRE(w.StartServing(3));
+  REQUIRE(w.Ready() == 200);
+  for (int i = 0; i < 3; ++i) w.servers.erase(fmt::format("i-{}", i));
+  CHECK(w.Get("/all/x").status != 200);
+  CHECK(w.Ready() == 200);  // The store is there, so the servers are gone for all nodes alike.
+  w.store.SetMode(StoreMode::kGone);
+  CHECK(PlatformWorld::Await([&] {
+    (void)w.Get("/all/x");
+    return w.Ready() == 503;
+  }));
+  CHECK(w.Get("/all/x")["Connection"] == "close");
+  w.store.SetMode(StoreMode::kServe);
+  CHECK(PlatformWorld::Await([&] { return w.Ready() == 200; }));
+}
+
 TEST_CASE("metrics are served on their own address") {
   PlatformWorld w;
   w.AddServer("i-1", "desk");
