--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -17,7 +17,7 @@
 constexpr std::size_t kMaxTries = 6;
 
 // Share of the shards that must be strained at once for the load to be too high.
-constexpr double kStrainedShare = 0.8;
+constexpr double kStrainedShare = 0.6;
 
 // A query with this part of its shards done waits for slow servers only.
 constexpr double kMostParts = 0.8;
