In zones of more than two nodes, follow two of them in place of the store

Change: module relay. The two nodes of a zone with the least hashes follow the store; each node passes the changes that it knows on (GET /changes on the second internal port), and the other nodes of the zone follow the readers. Each answer says how long ago the store confirmed it, suspended time included; no node relies on what is older than its own watch would leave it, and goes to the other reader or to the store itself. A node that is cut off from the store alone now stays up to date.

--- /dev/null
+++ b/include/damaskroute/core/boot_clock.h
@@ -0,0 +1,21 @@
+#ifndef DAMASKROUTE_CORE_BOOT_CLOCK_H_
+#define DAMASKROUTE_CORE_BOOT_CLOCK_H_
+
+#include <chrono>
+#include <ctime>
+
+#include "damaskroute/core/time.h"
+
+namespace damaskroute {
+
+/// Time since the machine's start, suspended time included, which the monotonic clock leaves out.
+/// Only for the age of what is told to other machines; decisions of one process use `TimePoint`.
+inline Duration TimeSinceBoot() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+}
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_CORE_BOOT_CLOCK_H_
--- a/src/peer/string_streambuf.h
+++ b/include/damaskroute/core/string_streambuf.h
@@ -1,5 +1,5 @@
-#ifndef DAMASKROUTE_SRC_PEER_STRING_STREAMBUF_H_
-#define DAMASKROUTE_SRC_PEER_STRING_STREAMBUF_H_
+#ifndef DAMASKROUTE_CORE_STRING_STREAMBUF_H_
+#define DAMASKROUTE_CORE_STRING_STREAMBUF_H_
 
 #include <ostream>
 #include <streambuf>
@@ -28,4 +28,4 @@
 
 }  // namespace damaskroute::internal
 
-#endif  // DAMASKROUTE_SRC_PEER_STRING_STREAMBUF_H_
+#endif  // DAMASKROUTE_CORE_STRING_STREAMBUF_H_
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -3,6 +3,7 @@
 
 #include <concepts>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -20,6 +21,8 @@
 #include "damaskroute/node/forward_node_settings.h"
 #include "damaskroute/node/node_count.h"
 #include "damaskroute/node/store_fact.h"
+#include "damaskroute/relay/change_relay.h"
+#include "damaskroute/relay/relay_choice.h"
 #include "damaskroute/store/leased_key.h"
 #include "damaskroute/store/store_feed.h"
 
@@ -49,19 +52,34 @@
       : platform_(std::move(platform)),
         reload_(std::move(reload)),
         front_(loop, settings, platform_.Protocol(), Hash64(settings.node)),
+        node_(settings.node),
+        zone_(settings.zone),
         feed_(loop, settings.store, platform_.Codec(), MakeFeedOptions(settings),
               Hash64(settings.node),
               {[this](const auto& items, bool after_outage) { OnItems(items, after_outage); },
                [this](const auto& keys, bool after_outage) { OnAllRead(keys, after_outage); },
-               [this](bool reached) { front_.OnStoreReached(reached); }}),
+               [this](bool reached) { front_.OnStoreReached(reached); },
+               [this](const StorePage& page) {
+                 if (relay_) relay_->OnChanges(page);
+               },
+               [this](std::uint64_t revision) {
+                 if (relay_) relay_->OnAllRead(revision);
+               }}),
         own_key_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
-                 settings.node_lease, Hash64(settings.node, /*seed=*/1)) {
+                 RenderNodeRecord({settings.zone, settings.changes}), settings.node_lease,
+                 Hash64(settings.node, /*seed=*/1)) {
     front_.SetStoreProbe([this](auto done) { feed_.Probe(std::move(done)); });
+    if (settings.changes) {
+      relay_.emplace(loop, *settings.changes, [this] { return feed_.age(); });
+    }
   }
 
   /// Opens the ports and begins to follow the store. Unavailable if a port is taken.
   absl::Status Start() {
     if (absl::Status status = front_.Start(); !status.ok()) return status;
+    if (relay_) {
+      if (absl::Status status = relay_->Start(); !status.ok()) return status;
+    }
     feed_.Start();
     own_key_.Start();
     return absl::OkStatus();
@@ -79,7 +97,10 @@
   }
 
   /// Leaves gracefully; `done` is called when the process may end.
-  void Stop(std::function<void()> done) { front_.Stop(std::move(done)); }
+  void Stop(std::function<void()> done) {
+    if (relay_) relay_->Stop();
+    front_.Stop(std::move(done));
+  }
 
   ForwardFront& front() { return front_; }
 
@@ -96,7 +117,19 @@
       }
     }
     front_.SetClosedZones(closed_zones_);
+    OnNodesChanged();
+  }
+
+  void OnNodesChanged() {
     front_.SetNodes(nodes_.Count(Now()));
+    auto relays = ChooseRelays(node_, zone_, records_);
+    if (relays == relays_) return;
+    relays_ = std::move(relays);
+    LogLine(LogLevel::kInfo, "followed nodes changed")
+        .Field("followed", relays_.empty() ? "the store" : FormatEndpoint(relays_.front()))
+        .Field("others", relays_.empty() ? 0 : relays_.size() - 1)
+        .Field("known_nodes", records_.size());
+    feed_.SetRelays(relays_);
   }
 
   void OnWritten(const FactKey& key, const StoreItem& item, bool after_outage) {
@@ -120,6 +153,7 @@
       closed_zones_.insert(closed->zone);
     } else if (auto* node = std::get_if<LiveNode>(&*fact)) {
       nodes_.Add(node->node);
+      records_.insert_or_assign(node->node, node->record);
     }
   }
 
@@ -128,7 +162,10 @@
       front_.service().beliefs().OnBackendRemoved(key.name, after_outage);
     }
     if (key.kind == FactKind::kClosedZone) closed_zones_.erase(key.name);
-    if (key.kind == FactKind::kNode) nodes_.Remove(key.name, Now());
+    if (key.kind == FactKind::kNode) {
+      nodes_.Remove(key.name, Now());
+      records_.erase(key.name);
+    }
   }
 
   void OnAllRead(const std::vector<std::string>& keys, bool after_outage) {
@@ -145,7 +182,8 @@
     closed_zones_ = std::move(zones);
     front_.SetClosedZones(closed_zones_);
     nodes_.Keep(nodes, Now());
-    front_.SetNodes(nodes_.Count(Now()));
+    std::erase_if(records_, [&](const auto& entry) { return !nodes.contains(entry.first); });
+    OnNodesChanged();
   }
 
   const Platform platform_;
@@ -153,8 +191,13 @@
   ForwardFront front_;
   std::set<ZoneName> closed_zones_;
   NodeCount nodes_;
+  const NodeName node_;
+  const ZoneName zone_;
+  std::map<NodeName, NodeRecord> records_;  // Of the nodes whose keys are there.
+  std::vector<Endpoint> relays_;
   StoreFeed<typename Platform::StoreCodec> feed_;
   LeasedKey<typename Platform::StoreCodec> own_key_;
+  std::optional<ChangeRelay> relay_;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/node/forward_node_settings.h
+++ b/include/damaskroute/node/forward_node_settings.h
@@ -19,6 +19,7 @@
   std::string ready_path;
   std::optional<Endpoint> metrics;
   Endpoint store;
+  std::optional<Endpoint> changes;  ///< Where other nodes may follow this one's view of the store.
   std::chrono::milliseconds node_lease{30'000};  ///< Life of the node's own key without renewal.
 
   // Bounds of the deployment.
--- a/include/damaskroute/node/store_fact.h
+++ b/include/damaskroute/node/store_fact.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "damaskroute/core/ids.h"
+#include "damaskroute/relay/node_record.h"
 #include "damaskroute/routing/backend_entry.h"
 #include "damaskroute/routing/routing_document.h"
 
@@ -28,6 +29,7 @@
 /// A node of the system is alive.
 struct LiveNode {
   NodeName node;
+  NodeRecord record;
 };
 
 /// What a value of the store says, decoded.
--- a/include/damaskroute/store/feed_options.h
+++ b/include/damaskroute/store/feed_options.h
@@ -25,6 +25,13 @@
   /// Pause after a first failure; doubled up to the longest with each further one.
   std::chrono::milliseconds first_pause{100};
   std::chrono::milliseconds longest_pause{800};
+  /// How long a followed node holds a call without changes. A silent one is noticed when the call
+  /// is overdue by `follow_slack`.
+  std::chrono::milliseconds follow_wait{1'500};
+  std::chrono::milliseconds follow_slack{300};
+  /// After all followed nodes have failed, or do not reach the store themselves, the store itself
+  /// is followed for this time. The life of their keys in the store bounds how long it goes on.
+  std::chrono::milliseconds direct_time{10'000};
   /// For this long after the store's return, missing entries may only have lapsed.
   std::chrono::milliseconds return_window{1000};
 };
--- a/include/damaskroute/store/feed_schedule.h
+++ b/include/damaskroute/store/feed_schedule.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKROUTE_STORE_FEED_SCHEDULE_H_
 #define DAMASKROUTE_STORE_FEED_SCHEDULE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -13,7 +14,8 @@
 
 /// Decides how a node follows a store: reads everything once, then watches for changes and lets
 /// them gather; reads everything again when the store has dropped the history; backs off while the
-/// store cannot be reached.
+/// store cannot be reached. In a large zone it follows another node in place of the store, whose
+/// calls are priced, for as long as that node is as up to date as the store's own watch would be.
 class FeedSchedule {
  public:
   FeedSchedule(const FeedOptions& options, std::uint64_t seed) : options_(options), random_(seed) {}
@@ -31,6 +33,24 @@
   /// The store no longer has the changes after the known revision.
   void OnHistoryLost(TimePoint now);
 
+  /// Other nodes that may be followed instead of the store; 0 to follow the store.
+  void SetRelays(std::size_t relays);
+
+  /// A followed node gave what the store confirmed `age` ago.
+  void OnFollowed(std::uint64_t as_of, Duration age, TimePoint now);
+
+  /// A followed node gave no answer.
+  void OnFollowFailure(TimePoint now);
+
+  /// A followed node does not know the changes after the known revision.
+  void OnFollowForgotten() { direct_once_ = true; }
+
+  /// When the store confirmed what is known.
+  TimePoint confirmed() const { return confirmed_; }
+
+  /// Revision of the store that is known.
+  std::uint64_t revision() const { return revision_; }
+
   /// A call failed or got no answer. `took`: how long it ran.
   void OnFailure(Duration took, bool was_watch, TimePoint now);
 
@@ -42,6 +62,9 @@
 
  private:
   void OnSuccess(TimePoint now);
+  bool Follows(TimePoint now) const;
+  void NextRelay(TimePoint now);
+  TimePoint StaleAt() const { return confirmed_ + options_.watch_wait + options_.watch_slack; }
 
   const FeedOptions options_;
   Random random_;
@@ -53,6 +76,12 @@
   int failures_ = 0;
   bool outage_ = false;
   TimePoint returned_until_;
+  std::size_t relays_ = 0;
+  std::size_t relay_ = 0;          // The one that is followed.
+  std::size_t failed_relays_ = 0;  // In a row.
+  TimePoint direct_until_;
+  bool direct_once_ = false;
+  TimePoint confirmed_;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/store/feed_step.h
+++ b/include/damaskroute/store/feed_step.h
@@ -2,6 +2,7 @@
 #define DAMASKROUTE_STORE_FEED_STEP_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -11,9 +12,10 @@
 
 /// What a feed does next.
 enum class FeedStepKind : std::uint8_t {
-  kRead,   ///< Read the page of items after `after_key`.
-  kWatch,  ///< Wait for changes after `after_revision`.
-  kPause,  ///< Do nothing until `until`.
+  kRead,    ///< Read the page of items after `after_key`.
+  kWatch,   ///< Wait for changes after `after_revision`.
+  kFollow,  ///< The same at another node, `relay`.
+  kPause,   ///< Do nothing until `until`.
 };
 
 /// One step with what it needs.
@@ -22,6 +24,7 @@
   std::string after_key;
   std::uint64_t after_revision = 0;
   TimePoint until;
+  std::size_t relay = 0;                ///< With `kFollow`: which of the nodes to follow.
   std::chrono::milliseconds wait{};     ///< With `kWatch`: how long the store holds the call.
   std::chrono::milliseconds timeout{};  ///< Of a call as a whole.
 };
--- a/include/damaskroute/store/leased_key.h
+++ b/include/damaskroute/store/leased_key.h
@@ -24,23 +24,25 @@
                               std::chrono::milliseconds life, const NodeName& node, int status,
                               const std::string& body) {
   { codec.RenderOpenLease(store, life) } -> std::same_as<std::string>;
-  { codec.RenderWriteNode(store, node, lease) } -> std::same_as<std::string>;
+  { codec.RenderWriteNode(store, node, body, lease) } -> std::same_as<std::string>;
   { codec.RenderRenew(store, lease) } -> std::same_as<std::string>;
   { codec.ParseLease(status, body) } -> std::same_as<absl::StatusOr<Lease>>;
   { codec.ParseDone(status) } -> std::same_as<absl::Status>;
 };
 
-/// Keeps the node's own key in the store, by which nodes count each other. Used on its loop only.
+/// Keeps the node's own key in the store, by which nodes count and find each other. Used on its
+/// loop only.
 template <LeaseCodec Codec>
 class LeasedKey {
  public:
   /// `client` is a client of the store on the same loop; it outlives this object.
   LeasedKey(asio::io_context& loop, BackendClient& client, const Endpoint& store, Codec codec,
-            NodeName node, std::chrono::milliseconds life, std::uint64_t seed)
+            NodeName node, std::string record, std::chrono::milliseconds life, std::uint64_t seed)
       : client_(client),
         store_(store),
         codec_(std::move(codec)),
         node_(std::move(node)),
+        record_(std::move(record)),
         life_(life),
         schedule_(life, seed),
         timer_(loop) {}
@@ -81,7 +83,7 @@
   std::string Render(const LeaseStep& step) const {
     if (step.kind == LeaseStepKind::kOpen) return codec_.RenderOpenLease(store_, life_);
     if (step.kind == LeaseStepKind::kWrite) {
-      return codec_.RenderWriteNode(store_, node_, step.lease);
+      return codec_.RenderWriteNode(store_, node_, record_, step.lease);
     }
     return codec_.RenderRenew(store_, step.lease);
   }
@@ -102,6 +104,7 @@
   const Endpoint store_;
   const Codec codec_;
   const NodeName node_;
+  const std::string record_;
   const std::chrono::milliseconds life_;
   LeaseSchedule schedule_;
   asio::steady_timer timer_;
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -5,6 +5,7 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -13,11 +14,14 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "damaskroute/core/asio.h"
+#include "damaskroute/core/boot_clock.h"
 #include "damaskroute/core/error_text.h"
 #include "damaskroute/http/backend_client.h"
 #include "damaskroute/log/log_line.h"
+#include "damaskroute/relay/relayed_page.h"
 #include "damaskroute/store/feed_schedule.h"
 #include "damaskroute/store/store_page.h"
+#include "fmt/format.h"
 
 namespace damaskroute {
 
@@ -45,6 +49,10 @@
   std::function<void(const std::vector<std::string>& keys, bool after_outage)> on_all_read;
   /// The store was lost, or reached again.
   std::function<void(bool reached)> on_reached;
+  /// Changes lead up to `page.as_of`, after `on_items`.
+  std::function<void(const StorePage& page)> on_changes;
+  /// Everything was read as of `revision`, after `on_all_read`.
+  std::function<void(std::uint64_t revision)> on_restart;
 };
 
 /// Follows a store on an event loop: carries out the steps of `FeedSchedule`. Used on its loop
@@ -54,7 +62,8 @@
  public:
   StoreFeed(asio::io_context& loop, const Endpoint& store, Codec codec, const FeedOptions& options,
             std::uint64_t seed, StoreFeedHooks hooks)
-      : store_(store),
+      : loop_(loop),
+        store_(store),
         codec_(std::move(codec)),
         schedule_(options, seed),
         hooks_(std::move(hooks)),
@@ -66,6 +75,16 @@
 
   void Start() { Step(); }
 
+  /// Nodes to follow instead of the store, in the order in which they are tried; none to follow the
+  /// store. A call in progress goes on.
+  void SetRelays(std::vector<Endpoint> relays) {
+    relays_ = std::move(relays);
+    schedule_.SetRelays(relays_.size());
+  }
+
+  /// Time since the store confirmed what is known here, suspended time included.
+  Duration age() const { return TimeSinceBoot() - confirmed_; }
+
   /// Finds out whether the store can be reached, by a new connection without a call. One at a time.
   void Probe(std::function<void(bool reached)> done) {
     probe_client_.OpenConnection(std::move(done));
@@ -105,7 +124,72 @@
       });
       return;
     }
-    Call(step);
+    if (step.kind == FeedStepKind::kFollow) {
+      Follow(step);
+    } else {
+      Call(step);
+    }
+  }
+
+  void Follow(const FeedStep& step) {
+    const Endpoint& relay = relays_[step.relay];
+    std::erase_if(relay_clients_, [this](const auto& entry) {
+      return std::find(relays_.begin(), relays_.end(), entry.first) == relays_.end();
+    });
+    auto& client = relay_clients_[relay];
+    if (!client) {
+      BackendClientOptions options;
+      options.connect_timeout = kProbeTimeout;
+      client = std::make_unique<BackendClient>(loop_, relay, /*max_connections=*/1, options);
+    }
+    ExchangeRequest request;
+    request.bytes = fmt::format("GET /changes?after={}&wait={} HTTP/1.1\r\nHost: {}\r\n\r\n",
+                                step.after_revision, step.wait.count(), FormatEndpoint(relay));
+    request.time_left = step.timeout;
+    client->Start(std::move(request), [this, relay](const ExchangeResult& result) {
+      OnFollowed(relay, result);
+      Step();
+    });
+  }
+
+  void OnFollowed(const Endpoint& relay, const ExchangeResult& result) {
+    TimePoint now = Now();
+    constexpr int kOk = 200;
+    constexpr int kGone = 410;
+    bool answered = result.end == ExchangeEnd::kAnswered;
+    if (answered && result.status == kGone) return schedule_.OnFollowForgotten();
+    absl::StatusOr<RelayedPage> relayed = absl::UnavailableError("no answer");
+    if (answered && result.status == kOk) relayed = DecodeRelayedPage(result.body);
+    if (!relayed.ok()) {
+      LogLine(LogLevel::kWarning, "followed node lost")
+          .Field("node", FormatEndpoint(relay))
+          .Field("error", ErrorText(relayed.status()));
+      return schedule_.OnFollowFailure(now);
+    }
+    bool after_outage = relayed->page.after_outage || schedule_.just_returned(now);
+    confirmed_ = std::max(confirmed_, TimeSinceBoot() - Duration(relayed->age));
+    bool was_lost = schedule_.in_outage();
+    schedule_.OnFollowed(relayed->page.as_of, relayed->age, now);
+    if (was_lost && !schedule_.in_outage()) {
+      LogLine(LogLevel::kInfo, "store reached again through a followed node")
+          .Field("as_of", relayed->page.as_of);
+      hooks_.on_reached(true);
+    }
+    Deliver(relayed->page, after_outage, "follow");
+    hooks_.on_changes(relayed->page);
+  }
+
+  void Deliver(StorePage& page, bool after_outage, const char* call) {
+    if (!page.items.empty()) {
+      LogLine(LogLevel::kInfo, "store read")
+          .Field("call", call)
+          .Field("items", page.items.size())
+          .Field("as_of", page.as_of)
+          .Field("more", page.has_more ? "yes" : "no")
+          .Field("after_outage", after_outage ? "yes" : "no");
+    }
+    page.after_outage = after_outage;
+    hooks_.on_items(page.items, after_outage);
   }
 
   void Call(const FeedStep& step) {
@@ -138,6 +222,7 @@
       LogLine(LogLevel::kInfo, "store reached again").Field("as_of", page->as_of);
       hooks_.on_reached(true);
     }
+    confirmed_ = TimeSinceBoot();
     if (watch) {
       schedule_.OnChanges(page->items.size(), page->as_of, now);
     } else {
@@ -145,16 +230,13 @@
       std::string last = page->items.empty() ? std::string() : page->items.back().key;
       schedule_.OnPage(last, page->has_more && !page->items.empty(), page->as_of, now);
     }
-    if (!page->items.empty()) {
-      LogLine(LogLevel::kInfo, "store read")
-          .Field("call", watch ? "watch" : "read")
-          .Field("items", page->items.size())
-          .Field("as_of", page->as_of)
-          .Field("more", page->has_more ? "yes" : "no")
-          .Field("after_outage", after_outage ? "yes" : "no");
+    Deliver(*page, after_outage, watch ? "watch" : "read");
+    if (watch) {
+      hooks_.on_changes(*page);
+    } else if (!page->has_more) {
+      hooks_.on_all_read(keys_, after_outage);
+      hooks_.on_restart(schedule_.revision());
     }
-    hooks_.on_items(page->items, after_outage);
-    if (!watch && !page->has_more) hooks_.on_all_read(keys_, after_outage);
   }
 
   void OnFailure(const absl::Status& error, bool watch, TimePoint sent, TimePoint now) {
@@ -171,6 +253,7 @@
                std::chrono::duration_cast<std::chrono::milliseconds>(now - sent).count());
   }
 
+  asio::io_context& loop_;
   const Endpoint store_;
   const Codec codec_;
   FeedSchedule schedule_;
@@ -179,6 +262,9 @@
   BackendClient probe_client_;
   asio::steady_timer timer_;
   std::vector<std::string> keys_;
+  std::vector<Endpoint> relays_;
+  std::map<Endpoint, std::unique_ptr<BackendClient>> relay_clients_;
+  Duration confirmed_ = TimeSinceBoot();  // Since boot.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/store/store_page.h
+++ b/include/damaskroute/store/store_page.h
@@ -12,8 +12,9 @@
 /// that they lead up to.
 struct StorePage {
   std::vector<StoreItem> items;
-  bool has_more = false;    ///< Of a read: further pages follow after the last key.
-  std::uint64_t as_of = 0;  ///< Revision of the store.
+  bool has_more = false;      ///< Of a read: further pages follow after the last key.
+  std::uint64_t as_of = 0;    ///< Revision of the store.
+  bool after_outage = false;  ///< What is removed may only have lapsed while the store was away.
 };
 
 }  // namespace damaskroute
--- a/src/peer/datagram_codec.cc
+++ b/src/peer/datagram_codec.cc
@@ -5,8 +5,8 @@
 #include <ostream>
 #include <utility>
 
+#include "damaskroute/core/string_streambuf.h"
 #include "damaskroute/peer/bounded_input_archive.h"
-#include "string_streambuf.h"
 
 namespace damaskroute {
 namespace {
--- a/src/peer/hello.cc
+++ b/src/peer/hello.cc
@@ -3,9 +3,9 @@
 #include <cereal/types/string.hpp>
 #include <ostream>
 
+#include "damaskroute/core/string_streambuf.h"
 #include "damaskroute/peer/bounded_input_archive.h"
 #include "damaskroute/peer/mac_key.h"
-#include "string_streambuf.h"
 
 namespace damaskroute {
 namespace {
--- a/src/peer/message_codec.cc
+++ b/src/peer/message_codec.cc
@@ -7,9 +7,9 @@
 #include <optional>
 #include <utility>
 
+#include "damaskroute/core/string_streambuf.h"
 #include "damaskroute/peer/bounded_input_archive.h"
 #include "message_fields.h"
-#include "string_streambuf.h"
 
 namespace damaskroute {
 namespace {
--- /dev/null
+++ b/src/relay/node_record.cc
@@ -0,0 +1,39 @@
+#include "damaskroute/relay/node_record.h"
+
+#include <rapidjson/document.h>
+
+#include "damaskroute/core/json_member.h"
+#include "damaskroute/core/json_writer.h"
+
+namespace damaskroute {
+
+std::string RenderNodeRecord(const NodeRecord& record) {
+  rapidjson::StringBuffer buffer;
+  JsonWriter writer(buffer);
+  writer.StartObject();
+  WriteText(writer, "zone", record.zone);
+  if (record.changes) WriteText(writer, "changes", FormatEndpoint(*record.changes));
+  writer.EndObject();
+  return buffer.GetString();
+}
+
+absl::StatusOr<NodeRecord> ParseNodeRecord(std::string_view text) {
+  rapidjson::Document document;
+  document.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
+  if (document.HasParseError()) return absl::InvalidArgumentError("a node's record is no JSON");
+  const rapidjson::Value* zone = FindJsonMember(document, "zone");
+  if (zone == nullptr || !zone->IsString()) {
+    return absl::InvalidArgumentError("a node's record has no zone");
+  }
+  NodeRecord record;
+  record.zone.assign(zone->GetString(), zone->GetStringLength());
+  const rapidjson::Value* changes = FindJsonMember(document, "changes");
+  if (changes == nullptr) return record;
+  if (!changes->IsString()) return absl::InvalidArgumentError("an address is not text");
+  auto endpoint = ParseEndpoint({changes->GetString(), changes->GetStringLength()});
+  if (!endpoint.ok()) return endpoint.status();
+  record.changes = *std::move(endpoint);
+  return record;
+}
+
+}  // namespace damaskroute
--- /dev/null
+++ b/src/relay/relayed_page.cc
@@ -0,0 +1,59 @@
+#include "damaskroute/relay/relayed_page.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <ostream>
+
+#include "damaskroute/core/string_streambuf.h"
+#include "damaskroute/peer/bounded_input_archive.h"
+
+namespace damaskroute {
+
+template <typename Archive>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive, StoreItem& item) {
+  archive(item.key, item.value, item.revision, item.removed);
+}
+
+namespace {
+
+// First byte of each page; a node of another version is read from no further.
+constexpr std::uint8_t kFormat = 1;
+
+template <typename Archive>
+void Transfer(Archive& archive, std::uint8_t& format, RelayedPage& relayed) {
+  std::int64_t age = relayed.age.count();
+  archive(format, age, relayed.page.as_of, relayed.page.after_outage, relayed.page.items);
+  relayed.age = std::chrono::microseconds(age);
+}
+
+}  // namespace
+
+std::string EncodeRelayedPage(const RelayedPage& relayed) {
+  std::string bytes;
+  internal::StringStreambuf buffer(bytes);
+  std::ostream stream(&buffer);
+  cereal::PortableBinaryOutputArchive archive(
+      stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
+  std::uint8_t format = kFormat;
+  RelayedPage copy = relayed;  // The archive's interface takes no constant objects.
+  Transfer(archive, format, copy);
+  return bytes;
+}
+
+absl::StatusOr<RelayedPage> DecodeRelayedPage(std::string_view bytes) {
+  RelayedPage relayed;
+  std::uint8_t format = 0;
+  try {
+    internal::BoundedInputArchive archive(bytes);
+    Transfer(archive, format, relayed);
+    if (archive.bytes_left() != 0) return absl::InvalidArgumentError("bytes after the page");
+  } catch (const cereal::Exception& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+  if (format != kFormat) return absl::InvalidArgumentError("unknown format of a page");
+  if (relayed.age.count() < 0) return absl::InvalidArgumentError("negative age of a page");
+  return relayed;
+}
+
+}  // namespace damaskroute
--- a/src/store/feed_schedule.cc
+++ b/src/store/feed_schedule.cc
@@ -13,6 +13,9 @@
 
 constexpr int kMaxDoublings = 5;
 
+// A call to a followed node is not worth while with less time than this until its answer is stale.
+constexpr std::chrono::milliseconds kLeastFollow{200};
+
 }  // namespace
 
 FeedStep FeedSchedule::Next(TimePoint now) const {
@@ -21,6 +24,15 @@
     step.until = pause_until_;
     return step;
   }
+  step.after_revision = revision_;
+  if (Follows(now)) {
+    auto left = std::chrono::duration_cast<std::chrono::milliseconds>(StaleAt() - now);
+    step.kind = FeedStepKind::kFollow;
+    step.relay = relay_;
+    step.wait = std::min(options_.follow_wait, left);
+    step.timeout = step.wait + options_.follow_slack;
+    return step;
+  }
   step.kind = reading_ ? FeedStepKind::kRead : FeedStepKind::kWatch;
   step.after_key = after_key_;
   int doublings = std::min(failures_, kMaxDoublings);
@@ -30,14 +42,46 @@
     step.timeout = options_.watch_wait +
                    std::min(options_.watch_slack * (1 << doublings), options_.read_timeout);
   }
-  step.after_revision = revision_;
   return step;
 }
 
+bool FeedSchedule::Follows(TimePoint now) const {
+  return relays_ > 0 && !reading_ && !direct_once_ && now >= direct_until_ &&
+         now + kLeastFollow < StaleAt();
+}
+
+void FeedSchedule::SetRelays(std::size_t relays) {
+  relays_ = relays;
+  relay_ = 0;
+  failed_relays_ = 0;
+}
+
+void FeedSchedule::OnFollowed(std::uint64_t as_of, Duration age, TimePoint now) {
+  revision_ = std::max(revision_, as_of);
+  confirmed_ = std::max(confirmed_, now - age);
+  // One that has lost the store itself answers as well, with an ever greater age.
+  if (now + kLeastFollow >= StaleAt()) return NextRelay(now);
+  failed_relays_ = 0;
+  OnSuccess(now);
+}
+
+void FeedSchedule::OnFollowFailure(TimePoint now) { NextRelay(now); }
+
+void FeedSchedule::NextRelay(TimePoint now) {
+  if (relays_ == 0) return;
+  relay_ = (relay_ + 1) % relays_;
+  if (++failed_relays_ < relays_) return;
+  failed_relays_ = 0;
+  direct_until_ = now + options_.direct_time;
+}
+
 void FeedSchedule::OnPage(const std::string& last_key, bool has_more, std::uint64_t as_of,
                           TimePoint now) {
   OnSuccess(now);
-  if (after_key_.empty()) first_as_of_ = as_of;
+  if (after_key_.empty()) {
+    first_as_of_ = as_of;
+    confirmed_ = now;
+  }
   after_key_ = has_more ? last_key : std::string();
   reading_ = has_more;
   if (!has_more) revision_ = first_as_of_;
@@ -45,6 +89,8 @@
 
 void FeedSchedule::OnChanges(std::size_t changes, std::uint64_t as_of, TimePoint now) {
   OnSuccess(now);
+  direct_once_ = false;
+  confirmed_ = now;
   revision_ = std::max(revision_, as_of);
   bool behind = changes >= options_.large_batch;
   if (changes > 0 && !behind) pause_until_ = now + options_.gather;
--- a/tests/feed_schedule_test.cc
+++ b/tests/feed_schedule_test.cc
@@ -149,5 +149,78 @@
   }
 }
 
+TEST_CASE("a node in a large zone follows another one in place of the store") {
+  Fixture f;
+  f.schedule.SetRelays(2);
+  CHECK(f.Next().kind == FeedStepKind::kRead);
+  f.ReadAll(7);
+  FeedStep step = f.Next();
+  CHECK(step.kind == FeedStepKind::kFollow);
+  CHECK(step.relay == 0);
+  CHECK(step.after_revision == 7);
+  f.schedule.OnFollowed(9, milliseconds(500), f.clock.Now());
+  CHECK(f.Next().kind == FeedStepKind::kFollow);
+  CHECK(f.Next().after_revision == 9);
+  f.schedule.SetRelays(0);
+  CHECK(f.Next().kind == FeedStepKind::kWatch);
+}
+
+TEST_CASE("a followed node that fails is replaced by the other one, and both by the store") {
+  Fixture f;
+  f.schedule.SetRelays(2);
+  f.ReadAll(7);
+  f.schedule.OnFollowFailure(f.clock.Now());
+  CHECK(f.Next().kind == FeedStepKind::kFollow);
+  CHECK(f.Next().relay == 1);
+  f.schedule.OnFollowFailure(f.clock.Now());
+  CHECK(f.Next().kind == FeedStepKind::kWatch);
+  f.schedule.OnChanges(0, 8, f.clock.Now());
+  f.clock.Advance(f.options.direct_time);
+  f.schedule.OnChanges(0, 9, f.clock.Now());
+  CHECK(f.Next().kind == FeedStepKind::kFollow);
+}
+
+// Guards against a node that is behind because the one that it follows has lost the store, or sits
+// on a connection that has gone silent: nobody may be behind for longer than a watch of its own
+// would leave it.
+TEST_CASE("a node never relies on what the store confirmed longer ago than its own watch would") {
+  Fixture f;
+  f.schedule.SetRelays(2);
+  f.ReadAll(7);
+  TimePoint confirmed = f.clock.Now();
+  Duration bound = f.options.watch_wait + f.options.watch_slack;
+  for (int i = 0; i < 100; ++i) {
+    FeedStep step = f.Next();
+    if (step.kind != FeedStepKind::kFollow) break;
+    CHECK(f.clock.Now() + step.wait <= confirmed + bound);
+    f.clock.Advance(step.wait);
+    f.schedule.OnFollowed(7, f.clock.Now() - confirmed, f.clock.Now());
+  }
+  CHECK(f.Next().kind == FeedStepKind::kWatch);
+  CHECK(f.clock.Now() <= confirmed + bound);
+}
+
+TEST_CASE("changes that a followed node does not know are asked of the store, once") {
+  Fixture f;
+  f.schedule.SetRelays(1);
+  f.ReadAll(7);
+  f.schedule.OnFollowForgotten();
+  CHECK(f.Next().kind == FeedStepKind::kWatch);
+  f.schedule.OnChanges(0, 12, f.clock.Now());
+  CHECK(f.Next().kind == FeedStepKind::kFollow);
+}
+
+TEST_CASE("a followed node that reaches the store ends an outage") {
+  Fixture f;
+  f.schedule.SetRelays(1);
+  f.ReadAll(7);
+  f.Fail(milliseconds(10), true);
+  f.Fail(milliseconds(10), true);
+  REQUIRE(f.schedule.in_outage());
+  f.schedule.OnFollowed(8, milliseconds(20), f.clock.Now());
+  CHECK_FALSE(f.schedule.in_outage());
+  CHECK(f.schedule.just_returned(f.clock.Now()));
+}
+
 }  // namespace
 }  // namespace damaskroute
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -1,7 +1,12 @@
 #include <doctest/doctest.h>
+#include <rapidjson/document.h>
 
 #include <algorithm>
+#include <memory>
 
+#include "damaskroute/core/hash.h"
+#include "damaskroute/relay/change_relay.h"
+#include "damaskroute/relay/relay_choice.h"
 #include "tests/support/platform_world.h"
 
 // A node on the stand-ins of the users' platform, from a caller's socket to a server's and back.
@@ -339,6 +344,66 @@
   CHECK(PlatformWorld::Await([&] { return w.Ready() == 200; }));
 }
 
+// Stands in for a node that follows the store and passes its changes on.
+struct Reader {
+  Reader(PlatformWorld& world, const NodeName& name)
+      : loop(world.loop), endpoint(standins::StableEndpoint()) {
+    loop.Run([&] {
+      relay = std::make_unique<ChangeRelay>(loop.io(), endpoint, [] { return Duration::zero(); });
+      (void)relay->Start();
+      relay->OnAllRead(1);
+    });
+    world.store.Write(platform::kNodePrefix + name, RenderNodeRecord({"a", endpoint}));
+  }
+  ~Reader() {
+    loop.Run([this] { relay.reset(); });
+  }
+  void Announce(const StoreItem& item) {
+    loop.Run([&] { relay->OnChanges({{item}, false, item.revision, false}); });
+  }
+
+  standins::Loop& loop;
+  Endpoint endpoint;
+  std::unique_ptr<ChangeRelay> relay;
+};
+
+std::uint64_t StoreRevision(PlatformWorld& world) {
+  auto response = HttpTestClient(world.store.endpoint()).Call("GET", "/kv-range?prefix=");
+  rapidjson::Document document;
+  document.Parse(response.body.c_str(), response.body.size());
+  REQUIRE(document.IsObject());
+  return document["asOf"].GetUint64();
+}
+
+// Guards against calls to the store that grow with the number of nodes, and against a node that is
+// left behind when the nodes that it follows are gone.
+TEST_CASE("a node of a large zone follows the readers of its zone, and the store without them") {
+  PlatformWorld w;
+  w.AddServer("i-1", "desk");
+  std::vector<std::unique_ptr<Reader>> readers;
+  for (int i = 0; readers.size() < kReadersPerZone; ++i) {
+    NodeName name = fmt::format("reader-{}", i);
+    // Readers are the nodes whose names have the least hashes.
+    if (Hash64(name) < Hash64("node-1")) readers.push_back(std::make_unique<Reader>(w, name));
+  }
+  REQUIRE(w.StartServing(1));
+  REQUIRE(PlatformWorld::Await(
+      [&] { return w.store.Has(platform::kNodePrefix + NodeName("node-1")); }));
+  // With a store that no longer answers, the node can only know this from a reader.
+  std::uint64_t revision = StoreRevision(w);
+  w.store.SetMode(StoreMode::kSilent);
+  std::string config = PlatformWorld::Config(4, 0.6, "new");
+  w.store.Write(platform::kConfigKey, config);
+  for (auto& reader : readers) {
+    reader->Announce({platform::kConfigKey, config, revision + 1, false});
+  }
+  CHECK(PlatformWorld::Await([&] { return w.Get("/new/x").status == 200; }));
+  w.store.SetMode(StoreMode::kServe);
+  readers.clear();
+  w.store.Write(platform::kConfigKey, PlatformWorld::Config(5, 0.6, "newer"));
+  CHECK(PlatformWorld::Await([&] { return w.Get("/newer/x").status == 200; }));
+}
+
 TEST_CASE("metrics are served on their own address") {
   PlatformWorld w;
   w.AddServer("i-1", "desk");
--- /dev/null
+++ b/tests/relay_codec_test.cc
@@ -0,0 +1,61 @@
+#include <doctest/doctest.h>
+
+#include "damaskroute/relay/node_record.h"
+#include "damaskroute/relay/relayed_page.h"
+
+namespace damaskroute {
+namespace {
+
+RelayedPage Sample() {
+  RelayedPage relayed;
+  relayed.age = std::chrono::microseconds(1234);
+  relayed.page.as_of = 77;
+  relayed.page.after_outage = true;
+  relayed.page.items = {{"servers/i-1", std::string("\0\xff{", 3), 76, false},
+                        {"servers/i-2", "", 77, true}};
+  return relayed;
+}
+
+TEST_CASE("a page is the same after it was passed on") {
+  auto copy = DecodeRelayedPage(EncodeRelayedPage(Sample()));
+  REQUIRE(copy.ok());
+  CHECK(copy->age == Sample().age);
+  CHECK(copy->page.as_of == 77);
+  CHECK(copy->page.after_outage);
+  REQUIRE(copy->page.items.size() == 2);
+  CHECK(copy->page.items[0].value == Sample().page.items[0].value);
+  CHECK(copy->page.items[1].removed);
+  CHECK(copy->page.items[1].revision == 77);
+}
+
+// Guards against half of a page that is taken for all of it.
+TEST_CASE("bytes that are no whole page are an error") {
+  std::string bytes = EncodeRelayedPage(Sample());
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    CHECK_FALSE(DecodeRelayedPage(bytes.substr(0, size)).ok());
+  }
+  CHECK_FALSE(DecodeRelayedPage(bytes + "x").ok());
+  std::string other_format = bytes;
+  other_format[1] = 9;
+  CHECK_FALSE(DecodeRelayedPage(other_format).ok());
+}
+
+TEST_CASE("a node's record says its zone and where it can be followed") {
+  NodeRecord record{"zone-a", Endpoint{"10.1.0.9", 7381}};
+  auto copy = ParseNodeRecord(RenderNodeRecord(record));
+  REQUIRE(copy.ok());
+  CHECK(*copy == record);
+  record.changes.reset();
+  CHECK(*ParseNodeRecord(RenderNodeRecord(record)) == record);
+}
+
+TEST_CASE("a record that cannot be read is an error") {
+  for (const char* text : {"", "{", "[]", "{}", R"({"zone":1})", R"({"zone":"a","changes":1})",
+                           R"({"zone":"a","changes":"host"})"}) {
+    CAPTURE(text);
+    CHECK_FALSE(ParseNodeRecord(text).ok());
+  }
+}
+
+}  // namespace
+}  // namespace damaskroute
