--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -44,8 +44,9 @@
  public:
   BackendTable(BackendTableOptions options, std::uint64_t seed);
 
-  /// Adds a server or changes its data. `fresh`: forget what was learnt of its predecessor.
-  void Put(const BackendEntry& entry, bool fresh, TimePoint now);
+  /// Adds a server or changes its data. What was learnt of it is kept; `Remove` a predecessor
+  /// first.
+  void Put(const BackendEntry& entry, TimePoint now);
 
   /// Removes a server. Calls on their way to it go on.
   void Remove(const BackendName& id);
--- a/include/damaskroute/forward/forward_run.h
+++ b/include/damaskroute/forward/forward_run.h
@@ -75,12 +75,13 @@
   enum class CallKind : std::uint8_t { kFirst, kCopy, kRepeat };
   using Actions = std::vector<ForwardAction>;
 
-  bool RefuseAtOnce(TimePoint now, Actions& actions);
+  bool RefuseAtOnce(const std::vector<BackendChoice>& choices, TimePoint now, Actions& actions);
   bool IsHopeless(const BackendChoice& choice) const;
   CallTimes Times() const;
   std::chrono::milliseconds RetryAfter(TimePoint now) const;
   BackendChoice Choose(std::uint32_t part, TimePoint now) const;
-  bool Send(std::uint32_t part, CallKind kind, TimePoint now, Actions& actions);
+  bool Send(std::uint32_t part, CallKind kind, BackendChoice choice, TimePoint now,
+            Actions& actions);
   void SendTo(std::uint32_t part, std::shared_ptr<Backend> backend, TimePoint now,
               Actions& actions);
   void Close(Call& call, EvidenceOf kind, TimePoint now);
--- a/include/damaskroute/store/lease_schedule.h
+++ b/include/damaskroute/store/lease_schedule.h
@@ -20,7 +20,7 @@
   LeaseStep Next(TimePoint now) const;
 
   /// A lease was opened; the store may have changed its life.
-  void OnOpened(std::uint64_t lease, std::chrono::milliseconds life, TimePoint now);
+  void OnOpened(std::uint64_t lease, std::chrono::milliseconds life);
 
   void OnWritten(TimePoint now) { OnRenewed(now); }
   void OnRenewed(TimePoint now);
--- a/include/damaskroute/store/leased_key.h
+++ b/include/damaskroute/store/leased_key.h
@@ -96,7 +96,7 @@
       return status;
     }
     auto lease = codec_.ParseLease(result.status, result.body);
-    if (lease.ok()) schedule_.OnOpened(lease->id, lease->life, Now());
+    if (lease.ok()) schedule_.OnOpened(lease->id, lease->life);
     return lease.status();
   }
 
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -49,10 +49,9 @@
 BackendTable::BackendTable(BackendTableOptions options, std::uint64_t seed)
     : options_(std::move(options)), random_(seed) {}
 
-void BackendTable::Put(const BackendEntry& entry, bool fresh, TimePoint now) {
+void BackendTable::Put(const BackendEntry& entry, TimePoint now) {
   auto found = by_id_.find(entry.id);
-  bool moved = found != by_id_.end() && found->second->entry.service != entry.service;
-  if (found != by_id_.end() && (fresh || moved)) {
+  if (found != by_id_.end() && found->second->entry.service != entry.service) {
     Remove(entry.id);
     found = by_id_.end();
   }
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -61,13 +61,16 @@
   for (const ServiceName& service : spec_.services) {
     policies_.budgets[service].OnRequest(policies_.budget_options, now);
   }
-  if (RefuseAtOnce(now, actions)) return actions;
+  std::vector<BackendChoice> choices;
+  choices.reserve(parts_.size());
+  for (std::uint32_t i = 0; i < parts_.size(); ++i) choices.push_back(Choose(i, now));
+  if (RefuseAtOnce(choices, now, actions)) return actions;
   calls_.reserve(parts_.size() + 4);
   for (std::uint32_t i = 0; i < parts_.size(); ++i) {
-    if (parts_[i].state == PartState::kOpen && !Send(i, CallKind::kFirst, now, actions)) {
-      parts_[i].state = PartState::kFailed;
-      ++failed_;
-    }
+    if (parts_[i].state != PartState::kOpen) continue;
+    if (Send(i, CallKind::kFirst, std::move(choices[i]), now, actions)) continue;
+    parts_[i].state = PartState::kFailed;
+    ++failed_;
   }
   Conclude(now, actions);
   ScheduleWake(actions);
@@ -76,9 +79,10 @@
 
 // Leaves out the shards that cannot come in before the objective, and refuses a query that would
 // have too few of them: its calls would only take room from queries that can be served.
-bool ForwardRun::RefuseAtOnce(TimePoint now, Actions& actions) {
+bool ForwardRun::RefuseAtOnce(const std::vector<BackendChoice>& choices, TimePoint now,
+                              Actions& actions) {
   for (std::uint32_t i = 0; i < parts_.size(); ++i) {
-    if (!IsHopeless(Choose(i, now))) continue;
+    if (!IsHopeless(choices[i])) continue;
     parts_[i].state = PartState::kFailed;
     left_out_.push_back(spec_.services[i]);
   }
@@ -148,17 +152,17 @@
   Part& part = parts_[index];
   bool may_repeat = spec_.idempotent || !MayHaveRun(result.end);
   if (result.end == CallEnd::kServerError) part.result = std::move(result);
-  if (may_repeat && Send(index, CallKind::kRepeat, now, actions)) return;
+  if (may_repeat && Send(index, CallKind::kRepeat, Choose(index, now), now, actions)) return;
   if (part.open_calls > 0) return;
   part.state = PartState::kFailed;
   ++failed_;
 }
 
-bool ForwardRun::Send(std::uint32_t index, CallKind kind, TimePoint now, Actions& actions) {
+bool ForwardRun::Send(std::uint32_t index, CallKind kind, BackendChoice choice, TimePoint now,
+                      Actions& actions) {
   Part& part = parts_[index];
   if (part.attempts >= spec_.max_attempts || part.tried.size() >= kMaxTries) return false;
   if (now + kLeastCallTime >= spec_.deadline) return false;
-  BackendChoice choice = Choose(index, now);
   if (!choice.backend) {
     ++counts_.without_room;
     return false;
@@ -248,7 +252,7 @@
     part.check_at = late_at;
     return;
   }
-  if (Send(index, CallKind::kCopy, now, actions)) return;
+  if (Send(index, CallKind::kCopy, Choose(index, now), now, actions)) return;
   // The other servers may recover, and the budget fills again.
   part.check_at = now + kCheckInterval;
 }
--- a/src/node/forward_beliefs.cc
+++ b/src/node/forward_beliefs.cc
@@ -36,9 +36,8 @@
 void ForwardBeliefs::OnBackend(const BackendEntry& entry) {
   DirectoryChange change = directory_.OnEntry(entry);
   if (change == DirectoryChange::kNone) return;
-  bool fresh = change == DirectoryChange::kReplaced;
-  if (fresh) Drop(entry.id, "replaced by a new incarnation");
-  backends_.Put(entry, fresh, Now());
+  if (change == DirectoryChange::kReplaced) Drop(entry.id, "replaced by a new incarnation");
+  backends_.Put(entry, Now());
   LogLine(LogLevel::kInfo, "backend server known")
       .Field("backend", entry.id)
       .Field("service", entry.service)
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -77,6 +77,7 @@
   HttpResponder respond;
   std::shared_ptr<CallerPresence> presence;
   std::shared_ptr<const RouteTable> routes;  // Keeps `route` alive.
+  TimePoint routes_since;                    // When these routes came into force.
   const Route* route = nullptr;
   ForwardRun run;
   OverloadLimit* limit = nullptr;  // Of the set of shards, until the query has ended.
@@ -116,6 +117,7 @@
   exchange->respond = std::move(respond);
   exchange->presence = std::move(presence);
   exchange->routes = routes;
+  exchange->routes_since = beliefs_.routes_since();
   exchange->route = route;
   if (!AdmitQuery(*exchange)) {
     return RefuseWith(exchange->request, 503, "too many queries", exchange->respond,
@@ -297,7 +299,7 @@
       .Field("unanswered", unanswered)
       .Field("left_out", LeftOut(exchange->run))
       .Field("routes_version", exchange->routes->document().version)
-      .Field("routes_age_us", Microseconds(Now() - beliefs_.routes_since()));
+      .Field("routes_age_us", Microseconds(Now() - exchange->routes_since));
   if (exchange->presence) exchange->presence->on_gone = nullptr;
   exchange->respond(MakeForwardResponse(exchange->request, std::move(answer),
                                         exchange->route->top_records, protocol_));
--- a/src/store/lease_schedule.cc
+++ b/src/store/lease_schedule.cc
@@ -28,7 +28,7 @@
   return step;
 }
 
-void LeaseSchedule::OnOpened(std::uint64_t lease, std::chrono::milliseconds life, TimePoint) {
+void LeaseSchedule::OnOpened(std::uint64_t lease, std::chrono::milliseconds life) {
   lease_ = lease;
   life_ = life;
   written_ = false;
--- a/tests/backend_table_test.cc
+++ b/tests/backend_table_test.cc
@@ -47,7 +47,7 @@
   Fixture f(3);
   BackendEntry draining = ForwardWorld::Entry(0, "a");
   draining.draining = true;
-  f.table.Put(draining, false, f.clock.Now());
+  f.table.Put(draining, f.clock.Now());
   f.table.SetClosedZones({"b"});
   CHECK(f.Choose() == "s0c");
   CHECK(f.Choose({"s0c"}).empty());
@@ -168,7 +168,8 @@
   f.table.SetPolicies(std::make_shared<const RouteTable>(document), /*nodes=*/4);
   BackendEntry cold = ForwardWorld::Entry(0, "a");
   cold.warmup_left = seconds(3);
-  f.table.Put(cold, true, f.clock.Now());
+  f.table.Remove(cold.id);
+  f.table.Put(cold, f.clock.Now());
   CHECK(f.Choose() == "s0b");
   f.table.Remove("s0b");
   // Of 10/s x 1.5 + 5 = 20/s, a quarter.
@@ -186,7 +187,7 @@
   Fixture f(1);
   BackendEntry cold = ForwardWorld::Entry(0, "a");
   cold.warmup_left = seconds(3);
-  f.table.Put(cold, false, f.clock.Now());
+  f.table.Put(cold, f.clock.Now());
   RoutingDocument document;
   document.services["s0"] = {.max_connections = 100, .cold_rate = 2};
   f.table.SetPolicies(std::make_shared<const RouteTable>(document), /*nodes=*/4);
@@ -243,7 +244,8 @@
   Fixture f(1);
   f.Call("s0a", milliseconds(1), EvidenceOf::kUnreachable);
   auto old = f.table.Find("s0a");
-  f.table.Put(ForwardWorld::Entry(0, "a"), true, f.clock.Now());
+  f.table.Remove("s0a");
+  f.table.Put(ForwardWorld::Entry(0, "a"), f.clock.Now());
   CHECK(old->gone);
   CHECK_FALSE(f.table.Find("s0a")->evidence.IsAvoided(f.clock.Now()));
 }
@@ -268,7 +270,7 @@
   f.table.Find("s0a")->misdirected = true;
   f.clock.Advance(seconds(60));
   CHECK(f.Choose().empty());
-  f.table.Put(ForwardWorld::Entry(0, "a"), false, f.clock.Now());
+  f.table.Put(ForwardWorld::Entry(0, "a"), f.clock.Now());
   CHECK(f.Choose() == "s0a");
 }
 
--- /dev/null
+++ b/tests/forward_run_exploration_test.cc
@@ -0,0 +1,171 @@
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fmt/format.h"
+#include "tests/support/forward_world.h"
+
+// Explores all orders of events of one request up to a depth, and checks after each event what must
+// never happen. Guards against requests that run twice, refusals of requests that may have run, and
+// answers that are not whole, in orders that no single test names.
+
+namespace damaskroute {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr CallEnd kEnds[] = {CallEnd::kAnswered,    CallEnd::kServerError, CallEnd::kNotRun,
+                             CallEnd::kMisdirected, CallEnd::kUnreachable, CallEnd::kLost};
+
+bool IsNotRun(CallEnd end) {
+  return end == CallEnd::kNotRun || end == CallEnd::kMisdirected || end == CallEnd::kUnreachable;
+}
+
+struct Setup {
+  int shards = 1;
+  int servers = 2;
+  std::size_t min_parts = 1;
+  bool query = false;
+  bool idempotent = false;
+};
+
+// One path: a sequence of choices, replayed from the start.
+class Path {
+ public:
+  explicit Path(const Setup& setup) : setup_(setup), world_(setup.shards, setup.servers) {
+    ForwardSpec spec = setup.query ? world_.Query(setup.shards, setup.min_parts)
+                                   : world_.Plain(setup.idempotent);
+    max_attempts_ = spec.max_attempts;
+    world_.Begin(std::move(spec));
+    Check();
+  }
+
+  // Number of events that may come next.
+  std::size_t Choices() const {
+    if (world_.answer || abandoned_) return 0;
+    return world_.open.size() * std::size(kEnds) + 3;
+  }
+
+  void Take(std::size_t choice) {
+    std::size_t ends = world_.open.size() * std::size(kEnds);
+    if (choice < ends) {
+      auto call = std::next(world_.open.begin(),
+                            static_cast<std::ptrdiff_t>(choice / std::size(kEnds)));
+      std::string server = call->second;
+      CallEnd end = kEnds[choice % std::size(kEnds)];
+      if (IsNotRun(end)) ++not_run_[ShardOf(server)];
+      if (end == CallEnd::kAnswered) answered_.insert(ShardOf(server));
+      world_.End(server, end, end == CallEnd::kServerError ? 500 : 200);
+    } else if (choice == ends) {
+      world_.Advance(milliseconds(30));
+    } else if (choice == ends + 1) {
+      world_.Take(world_.run->GiveUp("the node ends", world_.clock.Now()));
+      CHECK(world_.answer);
+    } else {
+      world_.Take(world_.run->Abandon(world_.clock.Now()));
+      abandoned_ = true;
+    }
+    Check();
+  }
+
+  // Whether the request ends by itself at the latest at its deadline.
+  void CheckEnds() {
+    if (abandoned_) return;
+    world_.Advance(milliseconds(2000));
+    CHECK(world_.answer);
+    Check();
+  }
+
+ private:
+  static std::string ShardOf(const std::string& server) { return server.substr(0, 2); }
+
+  void Check() {
+    std::map<std::string, int> sent;
+    for (const std::string& server : world_.sent) ++sent[ShardOf(server)];
+    int may_have_run = 0;
+    for (const auto& [shard, calls] : sent) {
+      int ran = calls - not_run_[shard];
+      CHECK(ran <= (setup_.idempotent || setup_.query ? max_attempts_ : 1));
+      may_have_run += ran;
+    }
+    CHECK(std::set<std::string>(world_.sent.begin(), world_.sent.end()).size() ==
+          world_.sent.size());
+    if (abandoned_ || world_.answer) CHECK(world_.open.empty());
+    if (!world_.answer) return;
+    const ForwardAnswer& answer = *world_.answer;
+    if (answer.kind == AnswerKind::kRefused) CHECK(may_have_run == 0);
+    if (answer.kind != AnswerKind::kMerged) return;
+    CHECK(answer.parts.size() >= setup_.min_parts);
+    CHECK(answer.parts.size() + answer.missing == static_cast<std::size_t>(setup_.shards));
+    std::set<std::string> shards;
+    for (const CallResult& part : answer.parts) {
+      shards.insert(part.stamp.substr(std::string("stamp-").size(), 2));
+    }
+    CHECK(shards.size() == answer.parts.size());
+    for (const std::string& shard : shards) CHECK(answered_.contains(shard));
+  }
+
+  Setup setup_;
+  ForwardWorld world_;
+  int max_attempts_ = 1;
+  std::map<std::string, int> not_run_;  // Calls by shard whose server did not run the request.
+  std::set<std::string> answered_;
+  bool abandoned_ = false;
+};
+
+// Returns the number of paths.
+std::size_t Explore(const Setup& setup, std::size_t depth) {
+  std::size_t paths = 0;
+  std::vector<std::size_t> choices;
+  for (;;) {
+    Path path(setup);
+    for (std::size_t choice : choices) path.Take(choice);
+    std::size_t next = choices.size() < depth ? path.Choices() : 0;
+    if (next > 0) {
+      choices.push_back(0);
+      continue;
+    }
+    path.CheckEnds();
+    ++paths;
+    // The next path in order: the last choice that has a successor advances.
+    for (;;) {
+      if (choices.empty()) return paths;
+      std::size_t last = choices.back() + 1;
+      choices.pop_back();
+      Path before(setup);
+      for (std::size_t choice : choices) before.Take(choice);
+      if (last >= before.Choices()) continue;
+      choices.push_back(last);
+      break;
+    }
+  }
+}
+
+TEST_CASE("an action runs at most once in any order of events") {
+  Setup setup;
+  setup.servers = 3;
+  CHECK(Explore(setup, 7) > 500);
+}
+
+TEST_CASE("an idempotent request runs on no more servers than its route allows") {
+  Setup setup;
+  setup.servers = 3;
+  setup.idempotent = true;
+  CHECK(Explore(setup, 6) > 1000);
+}
+
+TEST_CASE("a query's answer is whole or says what is missing in any order of events") {
+  Setup setup;
+  setup.shards = 2;
+  setup.query = true;
+  for (std::size_t min_parts : {1U, 2U}) {
+    setup.min_parts = min_parts;
+    CHECK(Explore(setup, 4) > 1000);
+  }
+}
+
+}  // namespace
+}  // namespace damaskroute
--- a/tests/lease_schedule_test.cc
+++ b/tests/lease_schedule_test.cc
@@ -14,7 +14,7 @@
   LeaseSchedule schedule(seconds(30), 1);
   ManualClock clock;
   CHECK(schedule.Next(clock.Now()).kind == LeaseStepKind::kOpen);
-  schedule.OnOpened(77, seconds(30), clock.Now());
+  schedule.OnOpened(77, seconds(30));
   CHECK(schedule.Next(clock.Now()).kind == LeaseStepKind::kWrite);
   CHECK(schedule.Next(clock.Now()).lease == 77);
   schedule.OnWritten(clock.Now());
@@ -28,7 +28,7 @@
 TEST_CASE("a lease that ended in an outage is opened anew") {
   LeaseSchedule schedule(seconds(30), 1);
   ManualClock clock;
-  schedule.OnOpened(77, seconds(30), clock.Now());
+  schedule.OnOpened(77, seconds(30));
   schedule.OnWritten(clock.Now());
   clock.Advance(seconds(10));
   schedule.OnEnded();
--- a/tests/support/forward_world.h
+++ b/tests/support/forward_world.h
@@ -37,7 +37,7 @@
   }
 
   void AddServer(int shard, const std::string& zone) {
-    table.Put(Entry(shard, zone), false, clock.Now());
+    table.Put(Entry(shard, zone), clock.Now());
     table.Find(fmt::format("{}{}", Service(shard), zone))->max_outstanding = 8;
   }
 
