--- a/include/damaskroute/relay/change_relay.h
+++ b/include/damaskroute/relay/change_relay.h
@@ -5,14 +5,13 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 
 #include "absl/status/status.h"
 #include "damaskroute/core/asio.h"
 #include "damaskroute/core/endpoint.h"
 #include "damaskroute/core/time.h"
 #include "damaskroute/http/http_server.h"
-#include "damaskroute/relay/change_log.h"
+#include "damaskroute/store/store_page.h"
 
 namespace damaskroute {
 
@@ -36,20 +35,12 @@
   void OnChanges(const StorePage& page);
 
  private:
-  struct Waiting {
-    std::uint64_t after = 0;
-    HttpResponder respond;
-    asio::steady_timer timer;
-  };
-
-  void Handle(const HttpRequest& request, HttpResponder respond);
-  void Respond(std::uint64_t after, const HttpResponder& respond) const;
-  void RespondToAll();
-
-  asio::io_context& loop_;
-  const std::function<Duration()> age_;
-  ChangeLog log_;
-  std::set<std::shared_ptr<Waiting>> waiting_;
+  struct State;
+
+  void AnswerAll();
+
+  // Outlived by timers that have expired but did not run yet.
+  std::shared_ptr<State> state_;
   std::optional<HttpServer> server_;
 };
 
--- a/src/relay/change_relay.cc
+++ b/src/relay/change_relay.cc
@@ -1,12 +1,13 @@
 #include "damaskroute/relay/change_relay.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "absl/strings/numbers.h"
-#include "damaskroute/log/log_line.h"
+#include "damaskroute/relay/change_log.h"
 #include "damaskroute/relay/relayed_page.h"
 
 namespace damaskroute {
@@ -50,12 +51,67 @@
 
 }  // namespace
 
+/// The calls that wait for changes.
+struct ChangeRelay::State {
+  struct Waiting {
+    std::uint64_t after = 0;
+    HttpResponder respond;
+    asio::steady_timer timer;
+  };
+
+  void Handle(const HttpRequest& request, HttpResponder respond);
+  void Respond(std::uint64_t after, const HttpResponder& respond) const;
+
+  // Ends the wait of all calls and runs `answer` on each.
+  template <typename Answer>
+  void EndAll(const Answer& answer) {
+    for (const auto& ended : std::exchange(waiting, {})) {
+      ended->timer.cancel();
+      answer(*ended);
+    }
+  }
+
+  asio::io_context& loop;
+  std::function<Duration()> age;
+  std::weak_ptr<State> self;
+  ChangeLog log;
+  std::set<std::shared_ptr<Waiting>> waiting;
+};
+
+void ChangeRelay::State::Handle(const HttpRequest& request, HttpResponder respond) {
+  auto after = NumberIn(request.target, "after");
+  auto wait = NumberIn(request.target, "wait");
+  if (!request.target.starts_with("/changes?") || !after || !wait) return respond(Failure(404));
+  auto page = log.After(*after);
+  if (!page || !page->items.empty() || *wait == 0) return Respond(*after, respond);
+  auto call =
+      std::make_shared<Waiting>(Waiting{*after, std::move(respond), asio::steady_timer(loop)});
+  waiting.insert(call);
+  auto longest = static_cast<std::uint64_t>(kLongestWait.count());
+  call->timer.expires_after(milliseconds(std::min(*wait, longest)));
+  call->timer.async_wait([weak = self, call](const boost::system::error_code&) {
+    auto state = weak.lock();
+    if (state && state->waiting.erase(call) > 0) state->Respond(call->after, call->respond);
+  });
+}
+
+void ChangeRelay::State::Respond(std::uint64_t after, const HttpResponder& respond) const {
+  auto page = log.After(after);
+  if (!page) return respond(Failure(410));
+  HttpResponse response;
+  response.content_type = "application/octet-stream";
+  response.body = EncodeRelayedPage(
+      {*std::move(page), std::chrono::duration_cast<std::chrono::microseconds>(age())});
+  respond(std::move(response));
+}
+
 ChangeRelay::ChangeRelay(asio::io_context& loop, const Endpoint& listen,
                          std::function<Duration()> age)
-    : loop_(loop), age_(std::move(age)) {
+    : state_(std::make_shared<State>(State{loop, std::move(age), {}, {}, {}})) {
+  state_->self = state_;
   server_.emplace(std::vector<asio::io_context*>{&loop}, RelayOptions(listen),
-                  [this](const HttpRequest& request, HttpResponder respond) {
-                    Handle(request, std::move(respond));
+                  [weak = state_->self](const HttpRequest& request, HttpResponder respond) {
+                    if (auto state = weak.lock()) state->Handle(request, std::move(respond));
                   });
 }
 
@@ -64,54 +120,22 @@
 absl::Status ChangeRelay::Start() { return server_->Start(); }
 
 void ChangeRelay::Stop() {
-  for (const auto& waiting : std::exchange(waiting_, {})) {
-    waiting->timer.cancel();
-    waiting->respond(Failure(503));
-  }
+  state_->EndAll([](const auto& call) { call.respond(Failure(503)); });
   server_->BeginDrain();
 }
 
 void ChangeRelay::OnAllRead(std::uint64_t revision) {
-  log_.Restart(revision);
-  RespondToAll();
+  state_->log.Restart(revision);
+  AnswerAll();
 }
 
 void ChangeRelay::OnChanges(const StorePage& page) {
-  log_.Append(page.items, page.as_of, page.after_outage);
-  if (!page.items.empty()) RespondToAll();
-}
-
-void ChangeRelay::Handle(const HttpRequest& request, HttpResponder respond) {
-  auto after = NumberIn(request.target, "after");
-  auto wait = NumberIn(request.target, "wait");
-  if (!request.target.starts_with("/changes?") || !after || !wait) return respond(Failure(404));
-  auto page = log_.After(*after);
-  if (!page || !page->items.empty() || *wait == 0) return Respond(*after, respond);
-  auto waiting =
-      std::make_shared<Waiting>(Waiting{*after, std::move(respond), asio::steady_timer(loop_)});
-  waiting_.insert(waiting);
-  auto longest = static_cast<std::uint64_t>(kLongestWait.count());
-  waiting->timer.expires_after(milliseconds(std::min(*wait, longest)));
-  waiting->timer.async_wait([this, waiting](const boost::system::error_code&) {
-    if (waiting_.erase(waiting) > 0) Respond(waiting->after, waiting->respond);
-  });
+  state_->log.Append(page.items, page.as_of, page.after_outage);
+  if (!page.items.empty()) AnswerAll();
 }
 
-void ChangeRelay::Respond(std::uint64_t after, const HttpResponder& respond) const {
-  auto page = log_.After(after);
-  if (!page) return respond(Failure(410));
-  HttpResponse response;
-  response.content_type = "application/octet-stream";
-  response.body = EncodeRelayedPage(
-      {*std::move(page), std::chrono::duration_cast<std::chrono::microseconds>(age_())});
-  respond(std::move(response));
-}
-
-void ChangeRelay::RespondToAll() {
-  for (const auto& waiting : std::exchange(waiting_, {})) {
-    waiting->timer.cancel();
-    Respond(waiting->after, waiting->respond);
-  }
+void ChangeRelay::AnswerAll() {
+  state_->EndAll([this](const auto& call) { state_->Respond(call.after, call.respond); });
 }
 
 }  // namespace damaskroute
