--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -335,8 +335,8 @@
     auto reached = std::count_if(
         route.shards.begin(), route.shards.end(),
         [this](const ServiceName& shard) { return beliefs_.backends().IsReached(shard); });
-    if (static_cast<std::size_t>(reached) >= beliefs_.routes()->Plan(route).least_parts)
-      return true;
+    auto least = static_cast<std::ptrdiff_t>(beliefs_.routes()->Plan(route).least_parts);
+    if (reached >= least) return true;
   }
   return !queries;
 }
