Count the time on its way into the age of a followed node's answer

The sender now says how long it held the call, and the rest of the time is added to the age of what it confirms.

--- a/include/damaskroute/relay/relayed_page.h
+++ b/include/damaskroute/relay/relayed_page.h
@@ -15,6 +15,9 @@
   StorePage page;
   /// Time since the store itself confirmed what the page leads up to, at the node that sends it.
   std::chrono::microseconds age{};
+  /// How long that node held the call, so that the receiver can tell how long the answer was on its
+  /// way.
+  std::chrono::microseconds held{};
 };
 
 /// Binary form. The nodes of one network trust each other; the decoder still accepts any bytes.
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -146,13 +146,13 @@
     request.bytes = fmt::format("GET /changes?after={}&wait={} HTTP/1.1\r\nHost: {}\r\n\r\n",
                                 step.after_revision, step.wait.count(), FormatEndpoint(relay));
     request.time_left = step.timeout;
-    client->Start(std::move(request), [this, relay](const ExchangeResult& result) {
-      OnFollowed(relay, result);
+    client->Start(std::move(request), [this, relay, sent = Now()](const ExchangeResult& result) {
+      OnFollowed(relay, sent, result);
       Step();
     });
   }
 
-  void OnFollowed(const Endpoint& relay, const ExchangeResult& result) {
+  void OnFollowed(const Endpoint& relay, TimePoint sent, const ExchangeResult& result) {
     TimePoint now = Now();
     constexpr int kOk = 200;
     constexpr int kGone = 410;
@@ -167,9 +167,12 @@
       return schedule_.OnFollowFailure(now);
     }
     bool after_outage = relayed->page.after_outage || schedule_.just_returned(now);
-    confirmed_ = std::max(confirmed_, TimeSinceBoot() - Duration(relayed->age));
+    // An answer that was held up on its way is older than its sender says.
+    Duration on_its_way = std::max<Duration>(now - sent - relayed->held, Duration::zero());
+    Duration age = relayed->age + on_its_way;
+    confirmed_ = std::max(confirmed_, TimeSinceBoot() - age);
     bool was_lost = schedule_.in_outage();
-    schedule_.OnFollowed(relayed->page.as_of, relayed->age, now);
+    schedule_.OnFollowed(relayed->page.as_of, age, now);
     if (was_lost && !schedule_.in_outage()) {
       LogLine(LogLevel::kInfo, "store reached again through a followed node")
           .Field("as_of", relayed->page.as_of);
--- a/src/relay/change_relay.cc
+++ b/src/relay/change_relay.cc
@@ -55,12 +55,13 @@
 struct ChangeRelay::State {
   struct Waiting {
     std::uint64_t after = 0;
+    TimePoint since;
     HttpResponder respond;
     asio::steady_timer timer;
   };
 
   void Handle(const HttpRequest& request, HttpResponder respond);
-  void Respond(std::uint64_t after, const HttpResponder& respond) const;
+  void Respond(std::uint64_t after, TimePoint since, const HttpResponder& respond) const;
 
   // Ends the wait of all calls and runs `answer` on each.
   template <typename Answer>
@@ -83,25 +84,30 @@
   auto wait = NumberIn(request.target, "wait");
   if (!request.target.starts_with("/changes?") || !after || !wait) return respond(Failure(404));
   auto page = log.After(*after);
-  if (!page || !page->items.empty() || *wait == 0) return Respond(*after, respond);
-  auto call =
-      std::make_shared<Waiting>(Waiting{*after, std::move(respond), asio::steady_timer(loop)});
+  TimePoint since = SteadyClock().Now();
+  if (!page || !page->items.empty() || *wait == 0) return Respond(*after, since, respond);
+  auto call = std::make_shared<Waiting>(
+      Waiting{*after, since, std::move(respond), asio::steady_timer(loop)});
   waiting.insert(call);
   auto longest = static_cast<std::uint64_t>(kLongestWait.count());
   call->timer.expires_after(milliseconds(std::min(*wait, longest)));
   call->timer.async_wait([weak = self, call](const boost::system::error_code&) {
     auto state = weak.lock();
-    if (state && state->waiting.erase(call) > 0) state->Respond(call->after, call->respond);
+    if (state && state->waiting.erase(call) > 0)
+      state->Respond(call->after, call->since, call->respond);
   });
 }
 
-void ChangeRelay::State::Respond(std::uint64_t after, const HttpResponder& respond) const {
+void ChangeRelay::State::Respond(std::uint64_t after, TimePoint since,
+                                 const HttpResponder& respond) const {
   auto page = log.After(after);
   if (!page) return respond(Failure(410));
   HttpResponse response;
   response.content_type = "application/octet-stream";
-  response.body = EncodeRelayedPage(
-      {*std::move(page), std::chrono::duration_cast<std::chrono::microseconds>(age())});
+  using std::chrono::microseconds;
+  response.body =
+      EncodeRelayedPage({*std::move(page), std::chrono::duration_cast<microseconds>(age()),
+                         std::chrono::duration_cast<microseconds>(SteadyClock().Now() - since)});
   respond(std::move(response));
 }
 
@@ -135,7 +141,8 @@
 }
 
 void ChangeRelay::AnswerAll() {
-  state_->EndAll([this](const auto& call) { state_->Respond(call.after, call.respond); });
+  state_->EndAll(
+      [this](const auto& call) { state_->Respond(call.after, call.since, call.respond); });
 }
 
 }  // namespace damaskroute
--- a/src/relay/relayed_page.cc
+++ b/src/relay/relayed_page.cc
@@ -23,8 +23,10 @@
 template <typename Archive>
 void Transfer(Archive& archive, std::uint8_t& format, RelayedPage& relayed) {
   std::int64_t age = relayed.age.count();
-  archive(format, age, relayed.page.as_of, relayed.page.after_outage, relayed.page.items);
+  std::int64_t held = relayed.held.count();
+  archive(format, age, held, relayed.page.as_of, relayed.page.after_outage, relayed.page.items);
   relayed.age = std::chrono::microseconds(age);
+  relayed.held = std::chrono::microseconds(held);
 }
 
 }  // namespace
@@ -52,7 +54,9 @@
     return absl::InvalidArgumentError(error.what());
   }
   if (format != kFormat) return absl::InvalidArgumentError("unknown format of a page");
-  if (relayed.age.count() < 0) return absl::InvalidArgumentError("negative age of a page");
+  if (relayed.age.count() < 0 || relayed.held.count() < 0) {
+    return absl::InvalidArgumentError("a page has a negative time");
+  }
   return relayed;
 }
 
--- a/tests/relay_codec_test.cc
+++ b/tests/relay_codec_test.cc
@@ -9,6 +9,7 @@
 RelayedPage Sample() {
   RelayedPage relayed;
   relayed.age = std::chrono::microseconds(1234);
+  relayed.held = std::chrono::microseconds(99);
   relayed.page.as_of = 77;
   relayed.page.after_outage = true;
   relayed.page.items = {{"servers/i-1", std::string("\0\xff{", 3), 76, false},
@@ -20,6 +21,7 @@
   auto copy = DecodeRelayedPage(EncodeRelayedPage(Sample()));
   REQUIRE(copy.ok());
   CHECK(copy->age == Sample().age);
+  CHECK(copy->held == Sample().held);
   CHECK(copy->page.as_of == 77);
   CHECK(copy->page.after_outage);
   REQUIRE(copy->page.items.size() == 2);
