--- a/src/relay/change_relay.cc
+++ b/src/relay/change_relay.cc
@@ -93,8 +93,9 @@
   call->timer.expires_after(milliseconds(std::min(*wait, longest)));
   call->timer.async_wait([weak = self, call](const boost::system::error_code&) {
     auto state = weak.lock();
-    if (state && state->waiting.erase(call) > 0)
+    if (state && state->waiting.erase(call) > 0) {
       state->Respond(call->after, call->since, call->respond);
+    }
   });
 }
 
