Double pauses in one place

Four classes worked out a doubled pause with a longest value, two of them with the same jitter: FeedSchedule, LeaseSchedule, BackendEvidence and IntentService. core/backoff.h serves all of them. CallLoad doubles without a longest value and stays as it is. Behaviour is the same.

--- a/include/damaskroute/intent/intent_service.h
+++ b/include/damaskroute/intent/intent_service.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "absl/status/statusor.h"
+#include "damaskroute/core/backoff.h"
 #include "damaskroute/intent/config_log.h"
 #include "damaskroute/intent/intent_replies.h"
 #include "damaskroute/intent/plan_cache.h"
@@ -46,9 +47,8 @@
       : store_(store), planner_(planner), hooks_(std::move(hooks)) {
     if (!hooks_.pause) {
       hooks_.pause = [](int failures) {
-        auto wait = std::chrono::milliseconds(50) * (1 << std::min(failures - 1, 5));
         std::this_thread::sleep_for(
-            std::min<std::chrono::milliseconds>(wait, std::chrono::milliseconds(1000)));
+            Doubled(std::chrono::milliseconds(50), failures - 1, std::chrono::milliseconds(1000)));
       };
     }
     if (!hooks_.wall_time) hooks_.wall_time = [] { return std::chrono::system_clock::now(); };
--- a/src/forward/backend_evidence.cc
+++ b/src/forward/backend_evidence.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "damaskroute/core/backoff.h"
+
 namespace damaskroute {
 namespace {
 
@@ -25,7 +27,6 @@
 // A server that fails is avoided for this time, doubled with each failure in a row.
 constexpr milliseconds kFirstAvoidance{200};
 constexpr milliseconds kLongestAvoidance{1600};
-constexpr int kMaxDoublings = 4;
 
 // The same for one whose calls were cancelled without a sign of life: about the rest of a pause.
 constexpr milliseconds kSilentAvoidance{100};
@@ -90,9 +91,8 @@
 }
 
 void BackendEvidence::Avoid(milliseconds first, TimePoint now) {
-  int doublings = std::min(failures_in_a_row_++, kMaxDoublings);
-  milliseconds span = std::min(first * (1 << doublings), kLongestAvoidance);
-  avoid_until_ = std::max(avoid_until_, now + span);
+  avoid_until_ = std::max<TimePoint>(avoid_until_,
+                                     now + Doubled(first, failures_in_a_row_++, kLongestAvoidance));
 }
 
 TimePoint BackendEvidence::stalled_at() const {
--- a/src/store/feed_schedule.cc
+++ b/src/store/feed_schedule.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "damaskroute/core/backoff.h"
+
 namespace damaskroute {
 namespace {
 
@@ -11,8 +13,6 @@
 // A single call that was left without an answer for so long is an outage as well.
 constexpr std::chrono::milliseconds kSilence{1000};
 
-constexpr int kMaxDoublings = 5;
-
 // A call to a followed node is not worth while with less time than this until its answer is stale.
 constexpr std::chrono::milliseconds kLeastFollow{200};
 
@@ -35,12 +35,11 @@
   }
   step.kind = reading_ ? FeedStepKind::kRead : FeedStepKind::kWatch;
   step.after_key = after_key_;
-  int doublings = std::min(failures_, kMaxDoublings);
   step.timeout = options_.read_timeout;
   if (!reading_) {
     step.wait = options_.watch_wait;
-    step.timeout = options_.watch_wait +
-                   std::min(options_.watch_slack * (1 << doublings), options_.read_timeout);
+    step.timeout =
+        options_.watch_wait + Doubled(options_.watch_slack, failures_, options_.read_timeout);
   }
   return step;
 }
@@ -108,11 +107,8 @@
   if (failures_ >= kOutageFailures || silence >= kSilence) outage_ = true;
   // Pages of different times do not fit together.
   if (reading_) after_key_.clear();
-  int doublings = std::min(failures_ - 1, kMaxDoublings);
-  auto pause = std::min(options_.first_pause * (1 << doublings), options_.longest_pause);
-  auto jitter =
-      static_cast<std::int64_t>(random_.Below(static_cast<std::uint64_t>(pause.count()) / 2 + 1));
-  pause_until_ = now + pause / 2 + std::chrono::milliseconds(jitter);
+  pause_until_ =
+      now + Jittered(Doubled(options_.first_pause, failures_ - 1, options_.longest_pause), random_);
 }
 
 void FeedSchedule::OnSuccess(TimePoint now) {
--- a/src/store/lease_schedule.cc
+++ b/src/store/lease_schedule.cc
@@ -1,6 +1,6 @@
 #include "damaskroute/store/lease_schedule.h"
 
-#include <algorithm>
+#include "damaskroute/core/backoff.h"
 
 namespace damaskroute {
 namespace {
@@ -11,7 +11,6 @@
 // The key only serves to count nodes, so a failing store is not asked often.
 constexpr std::chrono::milliseconds kFirstPause{500};
 constexpr std::chrono::milliseconds kLongestPause{4000};
-constexpr int kMaxDoublings = 3;
 
 }  // namespace
 
@@ -46,10 +45,7 @@
 }
 
 void LeaseSchedule::OnFailure(TimePoint now) {
-  auto pause = std::min(kFirstPause * (1 << std::min(failures_++, kMaxDoublings)), kLongestPause);
-  auto jitter =
-      static_cast<std::int64_t>(random_.Below(static_cast<std::uint64_t>(pause.count()) / 2 + 1));
-  pause_until_ = now + pause / 2 + std::chrono::milliseconds(jitter);
+  pause_until_ = now + Jittered(Doubled(kFirstPause, failures_++, kLongestPause), random_);
 }
 
 }  // namespace damaskroute
