Write the peers' binary form in one place

Four codecs set up the same stream and archive (messages, hello, datagrams, relayed pages). AppendBinary does it; string_streambuf.h is now part of core/binary_writer.h.

--- a/include/damaskroute/core/string_streambuf.h
+++ b/include/damaskroute/core/binary_writer.h
@@ -1,6 +1,7 @@
-#ifndef DAMASKROUTE_CORE_STRING_STREAMBUF_H_
-#define DAMASKROUTE_CORE_STRING_STREAMBUF_H_
+#ifndef DAMASKROUTE_CORE_BINARY_WRITER_H_
+#define DAMASKROUTE_CORE_BINARY_WRITER_H_
 
+#include <cereal/archives/portable_binary.hpp>
 #include <ostream>
 #include <streambuf>
 #include <string>
@@ -26,6 +27,17 @@
   std::string& target_;
 };
 
+/// Appends what `write(archive)` writes, in little endian: the form that `BoundedInputArchive`
+/// reads.
+template <typename Write>
+void AppendBinary(std::string& bytes, const Write& write) {
+  StringStreambuf buffer(bytes);
+  std::ostream stream(&buffer);
+  cereal::PortableBinaryOutputArchive archive(
+      stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
+  write(archive);
+}
+
 }  // namespace damaskroute::internal
 
-#endif  // DAMASKROUTE_CORE_STRING_STREAMBUF_H_
+#endif  // DAMASKROUTE_CORE_BINARY_WRITER_H_
--- a/src/peer/datagram_codec.cc
+++ b/src/peer/datagram_codec.cc
@@ -2,10 +2,9 @@
 
 #include <cereal/types/common.hpp>
 #include <cstdint>
-#include <ostream>
 #include <utility>
 
-#include "damaskroute/core/string_streambuf.h"
+#include "damaskroute/core/binary_writer.h"
 #include "damaskroute/peer/bounded_input_archive.h"
 
 namespace damaskroute {
@@ -102,16 +101,12 @@
   PeerDatagram copy = datagram;  // The field lists are shared with decoding.
   std::string bytes(1, keys_.front().first);
   bytes.reserve(kMaxDatagramSize);
-  {
-    internal::StringStreambuf buffer(bytes);
-    std::ostream stream(&buffer);
-    cereal::PortableBinaryOutputArchive archive(
-        stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
+  internal::AppendBinary(bytes, [&](auto& archive) {
     HeaderFields(archive, copy);
     archive(static_cast<std::uint32_t>(copy.store_age.count()));
     archive(static_cast<std::uint8_t>(copy.updates.size()));
     for (Member& update : copy.updates) Fields(archive, update);
-  }
+  });
   MacTag tag = keys_.front().second.Compute({bytes});
   return bytes.append(tag.data(), tag.size());
 }
--- a/src/peer/hello.cc
+++ b/src/peer/hello.cc
@@ -1,9 +1,8 @@
 #include "damaskroute/peer/hello.h"
 
 #include <cereal/types/string.hpp>
-#include <ostream>
 
-#include "damaskroute/core/string_streambuf.h"
+#include "damaskroute/core/binary_writer.h"
 #include "damaskroute/peer/bounded_input_archive.h"
 #include "damaskroute/peer/mac_key.h"
 
@@ -22,13 +21,7 @@
 
 std::string EncodeHello(const Hello& hello, const PeerKey& key, std::string_view peer_nonce) {
   std::string bytes;
-  {
-    internal::StringStreambuf buffer(bytes);
-    std::ostream stream(&buffer);
-    cereal::PortableBinaryOutputArchive archive(
-        stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
-    archive(hello);
-  }
+  internal::AppendBinary(bytes, [&](auto& archive) { archive(hello); });
   MacTag tag = MacKey(key.secret).Compute({kLabel, peer_nonce, bytes});
   return bytes.append(tag.data(), tag.size());
 }
--- a/src/peer/message_codec.cc
+++ b/src/peer/message_codec.cc
@@ -2,12 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <cereal/archives/portable_binary.hpp>
 #include <cstdint>
 #include <optional>
 #include <utility>
 
-#include "damaskroute/core/string_streambuf.h"
+#include "damaskroute/core/binary_writer.h"
 #include "damaskroute/peer/bounded_input_archive.h"
 #include "message_fields.h"
 
@@ -119,11 +118,9 @@
 
 std::string EncodeMessage(const Message& message) {
   std::string bytes(1, static_cast<char>(message.index()));
-  internal::StringStreambuf buffer(bytes);
-  std::ostream stream(&buffer);
-  cereal::PortableBinaryOutputArchive archive(
-      stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
-  std::visit([&](const auto& value) { archive(value); }, message);
+  internal::AppendBinary(bytes, [&](auto& archive) {
+    std::visit([&](const auto& value) { archive(value); }, message);
+  });
   return bytes;
 }
 
--- a/src/relay/relayed_page.cc
+++ b/src/relay/relayed_page.cc
@@ -1,11 +1,9 @@
 #include "damaskroute/relay/relayed_page.h"
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
-#include <ostream>
 
-#include "damaskroute/core/string_streambuf.h"
+#include "damaskroute/core/binary_writer.h"
 #include "damaskroute/peer/bounded_input_archive.h"
 
 namespace damaskroute {
@@ -33,13 +31,9 @@
 
 std::string EncodeRelayedPage(const RelayedPage& relayed) {
   std::string bytes;
-  internal::StringStreambuf buffer(bytes);
-  std::ostream stream(&buffer);
-  cereal::PortableBinaryOutputArchive archive(
-      stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
   std::uint8_t format = kFormat;
-  RelayedPage copy = relayed;  // The archive's interface takes no constant objects.
-  Transfer(archive, format, copy);
+  RelayedPage copy = relayed;  // The list of fields is shared with decoding.
+  internal::AppendBinary(bytes, [&](auto& archive) { Transfer(archive, format, copy); });
   return bytes;
 }
 
