--- a/include/damaskroute/core/json_member.h
+++ b/include/damaskroute/core/json_member.h
@@ -3,6 +3,7 @@
 
 #include <rapidjson/document.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,13 @@
   return value.IsObject() && value.HasMember(name) ? &value[name] : nullptr;
 }
 
+/// The member called `name` if it is a text.
+inline std::optional<std::string> JsonText(const rapidjson::Value& object, const char* name) {
+  const rapidjson::Value* member = FindJsonMember(object, name);
+  if (member == nullptr || !member->IsString()) return std::nullopt;
+  return std::string(member->GetString(), member->GetStringLength());
+}
+
 /// Calls `visit(name, value)` for each member of the JSON object in order, until it returns false.
 /// Returns whether all were visited.
 template <typename Visit>
--- a/src/intent/config_head.cc
+++ b/src/intent/config_head.cc
@@ -1,5 +1,6 @@
 #include "damaskroute/intent/config_head.h"
 
+#include "damaskroute/core/json_member.h"
 #include "rapidjson/document.h"
 #include "rapidjson/stringbuffer.h"
 #include "rapidjson/writer.h"
@@ -12,10 +13,9 @@
 using std::chrono::system_clock;
 
 bool ReadText(const rapidjson::Value& object, const char* key, std::string& text) {
-  auto member = object.FindMember(key);
-  if (member == object.MemberEnd() || !member->value.IsString()) return false;
-  text.assign(member->value.GetString(), member->value.GetStringLength());
-  return true;
+  auto value = JsonText(object, key);
+  if (value) text = *std::move(value);
+  return value.has_value();
 }
 
 bool ReadEntry(const rapidjson::Value& object, HeadEntry& entry) {
--- a/src/intent/plan_request.cc
+++ b/src/intent/plan_request.cc
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "damaskroute/core/json_member.h"
 #include "damaskroute/core/json_writer.h"
 #include "rapidjson/document.h"
 
@@ -46,19 +47,13 @@
   writer.EndObject();
 }
 
-std::optional<std::string> TextMember(const rapidjson::Value& object, const char* key) {
-  auto member = object.FindMember(key);
-  if (member == object.MemberEnd() || !member->value.IsString()) return std::nullopt;
-  return std::string(member->value.GetString(), member->value.GetStringLength());
-}
-
 std::optional<PlanRequest> ReadFiles(const rapidjson::Value& list) {
   if (!list.IsArray()) return std::nullopt;
   std::vector<DeclarationFile> files;
   for (const rapidjson::Value& entry : list.GetArray()) {
     if (!entry.IsObject()) return std::nullopt;
-    std::optional<std::string> name = TextMember(entry, "name");
-    std::optional<std::string> text = TextMember(entry, "text");
+    std::optional<std::string> name = JsonText(entry, "name");
+    std::optional<std::string> text = JsonText(entry, "text");
     if (!name.has_value() || !text.has_value() || entry.MemberCount() != 2) return std::nullopt;
     files.push_back({*std::move(name), *std::move(text)});
   }
@@ -75,13 +70,13 @@
     return RollbackRequest{rollback->value.GetUint64()};
   }
   if (object.MemberCount() != 2) return std::nullopt;
-  std::optional<std::string> zone = TextMember(object, "zone");
-  std::optional<std::string> state = TextMember(object, "state");
+  std::optional<std::string> zone = JsonText(object, "zone");
+  std::optional<std::string> state = JsonText(object, "state");
   if (zone.has_value() && (state == "out" || state == "serving")) {
     return ZoneRequest{*zone, state == "out" ? ZoneState::kOut : ZoneState::kServing};
   }
-  std::optional<std::string> backend = TextMember(object, "backend");
-  std::optional<std::string> intent = TextMember(object, "intent");
+  std::optional<std::string> backend = JsonText(object, "backend");
+  std::optional<std::string> intent = JsonText(object, "intent");
   if (backend.has_value() && (intent == "leaving" || intent == "serving")) {
     return BackendRequest{*backend,
                           intent == "leaving" ? BackendIntent::kLeaving : BackendIntent::kServing};
--- a/src/relay/node_record.cc
+++ b/src/relay/node_record.cc
@@ -21,16 +21,14 @@
   rapidjson::Document document;
   document.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
   if (document.HasParseError()) return absl::InvalidArgumentError("a node's record is no JSON");
-  const rapidjson::Value* zone = FindJsonMember(document, "zone");
-  if (zone == nullptr || !zone->IsString()) {
-    return absl::InvalidArgumentError("a node's record has no zone");
-  }
+  auto zone = JsonText(document, "zone");
+  if (!zone) return absl::InvalidArgumentError("a node's record has no zone");
   NodeRecord record;
-  record.zone.assign(zone->GetString(), zone->GetStringLength());
-  const rapidjson::Value* changes = FindJsonMember(document, "changes");
-  if (changes == nullptr) return record;
-  if (!changes->IsString()) return absl::InvalidArgumentError("an address is not text");
-  auto endpoint = ParseEndpoint({changes->GetString(), changes->GetStringLength()});
+  record.zone = *std::move(zone);
+  if (FindJsonMember(document, "changes") == nullptr) return record;
+  auto changes = JsonText(document, "changes");
+  if (!changes) return absl::InvalidArgumentError("an address is not text");
+  auto endpoint = ParseEndpoint(*changes);
   if (!endpoint.ok()) return endpoint.status();
   record.changes = *std::move(endpoint);
   return record;
--- a/src/store/vm_list.cc
+++ b/src/store/vm_list.cc
@@ -10,9 +10,7 @@
 namespace {
 
 bool ReadText(const rapidjson::Value& object, const char* name, std::string& text) {
-  const rapidjson::Value* member = FindJsonMember(object, name);
-  if (member == nullptr || !member->IsString()) return false;
-  text.assign(member->GetString(), member->GetStringLength());
+  text = JsonText(object, name).value_or("");
   return !text.empty();
 }
 
