Decide in one place whether a backend server may be called

What operators are shown (UseOf) repeated the conditions by which a server is chosen, so the two could drift apart. UseOf now gives a BackendUse, the choice is made from it, and its text is for operators.

--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -12,6 +12,7 @@
 #include "damaskroute/core/time.h"
 #include "damaskroute/forward/backend.h"
 #include "damaskroute/forward/backend_table_options.h"
+#include "damaskroute/forward/backend_use.h"
 #include "damaskroute/routing/route_table.h"
 
 namespace damaskroute {
@@ -66,8 +67,8 @@
   /// Whether a server of the service can be reached as far as is known, busy or not.
   bool IsReached(const ServiceName& service) const;
 
-  /// Why a server is used, or is not, in a few words.
-  const char* UseOf(const Backend& backend, TimePoint now) const;
+  /// Whether a server may be called now, and what speaks against it.
+  BackendUse UseOf(const Backend& backend, TimePoint now) const;
 
   const std::map<BackendName, std::shared_ptr<Backend>>& all() const { return by_id_; }
 
@@ -80,8 +81,9 @@
   std::size_t size() const { return by_id_.size(); }
 
  private:
-  bool IsUsable(const Backend& backend, const CallTimes& times, TimePoint now) const;
-  static BackendStanding StandingOf(const Backend& backend, const CallTimes& times, TimePoint now);
+  static bool HasTime(const Backend& backend, const CallTimes& times, TimePoint now);
+  static BackendStanding StandingOf(const Backend& backend, BackendUse use, const CallTimes& times,
+                                    TimePoint now);
   double CostOf(const Backend& backend, const CallTimes& times, TimePoint now);
   void ApplyPolicy(Backend& backend) const;
   double NodeColdRate(const ServicePolicy& policy) const;
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -103,39 +103,31 @@
   backend.max_outstanding = std::max(kLeastOutstanding, share * kOutstandingShares);
 }
 
-// A server is not usable if the calls that wait for it already take all the time there is.
-bool BackendTable::IsUsable(const Backend& backend, const CallTimes& times, TimePoint now) const {
-  if (backend.misdirected || backend.entry.draining) return false;
-  if (closed_zones_.contains(backend.entry.zone)) return false;
-  if (backend.evidence.outstanding() >= backend.max_outstanding) return false;
-  if (!backend.cold.Allows(now)) return false;
-  if (!backend.evidence.HasRoom()) return false;
-  int waiting = backend.evidence.outstanding() / std::max(backend.entry.slots, 1);
-  return now + waiting * Expected(backend, times, now) < times.deadline;
+BackendUse BackendTable::UseOf(const Backend& backend, TimePoint now) const {
+  const BackendEvidence& evidence = backend.evidence;
+  if (backend.misdirected) return BackendUse::kMisdirected;
+  if (backend.entry.draining) return BackendUse::kDraining;
+  if (closed_zones_.contains(backend.entry.zone)) return BackendUse::kClosedZone;
+  if (evidence.outstanding() >= backend.max_outstanding) return BackendUse::kBusy;
+  if (!backend.cold.Allows(now)) return BackendUse::kColdLimit;
+  if (!evidence.HasRoom()) return BackendUse::kNoRoom;
+  if (evidence.IsUnreachable(now)) return BackendUse::kUnreachable;
+  if (evidence.IsStalled(now)) return BackendUse::kStalled;
+  if (evidence.IsAvoided(now)) return BackendUse::kAvoided;
+  return backend.cold.IsCold(now) ? BackendUse::kCold : BackendUse::kGood;
 }
 
-const char* BackendTable::UseOf(const Backend& backend, TimePoint now) const {
-  const BackendEvidence& evidence = backend.evidence;
-  if (backend.misdirected) return "no: another server has its address";
-  if (backend.entry.draining) return "no: it leaves";
-  if (closed_zones_.contains(backend.entry.zone)) return "no: its zone is closed";
-  if (evidence.outstanding() >= backend.max_outstanding) return "no: its connections are in use";
-  if (!backend.cold.Allows(now)) return "no: it is cold and has its part of calls";
-  if (!evidence.HasRoom()) return "no: it shed calls at this load";
-  if (evidence.IsUnreachable(now)) return "last: not reached";
-  if (evidence.IsStalled(now)) return "second: silent";
-  if (evidence.IsAvoided(now)) return "second: failed or shed lately";
-  if (backend.cold.IsCold(now)) return "second: cold";
-  return "yes";
+// Whether the calls that wait for a server leave time for another one.
+bool BackendTable::HasTime(const Backend& backend, const CallTimes& times, TimePoint now) {
+  int waiting = backend.evidence.outstanding() / std::max(backend.entry.slots, 1);
+  return now + waiting * Expected(backend, times, now) < times.deadline;
 }
 
-BackendStanding BackendTable::StandingOf(const Backend& backend, const CallTimes& times,
-                                         TimePoint now) {
-  const BackendEvidence& evidence = backend.evidence;
-  if (evidence.IsUnreachable(now)) return BackendStanding::kUnreachable;
+BackendStanding BackendTable::StandingOf(const Backend& backend, BackendUse use,
+                                         const CallTimes& times, TimePoint now) {
+  if (use == BackendUse::kUnreachable) return BackendStanding::kUnreachable;
   if (now + Expected(backend, times, now) > times.wanted) return BackendStanding::kTooSlow;
-  bool doubtful = evidence.IsAvoided(now) || evidence.IsStalled(now) || backend.cold.IsCold(now);
-  return doubtful ? BackendStanding::kDoubtful : BackendStanding::kGood;
+  return use == BackendUse::kGood ? BackendStanding::kGood : BackendStanding::kDoubtful;
 }
 
 double BackendTable::CostOf(const Backend& backend, const CallTimes& times, TimePoint now) {
@@ -157,8 +149,10 @@
   BackendChoice best;
   double best_cost = 0;
   for (const auto& server : Of(service)) {
-    if (Contains(tried, server.get()) || !IsUsable(*server, times, now)) continue;
-    BackendStanding standing = StandingOf(*server, times, now);
+    if (Contains(tried, server.get())) continue;
+    BackendUse use = UseOf(*server, now);
+    if (!MayBeCalled(use) || !HasTime(*server, times, now)) continue;
+    BackendStanding standing = StandingOf(*server, use, times, now);
     double cost = CostOf(*server, times, now);
     if (!best.backend || standing < best.standing ||
         (standing == best.standing && cost < best_cost)) {
--- a/src/node/forward_service_beliefs.cc
+++ b/src/node/forward_service_beliefs.cc
@@ -30,7 +30,7 @@
     WriteText(writer, "service", backend->entry.service);
     WriteText(writer, "zone", backend->entry.zone);
     WriteText(writer, "endpoint", FormatEndpoint(backend->entry.endpoint));
-    WriteText(writer, "use", beliefs_.backends().UseOf(*backend, now));
+    WriteText(writer, "use", BackendUseText(beliefs_.backends().UseOf(*backend, now)));
     WriteInteger(writer, "outstanding", evidence.outstanding());
     WriteNumber(writer, "slowness", evidence.Slowness(now));
     WriteNumber(writer, "failure_rate", evidence.FailureRate(now));
