--- a/include/damaskroute/node/backend_channel.h
+++ b/include/damaskroute/node/backend_channel.h
@@ -76,6 +76,7 @@
              std::string rows);
   void RequestCancel(std::uint64_t token);
   void Learn(const Entry& entry, const ExchangeResult& result, TimePoint now);
+  BootId BootOf(const ExchangeResult& result) const;
   void LearnAlive(BootId boot_id, TimePoint started, TimePoint now);
   int Allowed(TimePoint now) const;
   void UpdateLimit(TimePoint now);
--- a/include/damaskroute/node/entry_node.h
+++ b/include/damaskroute/node/entry_node.h
@@ -82,6 +82,7 @@
   void MakeWorkers();
   void MakeActions();
   void OnCrash(const QuerySpec& spec, const BackendName& backend, BootId boot_id);
+  void TellCoordinators(const ServiceName& service, const Message& message);
   void MakeReplication();
   void MakeStoreAgent();
   bool PassShares();
--- a/include/damaskroute/node/forward_front.h
+++ b/include/damaskroute/node/forward_front.h
@@ -57,6 +57,7 @@
   void ApplyReach();
   void HandleMetrics(const HttpResponder& respond) const;
   void HandleBeliefs(const HttpResponder& respond) const;
+  const char* ReadyText() const;
   void StopAccepting();
   void AwaitEnd();
   void End();
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKROUTE_NODE_FORWARD_NODE_H_
 #define DAMASKROUTE_NODE_FORWARD_NODE_H_
 
+#include <algorithm>
 #include <concepts>
 #include <functional>
 #include <map>
@@ -68,11 +69,9 @@
         own_key_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
                  RenderNodeRecord({settings.zone, settings.changes}), settings.node_lease,
                  Hash64(settings.node, /*seed=*/1)) {
-    front_.SetStoreView(
-        {.probe = [this](auto done) { feed_.Probe(std::move(done)); },
-         .age = [this] { return feed_.age(); },
-         .followed =
-             [this] { return relays_.empty() ? "the store" : FormatEndpoint(relays_.front()); }});
+    front_.SetStoreView({.probe = [this](auto done) { feed_.Probe(std::move(done)); },
+                         .age = [this] { return feed_.age(); },
+                         .followed = [this] { return Followed(); }});
     if (settings.changes) {
       relay_.emplace(loop, *settings.changes, [this] { return feed_.age(); });
     }
@@ -121,19 +120,22 @@
       }
     }
     front_.SetClosedZones(closed_zones_);
-    OnNodesChanged();
+    front_.SetNodes(nodes_.Count(Now()));
+    if (!items.empty()) UpdateRelays();
   }
 
-  void OnNodesChanged() {
-    front_.SetNodes(nodes_.Count(Now()));
+  void UpdateRelays() {
     auto relays = ChooseRelays(node_, zone_, records_);
-    if (relays == relays_) return;
-    relays_ = std::move(relays);
+    if (relays == feed_.relays()) return;
+    feed_.SetRelays(std::move(relays));
     LogLine(LogLevel::kInfo, "followed nodes changed")
-        .Field("followed", relays_.empty() ? "the store" : FormatEndpoint(relays_.front()))
-        .Field("others", relays_.empty() ? 0 : relays_.size() - 1)
+        .Field("followed", Followed())
+        .Field("others", std::max<std::size_t>(feed_.relays().size(), 1) - 1)
         .Field("known_nodes", records_.size());
-    feed_.SetRelays(relays_);
+  }
+
+  std::string Followed() const {
+    return feed_.relays().empty() ? "the store" : FormatEndpoint(feed_.relays().front());
   }
 
   void OnWritten(const FactKey& key, const StoreItem& item, bool after_outage) {
@@ -187,7 +189,8 @@
     front_.SetClosedZones(closed_zones_);
     nodes_.Keep(nodes, Now());
     std::erase_if(records_, [&](const auto& entry) { return !nodes.contains(entry.first); });
-    OnNodesChanged();
+    front_.SetNodes(nodes_.Count(Now()));
+    UpdateRelays();
   }
 
   const Platform platform_;
@@ -198,7 +201,6 @@
   const NodeName node_;
   const ZoneName zone_;
   std::map<NodeName, NodeRecord> records_;  // Of the nodes whose keys are there.
-  std::vector<Endpoint> relays_;
   StoreFeed<typename Platform::StoreCodec> feed_;
   LeasedKey<typename Platform::StoreCodec> own_key_;
   std::optional<ChangeRelay> relay_;
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -82,6 +82,7 @@
   bool AdmitQuery(Exchange& exchange);
   void ReleaseQuery(Exchange& exchange);
   static void LeaveLimit(Exchange& exchange);
+  std::ptrdiff_t ReachedShards(const Route& route) const;
   void WriteRoutes(JsonWriter& writer) const;
   void OnCallerGone(const std::shared_ptr<Exchange>& exchange);
   void Count(const Exchange& exchange, const std::string& outcome);
--- a/include/damaskroute/store/feed_schedule.h
+++ b/include/damaskroute/store/feed_schedule.h
@@ -39,15 +39,12 @@
   /// A followed node gave what the store confirmed `age` ago.
   void OnFollowed(std::uint64_t as_of, Duration age, TimePoint now);
 
-  /// A followed node gave no answer.
+  /// A followed node gave no answer, or one that is too old: the next one is followed.
   void OnFollowFailure(TimePoint now);
 
   /// A followed node does not know the changes after the known revision.
   void OnFollowForgotten() { direct_once_ = true; }
 
-  /// When the store confirmed what is known.
-  TimePoint confirmed() const { return confirmed_; }
-
   /// Revision of the store that is known.
   std::uint64_t revision() const { return revision_; }
 
@@ -63,7 +60,6 @@
  private:
   void OnSuccess(TimePoint now);
   bool Follows(TimePoint now) const;
-  void NextRelay(TimePoint now);
   TimePoint StaleAt() const { return confirmed_ + options_.watch_wait + options_.watch_slack; }
 
   const FeedOptions options_;
--- a/include/damaskroute/store/lease_schedule.h
+++ b/include/damaskroute/store/lease_schedule.h
@@ -22,7 +22,7 @@
   /// A lease was opened; the store may have changed its life.
   void OnOpened(std::uint64_t lease, std::chrono::milliseconds life);
 
-  void OnWritten(TimePoint now) { OnRenewed(now); }
+  /// The key was written under the lease, or the lease was renewed.
   void OnRenewed(TimePoint now);
 
   /// The store does not know the lease any more.
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -82,6 +82,8 @@
     schedule_.SetRelays(relays_.size());
   }
 
+  const std::vector<Endpoint>& relays() const { return relays_; }
+
   /// Time since the store confirmed what is known here, suspended time included.
   Duration age() const { return TimeSinceBoot() - confirmed_; }
 
--- a/src/crashguard/crash_guard.cc
+++ b/src/crashguard/crash_guard.cc
@@ -62,7 +62,7 @@
   std::lock_guard lock(mutex_);
   std::uint64_t key = KeyOf(service, fingerprint);
   Suspect& suspect = Remember(service, key, now);
-  std::uint64_t crash = std::max<std::uint64_t>(Hash64(backend, boot_id), 1);
+  std::uint64_t crash = Hash64(backend, boot_id);
   bool counts =
       suspect.crashes.empty() ||
       (!after_success && suspect.crashes.size() < kMaxCrashes &&
@@ -78,7 +78,7 @@
 
 void CrashGuard::OnRefuted(const BackendName& backend, BootId boot_id, TimePoint now) {
   if (IsCalm(now)) return;
-  std::uint64_t crash = std::max<std::uint64_t>(Hash64(backend, boot_id), 1);
+  std::uint64_t crash = Hash64(backend, boot_id);
   std::lock_guard lock(mutex_);
   for (auto it = suspects_.begin(); it != suspects_.end();) {
     Suspect& suspect = it->second;
--- a/src/intent/config_head.cc
+++ b/src/intent/config_head.cc
@@ -14,8 +14,9 @@
 
 bool ReadText(const rapidjson::Value& object, const char* key, std::string& text) {
   auto value = JsonText(object, key);
-  if (value) text = *std::move(value);
-  return value.has_value();
+  if (!value) return false;
+  text = *std::move(value);
+  return true;
 }
 
 bool ReadEntry(const rapidjson::Value& object, HeadEntry& entry) {
--- a/src/node/backend_channel.cc
+++ b/src/node/backend_channel.cc
@@ -158,7 +158,7 @@
   reply.version = result.version;
   reply.range = result.range;
   reply.rows = std::move(rows);
-  reply.boot_id = result.boot_id != 0 ? result.boot_id : warmth_.boot_id();
+  reply.boot_id = BootOf(result);
   reply.in_flight = static_cast<std::uint32_t>(calls_.size());
   hooks_.reply(call.reply_to, std::move(reply));
 }
@@ -186,12 +186,17 @@
   } else if (result.end == ExchangeEnd::kConnectFailed ||
              result.end == ExchangeEnd::kConnectionLost) {
     if (result.end == ExchangeEnd::kConnectionLost) {
-      loss_witness_.OnLoss(result.boot_id != 0 ? result.boot_id : warmth_.boot_id(), now);
+      loss_witness_.OnLoss(BootOf(result), now);
     }
     warmth_.OnContrary(now);
   }
 }
 
+// Start of the backend server that a call ran on: the one it names, else the last one known.
+BootId BackendChannel::BootOf(const ExchangeResult& result) const {
+  return result.boot_id != 0 ? result.boot_id : warmth_.boot_id();
+}
+
 void BackendChannel::LearnAlive(BootId boot_id, TimePoint started, TimePoint now) {
   if (!loss_witness_.OnAnswer(boot_id, started, now)) return;
   hooks_.refute_crash({service_, backend_.name, boot_id});
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -153,9 +153,13 @@
   report.backend = backend;
   report.boot_id = boot_id;
   report.after_success = after_success;
+  TellCoordinators(spec.service, report);
+}
+
+void EntryNode::TellCoordinators(const ServiceName& service, const Message& message) {
   auto view = view_.Load();
-  for (const NodeName& node : view->placement.CoordinatorsOf(spec.service)) {
-    if (node != settings_.node) SendToNode(node, report);
+  for (const NodeName& node : view->placement.CoordinatorsOf(service)) {
+    if (node != settings_.node) SendToNode(node, message);
   }
 }
 
@@ -290,9 +294,7 @@
   };
   hooks.refute_crash = [this](const CrashRefutation& refutation) {
     crash_guard_.OnRefuted(refutation.backend, refutation.boot_id, Now());
-    for (const NodeName& node : view_.Load()->placement.CoordinatorsOf(refutation.service)) {
-      if (node != settings_.node) SendToNode(node, refutation);
-    }
+    TellCoordinators(refutation.service, refutation);
   };
   hooks.within_limit = [this](const BackendName& backend, std::uint64_t sequence) {
     control_loop_.Post([this, backend, sequence] { control_->OnWithinLimit(backend, sequence); });
--- a/src/node/forward_front.cc
+++ b/src/node/forward_front.cc
@@ -217,6 +217,12 @@
   respond(std::move(response));
 }
 
+const char* ForwardFront::ReadyText() const {
+  if (stopping_) return "no: stopping";
+  if (cut_off_) return "no: cut off";
+  return IsReady() ? "yes" : "no: no routes";
+}
+
 void ForwardFront::HandleBeliefs(const HttpResponder& respond) const {
   TimePoint now = SteadyClock().Now();
   rapidjson::StringBuffer buffer;
@@ -224,11 +230,7 @@
   writer.StartObject();
   WriteText(writer, "node", settings_.node);
   WriteText(writer, "zone", settings_.zone);
-  WriteText(writer, "ready",
-            IsReady()   ? "yes"
-            : stopping_ ? "no: stopping"
-            : cut_off_  ? "no: cut off"
-                        : "no: no routes");
+  WriteText(writer, "ready", ReadyText());
   WriteText(writer, "followed", store_.followed());
   WriteInteger(writer, "store_confirmed_ms",
                std::chrono::duration_cast<milliseconds>(store_.age()).count());
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -332,15 +332,18 @@
   for (const Route& route : beliefs_.routes()->document().routes) {
     if (route.shards.empty()) continue;
     queries = true;
-    auto reached = std::count_if(
-        route.shards.begin(), route.shards.end(),
-        [this](const ServiceName& shard) { return beliefs_.backends().IsReached(shard); });
     auto least = static_cast<std::ptrdiff_t>(beliefs_.routes()->Plan(route).least_parts);
-    if (reached >= least) return true;
+    if (ReachedShards(route) >= least) return true;
   }
   return !queries;
 }
 
+std::ptrdiff_t ForwardService::ReachedShards(const Route& route) const {
+  return std::count_if(route.shards.begin(), route.shards.end(), [this](const ServiceName& shard) {
+    return beliefs_.backends().IsReached(shard);
+  });
+}
+
 void ForwardService::Count(const Exchange& exchange, const std::string& outcome) {
   const ForwardCounts& counts = exchange.run.counts();
   ++metrics_.answers[outcome];
--- a/src/node/forward_service_beliefs.cc
+++ b/src/node/forward_service_beliefs.cc
@@ -62,9 +62,7 @@
     WriteText(writer, "host", route.host);
     WriteText(writer, "prefix", route.prefix);
     WriteInteger(writer, "shards", static_cast<std::int64_t>(route.shards.size()));
-    std::int64_t reached = 0;
-    for (const ServiceName& shard : route.shards) reached += beliefs_.backends().IsReached(shard);
-    WriteInteger(writer, "reached", reached);
+    WriteInteger(writer, "reached", ReachedShards(route));
     auto limit = route.shards.empty() ? limits_.end() : limits_.find(routes.Plan(route).shard_set);
     WriteInteger(writer, "in_progress", limit == limits_.end() ? 0 : limit->second.in_progress());
     WriteNumber(writer, "limit", limit == limits_.end() ? 0 : limit->second.limit());
--- a/src/store/feed_schedule.cc
+++ b/src/store/feed_schedule.cc
@@ -59,14 +59,12 @@
   revision_ = std::max(revision_, as_of);
   confirmed_ = std::max(confirmed_, now - age);
   // One that has lost the store itself answers as well, with an ever greater age.
-  if (now + kLeastFollow >= StaleAt()) return NextRelay(now);
+  if (now + kLeastFollow >= StaleAt()) return OnFollowFailure(now);
   failed_relays_ = 0;
   OnSuccess(now);
 }
 
-void FeedSchedule::OnFollowFailure(TimePoint now) { NextRelay(now); }
-
-void FeedSchedule::NextRelay(TimePoint now) {
+void FeedSchedule::OnFollowFailure(TimePoint now) {
   if (relays_ == 0) return;
   relay_ = (relay_ + 1) % relays_;
   if (++failed_relays_ < relays_) return;
--- a/tests/lease_schedule_test.cc
+++ b/tests/lease_schedule_test.cc
@@ -17,7 +17,7 @@
   schedule.OnOpened(77, seconds(30));
   CHECK(schedule.Next(clock.Now()).kind == LeaseStepKind::kWrite);
   CHECK(schedule.Next(clock.Now()).lease == 77);
-  schedule.OnWritten(clock.Now());
+  schedule.OnRenewed(clock.Now());
   LeaseStep pause = schedule.Next(clock.Now());
   CHECK(pause.kind == LeaseStepKind::kPause);
   CHECK(pause.until - clock.Now() <= seconds(15));
@@ -29,7 +29,7 @@
   LeaseSchedule schedule(seconds(30), 1);
   ManualClock clock;
   schedule.OnOpened(77, seconds(30));
-  schedule.OnWritten(clock.Now());
+  schedule.OnRenewed(clock.Now());
   clock.Advance(seconds(10));
   schedule.OnEnded();
   CHECK(schedule.Next(clock.Now()).kind == LeaseStepKind::kOpen);
