Look at the store again sooner while a service is left with one server

Cause: after a zone is cut off for longer than three heartbeats, its entries lapse and come back one by one with the servers' next heartbeats. Orders to spare a zone are noticed late in the same way.

Change: while a service is left with at most one server that is reached and another one may come back (closed zone, not reached, entry lapsed within 6 s), changes gather for 300 ms.

--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKROUTE_FORWARD_BACKEND_TABLE_H_
 #define DAMASKROUTE_FORWARD_BACKEND_TABLE_H_
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <set>
@@ -65,7 +66,13 @@
                        TimePoint now);
 
   /// Whether a server of the service can be reached as far as is known, busy or not.
-  bool IsReached(const ServiceName& service) const;
+  bool IsReached(const ServiceName& service) const { return CountReached(service) > 0; }
+
+  /// Number of servers of the service that can be reached as far as is known, busy or not.
+  std::ptrdiff_t CountReached(const ServiceName& service) const;
+
+  /// Whether the server can be reached as far as is known, busy or not.
+  bool IsReached(const Backend& backend) const;
 
   /// Whether a server may be called now, and what speaks against it.
   BackendUse UseOf(const Backend& backend, TimePoint now) const;
--- a/include/damaskroute/node/forward_beliefs.h
+++ b/include/damaskroute/node/forward_beliefs.h
@@ -2,6 +2,7 @@
 #define DAMASKROUTE_NODE_FORWARD_BELIEFS_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -43,6 +44,10 @@
   /// Number of nodes that share the limits of backend servers.
   void SetNodes(int nodes);
 
+  /// Whether a service is left with one server at most and others may come back soon: their zone is
+  /// closed, they are not reached, or their entries lapsed a moment ago.
+  bool MissesServers(TimePoint now) const;
+
   /// Null before the first version.
   const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
   Revision routes_version() const { return routes_ ? routes_->document().version : 0; }
@@ -66,6 +71,7 @@
   BackendPool pool_;
   ReachProber prober_;
   asio::steady_timer expiry_timer_;
+  std::map<ServiceName, TimePoint> lapsed_;  // When an entry was removed of a server in service.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -122,6 +122,7 @@
     front_.SetClosedZones(closed_zones_);
     front_.SetNodes(nodes_.Count(Now()));
     if (!items.empty()) UpdateRelays();
+    feed_.SetEager(front_.service().beliefs().MissesServers(Now()));
   }
 
   void UpdateRelays() {
--- a/include/damaskroute/store/feed_options.h
+++ b/include/damaskroute/store/feed_options.h
@@ -11,6 +11,9 @@
   /// Time for which changes are left to gather after a watch gave some. Each watch is a priced call
   /// to the store; the shortest bound for changes to be in force limits this time.
   std::chrono::milliseconds gather{750};
+  /// The same while servers are missing that may come back, so that they are used again soon. They
+  /// come back at the moments of their next heartbeats, so nothing would gather them all sooner.
+  std::chrono::milliseconds eager_gather{300};
   /// A watch that gives so many changes leaves more behind, which are fetched at once. The store
   /// gives at most 500.
   std::size_t large_batch = 250;
--- a/include/damaskroute/store/feed_schedule.h
+++ b/include/damaskroute/store/feed_schedule.h
@@ -30,6 +30,10 @@
   /// A watch ended with `changes` changes.
   void OnChanges(std::size_t changes, std::uint64_t as_of, TimePoint now);
 
+  /// Whether changes are awaited, so that they gather for a shorter time.
+  void SetEager(bool eager) { eager_ = eager; }
+  bool is_eager() const { return eager_; }
+
   /// The store no longer has the changes after the known revision.
   void OnHistoryLost(TimePoint now);
 
@@ -59,6 +63,7 @@
 
  private:
   void OnSuccess(TimePoint now);
+  TimePoint PauseUntil() const;
   bool Follows(TimePoint now) const;
   TimePoint StaleAt() const { return confirmed_ + options_.watch_wait + options_.watch_slack; }
 
@@ -68,7 +73,10 @@
   std::string after_key_;
   std::uint64_t first_as_of_ = 0;
   std::uint64_t revision_ = 0;
-  TimePoint pause_until_;
+  TimePoint retry_at_;      // After a failure.
+  TimePoint changed_at_;    // When changes were given last.
+  bool gathering_ = false;  // Since then.
+  bool eager_ = false;
   int failures_ = 0;
   bool outage_ = false;
   TimePoint returned_until_;
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -82,6 +82,13 @@
     schedule_.SetRelays(relays_.size());
   }
 
+  /// Whether changes are awaited, from the next pause on.
+  void SetEager(bool eager) {
+    if (eager == schedule_.is_eager()) return;
+    schedule_.SetEager(eager);
+    LogLine(LogLevel::kInfo, "changes of the store awaited").Field("eagerly", eager ? "yes" : "no");
+  }
+
   const std::vector<Endpoint>& relays() const { return relays_; }
 
   /// Time since the store confirmed what is known here, suspended time included.
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -163,12 +163,15 @@
   return best;
 }
 
-bool BackendTable::IsReached(const ServiceName& service) const {
+bool BackendTable::IsReached(const Backend& backend) const {
+  return !backend.misdirected && !backend.evidence.is_unreachable() &&
+         !closed_zones_.contains(backend.entry.zone);
+}
+
+std::ptrdiff_t BackendTable::CountReached(const ServiceName& service) const {
   const auto& servers = Of(service);
-  return std::any_of(servers.begin(), servers.end(), [this](const auto& server) {
-    return !server->misdirected && !server->evidence.is_unreachable() &&
-           !closed_zones_.contains(server->entry.zone);
-  });
+  return std::count_if(servers.begin(), servers.end(),
+                       [this](const auto& server) { return IsReached(*server); });
 }
 
 const std::vector<std::shared_ptr<Backend>>& BackendTable::Of(const ServiceName& service) const {
--- a/src/node/forward_beliefs.cc
+++ b/src/node/forward_beliefs.cc
@@ -1,5 +1,6 @@
 #include "damaskroute/node/forward_beliefs.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -8,6 +9,15 @@
 namespace damaskroute {
 namespace {
 
+// An entry that lapsed because its server was cut off is back at the first heartbeat after the cut.
+// Entries lapse after three heartbeats of about a second, and cuts of up to eight seconds are
+// usual.
+constexpr std::chrono::seconds kLapsedReturn{6};
+
+// With so few servers a service cannot answer in time while one of them pauses, as there is none
+// for a second call.
+constexpr std::ptrdiff_t kFewServers = 1;
+
 TimePoint Now() { return SteadyClock().Now(); }
 
 }  // namespace
@@ -64,10 +74,28 @@
 
 void ForwardBeliefs::Drop(const BackendName& id, const char* reason) {
   LogLine(LogLevel::kInfo, "backend server gone").Field("backend", id).Field("reason", reason);
-  pool_.Forget(backends_.Find(id).get());
+  auto backend = backends_.Find(id);
+  std::erase_if(lapsed_, [](const auto& entry) { return Now() >= entry.second + kLapsedReturn; });
+  if (backend && !backend->entry.draining) lapsed_.insert_or_assign(backend->entry.service, Now());
+  pool_.Forget(backend.get());
   backends_.Remove(id);
 }
 
+bool ForwardBeliefs::MissesServers(TimePoint now) const {
+  auto is_short = [this](const ServiceName& service) {
+    return backends_.CountReached(service) <= kFewServers;
+  };
+  const auto& all = backends_.all();
+  return std::any_of(lapsed_.begin(), lapsed_.end(),
+                     [&](const auto& entry) {
+                       return now < entry.second + kLapsedReturn && is_short(entry.first);
+                     }) ||
+         std::any_of(all.begin(), all.end(), [&](const auto& entry) {
+           const Backend& backend = *entry.second;
+           return !backends_.IsReached(backend) && is_short(backend.entry.service);
+         });
+}
+
 void ForwardBeliefs::ScheduleExpiry() {
   TimePoint next = directory_.next_expiry();
   if (next == TimePoint::max()) return;
--- a/src/store/feed_schedule.cc
+++ b/src/store/feed_schedule.cc
@@ -20,8 +20,8 @@
 
 FeedStep FeedSchedule::Next(TimePoint now) const {
   FeedStep step;
-  if (now < pause_until_) {
-    step.until = pause_until_;
+  if (TimePoint until = PauseUntil(); now < until) {
+    step.until = until;
     return step;
   }
   step.after_revision = revision_;
@@ -44,6 +44,12 @@
   return step;
 }
 
+TimePoint FeedSchedule::PauseUntil() const {
+  if (!gathering_) return retry_at_;
+  return std::max<TimePoint>(retry_at_,
+                             changed_at_ + (eager_ ? options_.eager_gather : options_.gather));
+}
+
 bool FeedSchedule::Follows(TimePoint now) const {
   return relays_ > 0 && !reading_ && !direct_once_ && now >= direct_until_ &&
          now + kLeastFollow < StaleAt();
@@ -90,7 +96,8 @@
   confirmed_ = now;
   revision_ = std::max(revision_, as_of);
   bool behind = changes >= options_.large_batch;
-  if (changes > 0 && !behind) pause_until_ = now + options_.gather;
+  gathering_ = changes > 0 && !behind;
+  changed_at_ = now;
 }
 
 void FeedSchedule::OnHistoryLost(TimePoint now) {
@@ -105,7 +112,7 @@
   if (failures_ >= kOutageFailures || silence >= kSilence) outage_ = true;
   // Pages of different times do not fit together.
   if (reading_) after_key_.clear();
-  pause_until_ =
+  retry_at_ =
       now + Jittered(Doubled(options_.first_pause, failures_ - 1, options_.longest_pause), random_);
 }
 
--- a/tests/feed_schedule_test.cc
+++ b/tests/feed_schedule_test.cc
@@ -54,6 +54,31 @@
   CHECK(f.Next().after_revision == 10);
 }
 
+// Load pattern: a zone was cut off, the entries of its servers lapsed, and each comes back with the
+// server's next heartbeat after the cut. With the usual pause most stay unused for one pause more.
+TEST_CASE("changes gather for a shorter time while servers are missing that may come back") {
+  Fixture f;
+  f.ReadAll(7);
+  f.schedule.OnChanges(3, 10, f.clock.Now());
+  f.schedule.SetEager(true);
+  CHECK(f.Next().kind == FeedStepKind::kPause);
+  f.clock.Advance(f.options.eager_gather);
+  CHECK(f.Next().kind == FeedStepKind::kWatch);
+  f.schedule.OnChanges(3, 13, f.clock.Now());
+  f.schedule.SetEager(false);
+  f.clock.Advance(f.options.eager_gather);
+  CHECK(f.Next().kind == FeedStepKind::kPause);
+}
+
+TEST_CASE("a store that fails is not called sooner because changes are awaited") {
+  Fixture f;
+  f.ReadAll(7);
+  f.schedule.SetEager(true);
+  f.Fail(milliseconds(10), true);
+  CHECK(f.Next().kind == FeedStepKind::kPause);
+  CHECK(f.Next().until - f.clock.Now() >= f.options.first_pause / 2);
+}
+
 TEST_CASE("a watch without changes is followed by the next one at once") {
   Fixture f;
   f.ReadAll(7);
