Take a zone as lost from three of its servers

Cause: a node finds the servers of a zone that is cut off one by one.

Change: ZoneReach. Three servers of a zone that give no connection for 50 ms each, and no sign of life of any other meanwhile, make the zone count as not reached; any sign of life, or a second without a further attempt, ends that. Servers that refuse at once do not count, so processes that crash together do not hide the rest of their zone. Probes count like calls.

The balancer takes two seconds to send callers elsewhere, which is what binds now.

--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -14,6 +14,7 @@
 #include "damaskroute/forward/backend.h"
 #include "damaskroute/forward/backend_table_options.h"
 #include "damaskroute/forward/backend_use.h"
+#include "damaskroute/forward/zone_reach.h"
 #include "damaskroute/routing/route_table.h"
 
 namespace damaskroute {
@@ -65,14 +66,30 @@
                        const std::vector<std::shared_ptr<Backend>>& tried, const CallTimes& times,
                        TimePoint now);
 
+  /// A call to the server that was sent at `sent` ended. `usual`: latency of such calls over all
+  /// servers.
+  void OnCallEnded(Backend& backend, TimePoint sent, EvidenceOf kind, Duration usual,
+                   TimePoint now);
+
+  /// An attempt to open a connection outside of a call, begun at `begun`, ended.
+  void OnProbed(Backend& backend, TimePoint begun, bool opened, TimePoint now);
+
   /// Whether a server of the service can be reached as far as is known, busy or not.
-  bool IsReached(const ServiceName& service) const { return CountReached(service) > 0; }
+  bool IsReached(const ServiceName& service, TimePoint now) const {
+    return CountReached(service, now) > 0;
+  }
 
   /// Number of servers of the service that can be reached as far as is known, busy or not.
-  std::ptrdiff_t CountReached(const ServiceName& service) const;
+  std::ptrdiff_t CountReached(const ServiceName& service, TimePoint now) const;
 
   /// Whether the server can be reached as far as is known, busy or not.
-  bool IsReached(const Backend& backend) const;
+  bool IsReached(const Backend& backend, TimePoint now) const;
+
+  /// Whether no server of the zone is likely to be reached.
+  bool IsLost(const ZoneName& zone, TimePoint now) const { return zone_reach_.IsLost(zone, now); }
+
+  /// All zones of which no server is likely to be reached.
+  std::set<ZoneName> LostZones(TimePoint now) const { return zone_reach_.Lost(now); }
 
   /// Whether a server may be called now, and what speaks against it.
   BackendUse UseOf(const Backend& backend, TimePoint now) const;
@@ -100,6 +117,7 @@
   std::shared_ptr<const RouteTable> routes_;
   int nodes_ = 1;
   std::set<ZoneName> closed_zones_;
+  ZoneReach zone_reach_;
   std::map<BackendName, std::shared_ptr<Backend>> by_id_;
   std::map<ServiceName, std::vector<std::shared_ptr<Backend>>> by_service_;
 };
--- a/include/damaskroute/node/forward_beliefs.h
+++ b/include/damaskroute/node/forward_beliefs.h
@@ -41,6 +41,9 @@
   /// Zones that get no more work.
   void SetClosedZones(std::set<ZoneName> zones);
 
+  /// Logs which zones count as lost, if that has changed.
+  void NoteLostZones(TimePoint now);
+
   /// Number of nodes that share the limits of backend servers.
   void SetNodes(int nodes);
 
@@ -71,6 +74,7 @@
   BackendPool pool_;
   ReachProber prober_;
   asio::steady_timer expiry_timer_;
+  std::set<ZoneName> lost_zones_;            // As logged.
   std::map<ServiceName, TimePoint> lapsed_;  // When an entry was removed of a server in service.
 };
 
--- a/include/damaskroute/node/reach_prober.h
+++ b/include/damaskroute/node/reach_prober.h
@@ -8,7 +8,7 @@
 
 #include "damaskroute/core/asio.h"
 #include "damaskroute/core/time.h"
-#include "damaskroute/forward/backend.h"
+#include "damaskroute/forward/backend_table.h"
 #include "damaskroute/node/backend_pool.h"
 
 namespace damaskroute {
@@ -18,7 +18,9 @@
 /// request; the connection is kept for the next call.
 class ReachProber {
  public:
-  ReachProber(asio::io_context& loop, BackendPool& pool) : loop_(loop), pool_(pool) {}
+  /// Tells `backends` what the probes find.
+  ReachProber(asio::io_context& loop, BackendPool& pool, BackendTable& backends)
+      : loop_(loop), pool_(pool), backends_(backends) {}
 
   /// A call to the server failed for lack of a connection. Calls while it is probed are ignored.
   void OnUnreachable(const std::shared_ptr<Backend>& backend);
@@ -34,6 +36,7 @@
 
   asio::io_context& loop_;
   BackendPool& pool_;
+  BackendTable& backends_;
   std::map<const Backend*, std::shared_ptr<Probe>> probed_;
 };
 
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -111,7 +111,9 @@
   if (evidence.outstanding() >= backend.max_outstanding) return BackendUse::kBusy;
   if (!backend.cold.Allows(now)) return BackendUse::kColdLimit;
   if (!evidence.HasRoom()) return BackendUse::kNoRoom;
-  if (evidence.IsUnreachable(now)) return BackendUse::kUnreachable;
+  if (evidence.IsUnreachable(now) || IsLost(backend.entry.zone, now)) {
+    return BackendUse::kUnreachable;
+  }
   if (evidence.IsStalled(now)) return BackendUse::kStalled;
   if (evidence.IsAvoided(now)) return BackendUse::kAvoided;
   return backend.cold.IsCold(now) ? BackendUse::kCold : BackendUse::kGood;
@@ -163,15 +165,34 @@
   return best;
 }
 
-bool BackendTable::IsReached(const Backend& backend) const {
+void BackendTable::OnCallEnded(Backend& backend, TimePoint sent, EvidenceOf kind, Duration usual,
+                               TimePoint now) {
+  backend.evidence.OnEnded(sent, kind, usual, now);
+  const ZoneName& zone = backend.entry.zone;
+  if (kind == EvidenceOf::kUnreachable) {
+    zone_reach_.OnNoConnection(zone, backend.entry.id, sent, now);
+  } else if (kind == EvidenceOf::kAnswer || kind == EvidenceOf::kShed) {
+    zone_reach_.OnHeard(zone, now);
+  }
+}
+
+void BackendTable::OnProbed(Backend& backend, TimePoint begun, bool opened, TimePoint now) {
+  if (!opened) {
+    return zone_reach_.OnNoConnection(backend.entry.zone, backend.entry.id, begun, now);
+  }
+  backend.evidence.OnReachable(now);
+  zone_reach_.OnHeard(backend.entry.zone, now);
+}
+
+bool BackendTable::IsReached(const Backend& backend, TimePoint now) const {
   return !backend.misdirected && !backend.evidence.is_unreachable() &&
-         !closed_zones_.contains(backend.entry.zone);
+         !closed_zones_.contains(backend.entry.zone) && !IsLost(backend.entry.zone, now);
 }
 
-std::ptrdiff_t BackendTable::CountReached(const ServiceName& service) const {
+std::ptrdiff_t BackendTable::CountReached(const ServiceName& service, TimePoint now) const {
   const auto& servers = Of(service);
   return std::count_if(servers.begin(), servers.end(),
-                       [this](const auto& server) { return IsReached(*server); });
+                       [&](const auto& server) { return IsReached(*server, now); });
 }
 
 const std::vector<std::shared_ptr<Backend>>& BackendTable::Of(const ServiceName& service) const {
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -206,7 +206,7 @@
   call.open = false;
   --parts_[call.part].open_calls;
   if (kind == EvidenceOf::kAnswer) policies_.latency.Add(now - call.sent);
-  call.backend->evidence.OnEnded(call.sent, kind, policies_.latency.usual(), now);
+  policies_.backends.OnCallEnded(*call.backend, call.sent, kind, policies_.latency.usual(), now);
 }
 
 void ForwardRun::Cancel(std::uint32_t number, TimePoint now, Actions& actions) {
--- a/src/node/forward_beliefs.cc
+++ b/src/node/forward_beliefs.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "absl/strings/str_join.h"
 #include "damaskroute/log/log_line.h"
 
 namespace damaskroute {
@@ -20,13 +21,15 @@
 
 TimePoint Now() { return SteadyClock().Now(); }
 
+std::string Names(const std::set<ZoneName>& zones) { return absl::StrJoin(zones, " "); }
+
 }  // namespace
 
 ForwardBeliefs::ForwardBeliefs(asio::io_context& loop, const BackendTableOptions& options,
                                const BackendClientOptions& client_options, std::uint64_t seed)
     : backends_(options, seed),
       pool_(loop, client_options),
-      prober_(loop, pool_),
+      prober_(loop, pool_, backends_),
       expiry_timer_(loop) {}
 
 bool ForwardBeliefs::InstallRoutes(RoutingDocument document) {
@@ -82,8 +85,8 @@
 }
 
 bool ForwardBeliefs::MissesServers(TimePoint now) const {
-  auto is_short = [this](const ServiceName& service) {
-    return backends_.CountReached(service) <= kFewServers;
+  auto is_short = [&](const ServiceName& service) {
+    return backends_.CountReached(service, now) <= kFewServers;
   };
   const auto& all = backends_.all();
   return std::any_of(lapsed_.begin(), lapsed_.end(),
@@ -92,7 +95,7 @@
                      }) ||
          std::any_of(all.begin(), all.end(), [&](const auto& entry) {
            const Backend& backend = *entry.second;
-           return !backends_.IsReached(backend) && is_short(backend.entry.service);
+           return !backends_.IsReached(backend, now) && is_short(backend.entry.service);
          });
 }
 
@@ -109,12 +112,19 @@
 
 void ForwardBeliefs::SetClosedZones(std::set<ZoneName> zones) {
   if (zones == backends_.closed_zones()) return;
-  std::string names;
-  for (const ZoneName& zone : zones) names += zone + " ";
-  LogLine(LogLevel::kInfo, "zones closed").Field("zones", names);
+  LogLine(LogLevel::kInfo, "zones closed").Field("zones", Names(zones));
   backends_.SetClosedZones(std::move(zones));
 }
 
+void ForwardBeliefs::NoteLostZones(TimePoint now) {
+  auto lost = backends_.LostZones(now);
+  if (lost == lost_zones_) return;
+  LogLine(LogLevel::kWarning, "zones not reached")
+      .Field("zones", Names(lost))
+      .Field("before", Names(lost_zones_));
+  lost_zones_ = std::move(lost);
+}
+
 void ForwardBeliefs::SetNodes(int nodes) {
   if (nodes == nodes_) return;
   LogLine(LogLevel::kInfo, "number of nodes changed").Field("nodes", nodes).Field("before", nodes_);
--- a/src/node/forward_front.cc
+++ b/src/node/forward_front.cc
@@ -176,6 +176,7 @@
   TimePoint now = SteadyClock().Now();
   if (now < next_reach_check_) return;
   next_reach_check_ = now + kReachCheckInterval;
+  service_.beliefs().NoteLostZones(now);
   if (isolation_.OnShards(service_.ReachesShards(), now)) {
     store_.probe([this](bool reached) {
       isolation_.OnProbe(reached);
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -339,8 +339,9 @@
 }
 
 std::ptrdiff_t ForwardService::ReachedShards(const Route& route) const {
-  return std::count_if(route.shards.begin(), route.shards.end(), [this](const ServiceName& shard) {
-    return beliefs_.backends().IsReached(shard);
+  TimePoint now = Now();
+  return std::count_if(route.shards.begin(), route.shards.end(), [&](const ServiceName& shard) {
+    return beliefs_.backends().IsReached(shard, now);
   });
 }
 
--- a/src/node/reach_prober.cc
+++ b/src/node/reach_prober.cc
@@ -55,10 +55,10 @@
     return;
   }
   auto client = pool_.For(probe->backend);
-  client->OpenConnection([this, probe, client](bool opened) {
-    if (!opened) return Wait(probe);
+  client->OpenConnection([this, probe, client, begun = Now()](bool opened) {
     TimePoint now = Now();
-    probe->backend->evidence.OnReachable(now);
+    backends_.OnProbed(*probe->backend, begun, opened, now);
+    if (!opened) return Wait(probe);
     probed_.erase(probe->backend.get());
     LogLine(LogLevel::kInfo, "backend server reached again")
         .Field("backend", probe->backend->entry.id)
--- a/tests/backend_table_test.cc
+++ b/tests/backend_table_test.cc
@@ -233,11 +233,11 @@
 TEST_CASE("a broken connection does not make a server that cannot be reached count as reached") {
   Fixture f(1);
   f.Call("s0a", milliseconds(1), EvidenceOf::kUnreachable);
-  CHECK_FALSE(f.table.IsReached("s0"));
+  CHECK_FALSE(f.table.IsReached("s0", f.clock.Now()));
   f.Call("s0a", milliseconds(1), EvidenceOf::kFailure);
-  CHECK_FALSE(f.table.IsReached("s0"));
-  f.table.Find("s0a")->evidence.OnReachable(f.clock.Now());
-  CHECK(f.table.IsReached("s0"));
+  CHECK_FALSE(f.table.IsReached("s0", f.clock.Now()));
+  f.table.OnProbed(*f.table.Find("s0a"), f.clock.Now(), /*opened=*/true, f.clock.Now());
+  CHECK(f.table.IsReached("s0", f.clock.Now()));
 }
 
 TEST_CASE("a server that starts anew is judged anew") {
--- a/tests/forward_run_test.cc
+++ b/tests/forward_run_test.cc
@@ -227,6 +227,36 @@
   }
 }
 
+// brekke-staffeli-grown, trouble-1: torget is cut off. Each of its nine nodes gets one query a
+// second and found the servers of the other zones one by one, so it let three queries fail after
+// 0.2 to 0.7 s before it refused one, and left service only 1 to 5 s after the cut.
+TEST_CASE("a node that is cut off loses one query, and refuses the next one at once") {
+  constexpr int kShards = 40;
+  ForwardWorld w(kShards, 0);
+  for (int shard = 0; shard < kShards; ++shard) {
+    for (const char* zone : {"b", "c", "d"}) w.AddServer(shard, zone);
+  }
+  w.clock.Advance(std::chrono::seconds(1));
+  w.Begin(w.Query(kShards, 38));
+  CHECK(w.sent.size() == kShards);
+  // Calls on connections that are open get no answer. The others find no connection in time.
+  for (int i = 0; i < 3; ++i) {
+    w.clock.Advance(milliseconds(60));
+    auto open = w.open;
+    for (const auto& [call, server] : open) {
+      if (call < 5 || call >= kShards) w.End(server, CallEnd::kUnreachable);
+    }
+  }
+  w.Advance(milliseconds(1000 - 3 * 60));  // To the deadline.
+  CHECK(w.run->finished());
+  w.sent.clear();
+  w.answer.reset();
+  w.Begin(w.Query(kShards, 38));
+  REQUIRE(w.answer);
+  CHECK(w.answer->kind == AnswerKind::kRefused);
+  CHECK(w.sent.empty());
+}
+
 TEST_CASE("a shard that could not be reached is tried again after a while") {
   ForwardWorld w(1);
   for (const char* server : {"s0a", "s0b"}) {
