Model a deployment in simulated time and compare policies on it

Nothing showed how the limit of queries behaves over a range of loads.

Change: benchmark/model plays callers, nodes and servers in simulated time.

--- /dev/null
+++ b/benchmark/model/model_policy.h
@@ -0,0 +1,19 @@
+#ifndef BENCHMARK_MODEL_MODEL_POLICY_H_
+#define BENCHMARK_MODEL_MODEL_POLICY_H_
+
+#include <chrono>
+#include <optional>
+
+namespace damaskroute::model {
+
+/// What an experiment varies. Left out: as in the product.
+struct ModelPolicy {
+  std::optional<double> copy_after;  ///< Part of the objective after which a call is late.
+  std::optional<double> extra_ratio;
+  std::optional<std::chrono::microseconds> zone_cost;
+  bool limit_queries = true;
+};
+
+}  // namespace damaskroute::model
+
+#endif  // BENCHMARK_MODEL_MODEL_POLICY_H_
--- /dev/null
+++ b/benchmark/model/model_server.cc
@@ -0,0 +1,62 @@
+#include "benchmark/model/model_server.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace damaskroute::model {
+
+void ModelServer::SetDark(bool dark) {
+  dark_ = dark;
+  running_.clear();
+  waiting_.clear();
+}
+
+void ModelServer::Arrive(std::uint64_t call, Duration work, Done done) {
+  if (dark_) return;
+  if (static_cast<int>(waiting_.size()) >= day_.queue) return done(End::kShed);
+  waiting_.push_back({call, work, std::move(done)});
+  StartNext();
+}
+
+void ModelServer::Drop(std::uint64_t call) {
+  std::erase_if(waiting_, [call](const Job& job) { return job.call == call; });
+  running_.erase(call);
+  StartNext();
+}
+
+void ModelServer::StartNext() {
+  while (!waiting_.empty() && static_cast<int>(running_.size()) < day_.slots) {
+    Job job = std::move(waiting_.front());
+    waiting_.pop_front();
+    running_.emplace(job.call, std::move(job.done));
+    events_.At(EndOf(job.work), [this, call = job.call] { Finish(call); });
+  }
+}
+
+void ModelServer::Finish(std::uint64_t call) {
+  auto found = running_.find(call);
+  if (found == running_.end()) return;
+  Done done = std::move(found->second);
+  running_.erase(found);
+  StartNext();
+  done(End::kAnswered);
+}
+
+// Pauses that fall into the work delay its end.
+TimePoint ModelServer::EndOf(Duration work) const {
+  auto left = std::chrono::duration_cast<Duration>(work * slowness_);
+  TimePoint now = events_.Now();
+  if (day_.pause_every.count() == 0) return now + left;
+  Duration every = day_.pause_every;
+  while (true) {
+    // Time since the last pause began; before the first one it counts from an earlier one.
+    Duration since = ((now - phase_) % every + every) % every;
+    if (since < day_.pause) now += day_.pause - since;
+    Duration until_pause = every - std::max<Duration>(since, day_.pause);
+    if (left <= until_pause) return now + left;
+    left -= until_pause;
+    now += until_pause;
+  }
+}
+
+}  // namespace damaskroute::model
--- a/include/damaskroute/forward/zone_reach.h
+++ b/include/damaskroute/forward/zone_reach.h
@@ -11,8 +11,8 @@
 namespace damaskroute {
 
 /// Finds out that a whole availability zone is not reached, from calls to a few of its servers. A
-/// node with few queries would otherwise find the servers of a zone that is cut off one by one, with
-/// a query lost for each few of them.
+/// node with few queries would otherwise find the servers of a zone that is cut off one by one,
+/// with a query lost for each few of them.
 class ZoneReach {
  public:
   /// Servers that must be silent for their zone to count as lost. Two may crash at the same time.
@@ -22,8 +22,8 @@
   /// gives no answer for so long. Just below the time limit for a connection, 60 ms.
   static constexpr std::chrono::milliseconds kLeastSilence{50};
 
-  /// How long a zone counts as lost after the last attempt without an answer. Its servers are probed
-  /// each 0.4 s at least while they are known.
+  /// How long a zone counts as lost after the last attempt without an answer. Its servers are
+  /// probed each 0.4 s at least while they are known.
   static constexpr std::chrono::milliseconds kRemembered{1000};
 
   /// An attempt to connect to a server that began at `begun` ended without a connection.
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -11,6 +11,7 @@
 #include "damaskroute/core/json_writer.h"
 #include "damaskroute/forward/extra_budget.h"
 #include "damaskroute/forward/forward_run.h"
+#include "damaskroute/forward/query_place.h"
 #include "damaskroute/http/http_server.h"
 #include "damaskroute/node/caller_request.h"
 #include "damaskroute/node/forward_beliefs.h"
@@ -80,8 +81,6 @@
                   const HttpResponder& respond, std::chrono::milliseconds retry_after);
   std::chrono::milliseconds ReturnTime(Duration patience);
   bool AdmitQuery(Exchange& exchange);
-  void ReleaseQuery(Exchange& exchange);
-  static void LeaveLimit(Exchange& exchange);
   std::ptrdiff_t ReachedShards(const Route& route) const;
   void WriteRoutes(JsonWriter& writer) const;
   void OnCallerGone(const std::shared_ptr<Exchange>& exchange);
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -80,8 +80,7 @@
   TimePoint routes_since;                    // When these routes came into force.
   const Route* route = nullptr;
   ForwardRun run;
-  OverloadLimit* limit = nullptr;  // Of the set of shards, until the query has ended.
-  bool left_limit = false;         // Its place in the limit is free again.
+  QueryPlace place;
   std::unordered_map<std::uint32_t, OpenCall> calls;
   asio::steady_timer timer;
   std::vector<std::pair<BackendName, Duration>> cancelled;  // Their ages, for the log.
@@ -155,25 +154,7 @@
   const Route& route = *exchange.route;
   if (route.shards.empty()) return true;
   const QueryPlan& plan = exchange.routes->Plan(route);
-  OverloadLimit& limit = limits_[plan.shard_set];
-  if (!limit.TryStart(plan.urgent)) return false;
-  exchange.limit = &limit;
-  if (limit.IsPressed(Now())) exchange.run.ForbidCopies();
-  return true;
-}
-
-// A query that only waits for its last parts leaves its place to others.
-void ForwardService::LeaveLimit(Exchange& exchange) {
-  if (exchange.limit == nullptr || exchange.left_limit) return;
-  exchange.left_limit = true;
-  exchange.limit->Leave();
-}
-
-void ForwardService::ReleaseQuery(Exchange& exchange) {
-  if (exchange.limit == nullptr) return;
-  LeaveLimit(exchange);
-  exchange.limit->OnEnd(exchange.run.load_sign(), Now());
-  exchange.limit = nullptr;
+  return exchange.place.Take(limits_[plan.shard_set], plan.urgent, exchange.run, Now());
 }
 
 void ForwardService::Refuse(HttpRequest request, const char* reason, const HttpResponder& respond) {
@@ -245,7 +226,7 @@
           if (judged.end == CallEnd::kUnreachable) OnUnreachable(backend);
         }
         Carry(exchange, exchange->run.OnResult(number, std::move(judged), ended));
-        if (exchange->run.is_mostly_done()) LeaveLimit(*exchange);
+        exchange->place.OnProgress(exchange->run);
       });
 }
 
@@ -274,7 +255,7 @@
 
 void ForwardService::Respond(const std::shared_ptr<Exchange>& exchange, ForwardAnswer answer) {
   exchange->timer.cancel();
-  ReleaseQuery(*exchange);
+  exchange->place.Release(exchange->run, Now());
   const char* outcome = OutcomeName(answer);
   std::string unanswered = Unanswered(*exchange);
   Duration latency = Now() - exchange->request.received;
@@ -315,7 +296,7 @@
       .Field("route", exchange->route->name)
       .Field("waited_us", Microseconds(Now() - exchange->request.received));
   Carry(exchange, exchange->run.Abandon(Now()));
-  ReleaseQuery(*exchange);
+  exchange->place.Release(exchange->run, Now());
   active_.erase(exchange);
   // The connection is closed by the server once it tries to send this.
   exchange->respond(MakeForwardRefusal(exchange->request, 504, "the caller left", {}, protocol_));
