--- a/benchmark/model/event_queue.h
+++ b/benchmark/model/event_queue.h
@@ -1,6 +1,7 @@
 #ifndef BENCHMARK_MODEL_EVENT_QUEUE_H_
 #define BENCHMARK_MODEL_EVENT_QUEUE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
--- a/benchmark/model/forward_model.cc
+++ b/benchmark/model/forward_model.cc
@@ -258,44 +258,58 @@
 void ForwardModel::StartCall(const std::shared_ptr<Query>& query, const SendCall& send) {
   ++result_.calls;
   Node& node = *query->node;
-  const BackendName& name = send.backend->entry.id;
-  const ZoneName& zone = send.backend->entry.zone;
-  ModelServer& server = *servers_.at(name);
-  std::uint64_t id = next_call_++;
-  query->calls[send.call] = {id, send.backend};
-  Duration way = Delay(node.zone, zone);
+  const BackendEntry& entry = send.backend->entry;
+  CallKey key{query, send.call, next_call_++};
+  query->calls[send.call] = {key.id, send.backend};
+  Duration way = Delay(node.zone, entry.zone);
   Duration work = Work(day_.classes[query->kind]);
-  bool is_new = node.idle[name] == 0;
-  if (is_new && (server.is_dark() || !Reaches(node.zone, zone))) {
-    events_.After(kConnectTimeout, [this, query, id, call = send.call] {
-      auto found = query->calls.find(call);
-      if (found == query->calls.end() || found->second.id != id) return;
-      Probe(*query->node, found->second.backend);
-      EndCall(query, call, CallEnd::kUnreachable);
-    });
+  int& idle = node.idle[entry.id];
+  if (idle > 0) {
+    --idle;
+    events_.After(way, [=, this] { Deliver(key, work); });
     return;
   }
-  if (!is_new) --node.idle[name];
-  if (is_new) work += day_.handshake;
-  events_.After(is_new ? 3 * way : way, [=, this, &server, &node, call = send.call] {
-    auto is_open = [query, id, call] {
-      auto found = query->calls.find(call);
-      return found != query->calls.end() && found->second.id == id;
-    };
-    if (!is_open() || !Reaches(node.zone, zone)) return;
-    server.Arrive(id, work, [=, this, &node](ModelServer::End end) {
-      events_.After(way, [=, this, &node] {
-        if (!is_open() || !Reaches(zone, node.zone)) return;
-        const auto& backend = *query->calls.at(call).backend;
-        int& idle = node.idle[backend.entry.id];
-        idle = std::min(idle + 1, backend.max_kept);
-        EndCall(query, call,
-                end == ModelServer::End::kShed ? CallEnd::kNotRun : CallEnd::kAnswered);
-      });
-    });
+  if (servers_.at(entry.id)->is_dark() || !Reaches(node.zone, entry.zone)) {
+    events_.After(kConnectTimeout, [this, key] { OnNoConnection(key); });
+    return;
+  }
+  // A round trip opens the connection.
+  events_.After(3 * way, [=, this] { Deliver(key, work + day_.handshake); });
+}
+
+std::shared_ptr<Backend> ForwardModel::OpenBackend(const CallKey& key) {
+  auto found = key.query->calls.find(key.call);
+  bool open = found != key.query->calls.end() && found->second.id == key.id;
+  return open ? found->second.backend : nullptr;
+}
+
+void ForwardModel::OnNoConnection(const CallKey& key) {
+  auto backend = OpenBackend(key);
+  if (!backend) return;
+  Probe(*key.query->node, backend);
+  EndCall(key.query, key.call, CallEnd::kUnreachable);
+}
+
+void ForwardModel::Deliver(const CallKey& key, Duration work) {
+  auto backend = OpenBackend(key);
+  if (!backend || !Reaches(key.query->node->zone, backend->entry.zone)) return;
+  servers_.at(backend->entry.id)->Arrive(key.id, work, [this, key](ModelServer::End end) {
+    auto served = OpenBackend(key);
+    if (!served) return;
+    events_.After(Delay(key.query->node->zone, served->entry.zone),
+                  [this, key, end] { Return(key, end); });
   });
 }
 
+void ForwardModel::Return(const CallKey& key, ModelServer::End end) {
+  auto backend = OpenBackend(key);
+  if (!backend || !Reaches(backend->entry.zone, key.query->node->zone)) return;
+  int& idle = key.query->node->idle[backend->entry.id];
+  idle = std::min(idle + 1, backend->max_kept);
+  bool shed = end == ModelServer::End::kShed;
+  EndCall(key.query, key.call, shed ? CallEnd::kNotRun : CallEnd::kAnswered);
+}
+
 void ForwardModel::EndCall(const std::shared_ptr<Query>& query, std::uint32_t call, CallEnd end) {
   query->calls.erase(call);
   CallResult result;
--- a/benchmark/model/forward_model.h
+++ b/benchmark/model/forward_model.h
@@ -38,6 +38,14 @@
   struct Node;
   struct Query;
 
+  /// One call of a query. Numbers of calls start anew with each attempt, so the id tells them
+  /// apart.
+  struct CallKey {
+    std::shared_ptr<Query> query;
+    std::uint32_t call = 0;
+    std::uint64_t id = 0;
+  };
+
   void MakeServers();
   void MakeNodes();
   void PlanTroubles();
@@ -47,6 +55,11 @@
   void Arrive(const std::shared_ptr<Query>& query);
   void Carry(const std::shared_ptr<Query>& query, std::vector<ForwardAction> actions);
   void StartCall(const std::shared_ptr<Query>& query, const SendCall& send);
+  /// The server of a call that is still open; null otherwise.
+  static std::shared_ptr<Backend> OpenBackend(const CallKey& key);
+  void OnNoConnection(const CallKey& key);
+  void Deliver(const CallKey& key, Duration work);
+  void Return(const CallKey& key, ModelServer::End end);
   void EndCall(const std::shared_ptr<Query>& query, std::uint32_t call, CallEnd end);
   void Cancel(const std::shared_ptr<Query>& query, std::uint32_t call);
   void Conclude(const std::shared_ptr<Query>& query, const ForwardAnswer& answer);
