Let neither requests nor probes outlive the node that they belong to

A caller's session had read a request at the last moment and handed it to the destroyed service, which searched a destroyed map.

Change: sessions hand nothing on once their server is gone; the new test of http_server_test fails without that (1 request handled in place of 0).

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -63,6 +63,7 @@
 
 HttpServer::~HttpServer() {
   shared_->draining = true;
+  shared_->closed = true;
   // Sessions on other loops keep the shared state longer than the first loop lives, to which the
   // acceptor belongs.
   if (!shared_->loops.empty() && shared_->loops.front()->stopped()) shared_->acceptor.reset();
--- a/src/http/http_server_shared.h
+++ b/src/http/http_server_shared.h
@@ -18,6 +18,7 @@
   HttpHandler handler;
   std::unique_ptr<asio::ip::tcp::acceptor> acceptor;
   std::atomic<bool> draining{false};
+  std::atomic<bool> closed{false};  ///< The server is gone, and with it what the handler uses.
   std::atomic<bool> close_after_responses{false};
   std::atomic<std::size_t> active_requests{0};
   std::atomic<std::size_t> connections{0};
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -146,6 +146,7 @@
   }
 
   void Handle() {
+    if (shared_->closed) return Close();
     auto message = parser_->release();
     keep_alive_ = message.keep_alive();
     HttpRequest request;
--- a/src/node/reach_prober.cc
+++ b/src/node/reach_prober.cc
@@ -43,8 +43,9 @@
 void ReachProber::Wait(const std::shared_ptr<Probe>& probe) {
   probe->timer.expires_after(probe->pause);
   probe->pause = std::min(probe->pause * 2, kLongestPause);
-  probe->timer.async_wait([this, probe](const boost::system::error_code& error) {
-    if (!error) Try(probe);
+  probe->timer.async_wait([this, weak = std::weak_ptr(probe)](const auto& error) {
+    auto waiting = weak.lock();
+    if (!error && waiting) Try(waiting);
   });
 }
 
@@ -55,7 +56,10 @@
     return;
   }
   auto client = pool_.For(probe->backend);
-  client->OpenConnection([this, probe, client, begun = Now()](bool opened) {
+  // The attempt may end after this object, which then owns the probe no longer.
+  client->OpenConnection([this, weak = std::weak_ptr(probe), client, begun = Now()](bool opened) {
+    auto probe = weak.lock();
+    if (!probe) return;
     TimePoint now = Now();
     backends_.OnProbed(*probe->backend, begun, opened, now);
     if (!opened) return Wait(probe);
--- a/tests/forward_beliefs_test.cc
+++ b/tests/forward_beliefs_test.cc
@@ -69,5 +69,32 @@
   CHECK(f.Misses());
 }
 
+// A node that ended while it probed a server told a table of backend servers that was gone, and
+// searched its map for ever (deploy/days/ends.toml).
+TEST_CASE("a probe that ends after the node's beliefs are gone touches nothing") {
+  asio::io_context loop;
+  asio::ip::tcp::acceptor server(loop, {asio::ip::address_v4::loopback(), 0});
+  auto beliefs = std::make_unique<ForwardBeliefs>(loop, BackendTableOptions{.own_zone = "a"},
+                                                  BackendClientOptions{}, 1);
+  BackendEntry entry;
+  entry.id = std::string("one");
+  entry.service = std::string("shard");
+  entry.zone = std::string("a");
+  entry.endpoint = {std::string("127.0.0.1"), server.local_endpoint().port()};
+  beliefs->OnBackend(entry);
+  auto backend = beliefs->backends().Find("one");
+  auto now = SteadyClock().Now();
+  backend->evidence.OnSent(now);
+  backend->evidence.OnEnded(now, EvidenceOf::kUnreachable, std::chrono::milliseconds(20), now);
+  beliefs->prober().OnUnreachable(backend);
+  // The probe's pause ends and it starts to connect, and nothing more.
+  REQUIRE(loop.run_one() == 1);
+  CHECK(beliefs->prober().size() == 1);
+  beliefs.reset();
+  loop.restart();
+  loop.run_for(seconds(1));
+  CHECK(backend->evidence.is_unreachable());
+}
+
 }  // namespace
 }  // namespace damaskroute
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -299,5 +299,30 @@
   CHECK(answer.find("whole") != std::string::npos);
 }
 
+// A node that ended read a request that came at its last moment, and handed it to a service that
+// was gone (deploy/days/ends.toml): the process searched a destroyed map for ever.
+TEST_CASE("a request that is read after the server is gone is not handled") {
+  asio::io_context loop;
+  int handled = 0;
+  HttpServerOptions options;
+  options.listen = testing::FreeEndpoint();
+  auto server = std::make_unique<HttpServer>(
+      std::vector<asio::io_context*>{&loop}, options,
+      [&handled](const HttpRequest&, const HttpResponder&) { ++handled; });
+  REQUIRE(server->Start().ok());
+  asio::io_context client_loop;
+  asio::ip::tcp::socket client(client_loop);
+  client.connect({asio::ip::make_address("127.0.0.1"), options.listen.port});
+  loop.run_for(std::chrono::milliseconds(50));
+  asio::write(client, asio::buffer(std::string("GET / HTTP/1.1\r\n")));
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(50));
+  server.reset();
+  asio::write(client, asio::buffer(std::string("Host: a\r\n\r\n")));
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(200));
+  CHECK(handled == 0);
+}
+
 }  // namespace
 }  // namespace damaskroute
