--- a/fuzz/forward_call_fuzz.cc
+++ b/fuzz/forward_call_fuzz.cc
@@ -45,8 +45,8 @@
   auto protocol = damaskroute::platform::Platform().Protocol();
   auto received = damaskroute::ReadCallerRequest(request, protocol);
   auto now = damaskroute::SteadyClock().Now();
-  auto call = damaskroute::MakeForwardCall(received, "i-1", now + std::chrono::seconds(1), now,
-                                           protocol);
+  auto call =
+      damaskroute::MakeForwardCall(received, "i-1", now + std::chrono::seconds(1), now, protocol);
   Message sent;
   std::size_t read = Parse(call.bytes, sent);
   if (read != call.bytes.size() || Text(sent.method_string()) != request.method ||
--- a/fuzz/response_reader_fuzz.cc
+++ b/fuzz/response_reader_fuzz.cc
@@ -1,8 +1,8 @@
-#include "src/http/response_reader.h"
-
 #include <cstdint>
 #include <string>
 
+#include "src/http/response_reader.h"
+
 // Must come before Boost.Beast, which includes Boost.Asio.
 #include "damaskroute/core/asio.h"
 
--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -66,6 +66,11 @@
   /// Whether a server of the service can be reached as far as is known, busy or not.
   bool IsReached(const ServiceName& service) const;
 
+  /// Why a server is used, or is not, in a few words.
+  const char* UseOf(const Backend& backend, TimePoint now) const;
+
+  const std::map<BackendName, std::shared_ptr<Backend>>& all() const { return by_id_; }
+
   /// All servers of a service.
   const std::vector<std::shared_ptr<Backend>>& Of(const ServiceName& service) const;
 
--- a/include/damaskroute/node/forward_front.h
+++ b/include/damaskroute/node/forward_front.h
@@ -13,6 +13,7 @@
 #include "damaskroute/node/forward_node_settings.h"
 #include "damaskroute/node/forward_protocol.h"
 #include "damaskroute/node/forward_service.h"
+#include "damaskroute/node/store_view.h"
 #include "damaskroute/store/feed_options.h"
 
 namespace damaskroute {
@@ -45,9 +46,7 @@
   /// The store was lost, or reached again.
   void OnStoreReached(bool reached);
 
-  /// Sets how the store is probed; `done` is called on the loop.
-  using StoreProbe = std::function<void(std::function<void(bool reached)> done)>;
-  void SetStoreProbe(StoreProbe probe) { probe_store_ = std::move(probe); }
+  void SetStoreView(StoreView view) { store_ = std::move(view); }
 
   ForwardService& service() { return service_; }
 
@@ -57,6 +56,7 @@
   void CheckReach();
   void ApplyReach();
   void HandleMetrics(const HttpResponder& respond) const;
+  void HandleBeliefs(const HttpResponder& respond) const;
   void StopAccepting();
   void AwaitEnd();
   void End();
@@ -72,7 +72,7 @@
   asio::steady_timer stop_timer_;
   TimePoint stop_at_;
   Isolation isolation_;
-  StoreProbe probe_store_;
+  StoreView store_;
   TimePoint next_reach_check_;
   bool cut_off_ = false;  // What was last acted on.
   bool stopping_ = false;
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -68,7 +68,11 @@
         own_key_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
                  RenderNodeRecord({settings.zone, settings.changes}), settings.node_lease,
                  Hash64(settings.node, /*seed=*/1)) {
-    front_.SetStoreProbe([this](auto done) { feed_.Probe(std::move(done)); });
+    front_.SetStoreView(
+        {.probe = [this](auto done) { feed_.Probe(std::move(done)); },
+         .age = [this] { return feed_.age(); },
+         .followed =
+             [this] { return relays_.empty() ? "the store" : FormatEndpoint(relays_.front()); }});
     if (settings.changes) {
       relay_.emplace(loop, *settings.changes, [this] { return feed_.age(); });
     }
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "damaskroute/core/asio.h"
+#include "damaskroute/core/json_writer.h"
 #include "damaskroute/forward/extra_budget.h"
 #include "damaskroute/forward/forward_run.h"
 #include "damaskroute/http/http_server.h"
@@ -52,6 +53,10 @@
   ForwardBeliefs& beliefs() { return beliefs_; }
   const ForwardBeliefs& beliefs() const { return beliefs_; }
 
+  /// Writes routes, backend servers with why each is used or not, and extra calls by service, as
+  /// members of the JSON object in progress.
+  void WriteBeliefs(JsonWriter& writer, TimePoint now) const;
+
   std::size_t active() const { return active_.size(); }
   const ForwardMetrics& metrics() const { return metrics_; }
 
@@ -77,6 +82,7 @@
   bool AdmitQuery(Exchange& exchange);
   void ReleaseQuery(Exchange& exchange);
   static void LeaveLimit(Exchange& exchange);
+  void WriteRoutes(JsonWriter& writer) const;
   void OnCallerGone(const std::shared_ptr<Exchange>& exchange);
   void Count(const Exchange& exchange, const std::string& outcome);
 
--- a/include/damaskroute/relay/relay_choice.h
+++ b/include/damaskroute/relay/relay_choice.h
@@ -10,9 +10,15 @@
 
 namespace damaskroute {
 
-/// Nodes of a zone that follow the store themselves. Two, so that one may be lost; calls to the
-/// store then do not grow with the number of nodes.
-inline constexpr std::size_t kReadersPerZone = 2;
+/// Least number of nodes of a zone that follow the store themselves, so that one may be lost.
+inline constexpr std::size_t kLeastReaders = 2;
+
+/// Nodes of a zone for each reader. At 300 nodes in four zones two readers a zone sent up to 1 MB a
+/// second each (fleetbench sweep, 4 December 2026); the slowest links have 50 Mbit/s.
+inline constexpr std::size_t kNodesPerReader = 32;
+
+/// Readers that a node follows: one, and another when that one is lost.
+inline constexpr std::size_t kRelays = 2;
 
 /// The nodes that `self` follows instead of the store, in the order in which it tries them; none if
 /// it follows the store. All nodes that know the same records choose the same readers, and the
--- a/src/ctl/ctl.cc
+++ b/src/ctl/ctl.cc
@@ -32,6 +32,8 @@
   config                     configuration in force on the node
   query FRONT JSON           send a query through the callers' interface
   burn                       error budgets and burn rates
+  beliefs                    what a node on the users' platform believes: routes, backend servers
+                             and why each is used or not; --endpoint is its metrics address
   check -f PATH              check a declaration without contacting a node
 
 options
@@ -112,6 +114,7 @@
   if (is(1, "history")) return Show("/v1/history");
   if (is(1, "config")) return Show("/v1/config");
   if (is(1, "burn")) return Show("/v1/burn");
+  if (is(1, "beliefs")) return Show("/v1/beliefs");
   if (is(2, "rollback")) return Rollback(arguments[1]);
   if (is(3, "query")) return Query(arguments[1], arguments[2]);
   if (is(3, "zone") && arguments[1] == "out") {
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -114,6 +114,21 @@
   return now + waiting * Expected(backend, times, now) < times.deadline;
 }
 
+const char* BackendTable::UseOf(const Backend& backend, TimePoint now) const {
+  const BackendEvidence& evidence = backend.evidence;
+  if (backend.misdirected) return "no: another server has its address";
+  if (backend.entry.draining) return "no: it leaves";
+  if (closed_zones_.contains(backend.entry.zone)) return "no: its zone is closed";
+  if (evidence.outstanding() >= backend.max_outstanding) return "no: its connections are in use";
+  if (!backend.cold.Allows(now)) return "no: it is cold and has its part of calls";
+  if (!evidence.HasRoom()) return "no: it shed calls at this load";
+  if (evidence.IsUnreachable(now)) return "last: not reached";
+  if (evidence.IsStalled(now)) return "second: silent";
+  if (evidence.IsAvoided(now)) return "second: failed or shed lately";
+  if (backend.cold.IsCold(now)) return "second: cold";
+  return "yes";
+}
+
 BackendStanding BackendTable::StandingOf(const Backend& backend, const CallTimes& times,
                                          TimePoint now) {
   const BackendEvidence& evidence = backend.evidence;
--- a/src/node/forward_front.cc
+++ b/src/node/forward_front.cc
@@ -43,6 +43,9 @@
 // Of the ratio, a node uses this part, as the other side counts by its own clock.
 constexpr double kRatioPart = 0.95;
 
+// Served beside the metrics; read by `damaskctl beliefs`.
+constexpr char kBeliefsPath[] = "/v1/beliefs";
+
 // Connections to the ready and metrics ports.
 constexpr std::size_t kSmallServerConnections = 32;
 
@@ -96,7 +99,9 @@
   if (settings.metrics) {
     metrics_ = std::make_unique<HttpServer>(
         std::vector<asio::io_context*>{&loop}, SmallServer(*settings.metrics),
-        [this](const HttpRequest&, const HttpResponder& respond) { HandleMetrics(respond); });
+        [this](const HttpRequest& request, const HttpResponder& respond) {
+          request.target == kBeliefsPath ? HandleBeliefs(respond) : HandleMetrics(respond);
+        });
   }
 }
 
@@ -172,7 +177,7 @@
   if (now < next_reach_check_) return;
   next_reach_check_ = now + kReachCheckInterval;
   if (isolation_.OnShards(service_.ReachesShards(), now)) {
-    probe_store_([this](bool reached) {
+    store_.probe([this](bool reached) {
       isolation_.OnProbe(reached);
       ApplyReach();
     });
@@ -212,6 +217,32 @@
   respond(std::move(response));
 }
 
+void ForwardFront::HandleBeliefs(const HttpResponder& respond) const {
+  TimePoint now = SteadyClock().Now();
+  rapidjson::StringBuffer buffer;
+  JsonWriter writer(buffer);
+  writer.StartObject();
+  WriteText(writer, "node", settings_.node);
+  WriteText(writer, "zone", settings_.zone);
+  WriteText(writer, "ready",
+            IsReady()   ? "yes"
+            : stopping_ ? "no: stopping"
+            : cut_off_  ? "no: cut off"
+                        : "no: no routes");
+  WriteText(writer, "followed", store_.followed());
+  WriteInteger(writer, "store_confirmed_ms",
+               std::chrono::duration_cast<milliseconds>(store_.age()).count());
+  WriteInteger(writer, "nodes", nodes_);
+  WriteInteger(writer, "active_requests", static_cast<std::int64_t>(service_.active()));
+  WriteInteger(writer, "routes_version",
+               static_cast<std::int64_t>(service_.beliefs().routes_version()));
+  service_.WriteBeliefs(writer, now);
+  writer.EndObject();
+  HttpResponse response;
+  response.body = buffer.GetString();
+  respond(std::move(response));
+}
+
 void ForwardFront::Stop(std::function<void()> done) {
   if (stopping_) return;
   stopping_ = true;
--- /dev/null
+++ b/src/node/forward_service_beliefs.cc
@@ -0,0 +1,77 @@
+#include <chrono>
+#include <string>
+
+#include "damaskroute/node/forward_service.h"
+
+// What the operators' interface shows of the service's beliefs.
+
+namespace damaskroute {
+namespace {
+
+std::int64_t Milliseconds(Duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+void WriteNumber(JsonWriter& writer, const char* key, double value) {
+  writer.Key(key);
+  writer.Double(value);
+}
+
+}  // namespace
+
+void ForwardService::WriteBeliefs(JsonWriter& writer, TimePoint now) const {
+  WriteRoutes(writer);
+  writer.Key("backends");
+  writer.StartArray();
+  for (const auto& [id, backend] : beliefs_.backends().all()) {
+    const BackendEvidence& evidence = backend->evidence;
+    writer.StartObject();
+    WriteText(writer, "id", id);
+    WriteText(writer, "service", backend->entry.service);
+    WriteText(writer, "zone", backend->entry.zone);
+    WriteText(writer, "endpoint", FormatEndpoint(backend->entry.endpoint));
+    WriteText(writer, "use", beliefs_.backends().UseOf(*backend, now));
+    WriteInteger(writer, "outstanding", evidence.outstanding());
+    WriteNumber(writer, "slowness", evidence.Slowness(now));
+    WriteNumber(writer, "failure_rate", evidence.FailureRate(now));
+    WriteInteger(writer, "avoided_ms",
+                 evidence.IsAvoided(now) ? Milliseconds(evidence.avoid_until() - now) : 0);
+    writer.EndObject();
+  }
+  writer.EndArray();
+  writer.Key("extra_calls");
+  writer.StartArray();
+  for (const auto& [service, budget] : budgets_) {
+    writer.StartObject();
+    WriteText(writer, "service", service);
+    WriteInteger(writer, "requests", budget.requests());
+    WriteInteger(writer, "extras", budget.extras());
+    writer.EndObject();
+  }
+  writer.EndArray();
+}
+
+void ForwardService::WriteRoutes(JsonWriter& writer) const {
+  writer.Key("routes");
+  writer.StartArray();
+  static const auto* const no_routes = new RouteTable(RoutingDocument{});
+  const RouteTable& routes = beliefs_.routes() ? *beliefs_.routes() : *no_routes;
+  for (const Route& route : routes.document().routes) {
+    writer.StartObject();
+    WriteText(writer, "name", route.name);
+    WriteText(writer, "host", route.host);
+    WriteText(writer, "prefix", route.prefix);
+    WriteInteger(writer, "shards", static_cast<std::int64_t>(route.shards.size()));
+    std::int64_t reached = 0;
+    for (const ServiceName& shard : route.shards) reached += beliefs_.backends().IsReached(shard);
+    WriteInteger(writer, "reached", reached);
+    auto limit = route.shards.empty() ? limits_.end()
+                                      : limits_.find(routes.Plan(route).shard_set);
+    WriteInteger(writer, "in_progress", limit == limits_.end() ? 0 : limit->second.in_progress());
+    WriteNumber(writer, "limit", limit == limits_.end() ? 0 : limit->second.limit());
+    writer.EndObject();
+  }
+  writer.EndArray();
+}
+
+}  // namespace damaskroute
--- a/src/relay/relay_choice.cc
+++ b/src/relay/relay_choice.cc
@@ -15,7 +15,9 @@
     if (record.zone == zone && record.changes) order.emplace_back(Hash64(name), name);
   }
   std::sort(order.begin(), order.end());
-  order.resize(std::min(order.size(), kReadersPerZone));
+  std::size_t readers =
+      std::max(kLeastReaders, (order.size() + kNodesPerReader - 1) / kNodesPerReader);
+  order.resize(std::min(order.size(), readers));
   std::vector<Endpoint> relays;
   for (const auto& [hash, name] : order) {
     if (name == self) return {};
@@ -24,6 +26,7 @@
   if (!relays.empty()) {
     auto first = static_cast<std::ptrdiff_t>(Hash64(self) % relays.size());
     std::rotate(relays.begin(), relays.begin() + first, relays.end());
+    relays.resize(std::min(relays.size(), kRelays));
   }
   return relays;
 }
