Measure the way to the caller and the node's own delay instead of a constant

Change: the node asks the kernel for the round trip of the caller's connection (TCP_INFO), doubles it for the first request of a connection, and adds how late its own timers fire (mean and four deviations, RFC 6298). At most half of the objective is kept.

The copies of late calls still start at a part of the whole objective.

--- a/benchmark/model/forward_model.cc
+++ b/benchmark/model/forward_model.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "damaskroute/forward/time_on_the_way.h"
+#include "damaskroute/forward/timer_delay.h"
 #include "fmt/format.h"
 
 namespace damaskroute::model {
@@ -222,7 +224,9 @@
   Node& node = *query->node;
   const Route& route = routes_->document().routes[query->kind];
   const QueryPlan& plan = routes_->Plan(route);
-  ForwardSpec spec = MakeQuerySpec(route, plan, now, query->deadline);
+  Duration way = TimeOnTheWay({.round_trip = day_.caller_delay * 2}, route.objective);
+  Duration outside = way + TimerDelay().allowance();
+  ForwardSpec spec = MakeQuerySpec(route, plan, {now, query->deadline, outside});
   if (policy_.copy_after) {
     spec.copy_after = std::chrono::duration_cast<Duration>(route.objective * *policy_.copy_after);
   }
--- a/include/damaskroute/forward/forward_spec.h
+++ b/include/damaskroute/forward/forward_spec.h
@@ -26,14 +26,20 @@
   Duration copy_after = Duration::max();  ///< Age at which a call is late.
 };
 
-/// Spec for a plain request on `route` that was received at `received`. `service` is the one chosen
-/// from the targets. The caller waits until `deadline`.
-ForwardSpec MakePlainSpec(const Route& route, const ServiceName& service, TimePoint received,
-                          TimePoint deadline);
+/// When a request came and how long it may take.
+struct ForwardTimes {
+  TimePoint received;
+  TimePoint deadline;  ///< The caller waits no longer.
+  /// Part of the latency objective that passes before the request came and after its answer left.
+  Duration outside{};
+};
+
+/// Spec for a plain request on `route`. `service` is the one chosen from the targets.
+ForwardSpec MakePlainSpec(const Route& route, const ServiceName& service,
+                          const ForwardTimes& times);
 
 /// The same for a query, on a route with shards.
-ForwardSpec MakeQuerySpec(const Route& route, const QueryPlan& plan, TimePoint received,
-                          TimePoint deadline);
+ForwardSpec MakeQuerySpec(const Route& route, const QueryPlan& plan, const ForwardTimes& times);
 
 }  // namespace damaskroute
 
--- a/include/damaskroute/http/http_request.h
+++ b/include/damaskroute/http/http_request.h
@@ -8,6 +8,7 @@
 
 #include "damaskroute/core/time.h"
 #include "damaskroute/http/caller_presence.h"
+#include "damaskroute/http/caller_way.h"
 #include "damaskroute/http/header_field.h"
 
 namespace damaskroute {
@@ -22,6 +23,7 @@
   std::vector<HeaderField> headers;          ///< Empty unless `HttpServerOptions::pass_headers`.
   std::shared_ptr<CallerPresence> presence;  ///< Null unless `HttpServerOptions::watch_callers`.
   TimePoint received;  ///< When the header was complete; deadlines count from here.
+  CallerWay way;       ///< Measured if `HttpServerOptions::watch_callers`.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/node/caller_request.h
+++ b/include/damaskroute/node/caller_request.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "damaskroute/core/time.h"
+#include "damaskroute/http/caller_way.h"
 #include "damaskroute/http/header_field.h"
 #include "damaskroute/http/http_request.h"
 #include "damaskroute/node/forward_protocol.h"
@@ -24,6 +25,7 @@
   std::vector<HeaderField> headers;  ///< All that are passed on unchanged.
   std::optional<std::chrono::milliseconds> patience;  ///< How long the caller waits, if it says so.
   TimePoint received;
+  CallerWay way;
 };
 
 /// Takes what is forwarded out of `request`. Headers that concern one connection only, and those
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -12,6 +12,8 @@
 #include "damaskroute/forward/extra_budget.h"
 #include "damaskroute/forward/forward_run.h"
 #include "damaskroute/forward/query_place.h"
+#include "damaskroute/forward/time_on_the_way.h"
+#include "damaskroute/forward/timer_delay.h"
 #include "damaskroute/http/http_server.h"
 #include "damaskroute/node/caller_request.h"
 #include "damaskroute/node/forward_beliefs.h"
@@ -70,7 +72,8 @@
     TimePoint sent;
   };
 
-  ForwardSpec MakeSpec(const Route& route, TimePoint received, TimePoint deadline);
+  ForwardSpec MakeSpec(const Route& route, const ForwardTimes& times);
+  Duration OutsideTime(const Route& route, const CallerRequest& request) const;
   void Carry(const std::shared_ptr<Exchange>& exchange, std::vector<ForwardAction> actions);
   void StartCall(const std::shared_ptr<Exchange>& exchange, const SendCall& send);
   void OnUnreachable(const std::shared_ptr<Backend>& backend);
@@ -89,6 +92,7 @@
   asio::io_context& loop_;
   const ForwardServiceOptions options_;
   const ForwardProtocol protocol_;
+  TimerDelay timer_delay_;
   Random random_;
   ForwardBeliefs beliefs_;
   ExtraBudgetOptions budget_options_;
--- a/src/forward/forward_spec.cc
+++ b/src/forward/forward_spec.cc
@@ -11,10 +11,6 @@
 // Plain requests have a wider spread of work, and one call in place of many.
 constexpr double kPlainCopyAfterPart = 0.5;
 
-// Time kept for the way back to the caller: two one-way delays of 1 ms, and the scheduling delay of
-// a small machine.
-constexpr std::chrono::milliseconds kReturnTime{5};
-
 // Time kept for merging the part of one shard and ending its call: 20 us on a third of a core.
 constexpr std::chrono::microseconds kReturnTimePerShard{60};
 
@@ -24,33 +20,33 @@
 
 }  // namespace
 
-ForwardSpec MakePlainSpec(const Route& route, const ServiceName& service, TimePoint received,
-                          TimePoint deadline) {
+ForwardSpec MakePlainSpec(const Route& route, const ServiceName& service,
+                          const ForwardTimes& times) {
   ForwardSpec spec;
   spec.services = {service};
   spec.idempotent = route.idempotent;
   spec.max_attempts = std::max(route.max_attempts, 1);
-  spec.deadline = deadline;
+  spec.deadline = times.deadline;
   if (route.objective.count() > 0) {
     spec.copy_after = Part(route.objective, kPlainCopyAfterPart);
-    spec.answer_by = received + route.objective - kReturnTime;
+    spec.answer_by = times.received + route.objective - times.outside;
   }
   return spec;
 }
 
-ForwardSpec MakeQuerySpec(const Route& route, const QueryPlan& plan, TimePoint received,
-                          TimePoint deadline) {
+ForwardSpec MakeQuerySpec(const Route& route, const QueryPlan& plan, const ForwardTimes& times) {
   ForwardSpec spec;
   spec.query = true;
   spec.services = route.shards;
   spec.idempotent = true;
   spec.max_attempts = std::max(route.max_attempts, 1);
   spec.min_parts = plan.least_parts;
-  spec.deadline = deadline;
+  spec.deadline = times.deadline;
   if (route.objective.count() > 0) {
     spec.copy_after = Part(route.objective, kCopyAfterPart);
     auto shards = static_cast<std::int64_t>(route.shards.size());
-    spec.answer_by = received + route.objective - kReturnTime - shards * kReturnTimePerShard;
+    spec.answer_by =
+        times.received + route.objective - times.outside - shards * kReturnTimePerShard;
   }
   return spec;
 }
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -1,6 +1,10 @@
 #ifndef DAMASKROUTE_SRC_HTTP_HTTP_SESSION_H_
 #define DAMASKROUTE_SRC_HTTP_HTTP_SESSION_H_
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -165,6 +169,7 @@
     if (shared_->options.watch_callers) {
       presence_ = std::make_shared<CallerPresence>();
       request.presence = presence_;
+      request.way = {MeasuredRoundTrip(), /*opened_connection=*/request_number_ == 0};
     }
     std::uint64_t number = ++request_number_;
     timer_.expires_after(shared_->options.handler_timeout);
@@ -184,6 +189,15 @@
     if (presence_ && !watching_ && buffer_.size() == 0) ReadSome();
   }
 
+  std::chrono::microseconds MeasuredRoundTrip() {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(stream_.socket().native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+      return std::chrono::microseconds(0);  // Unknown, which the estimate allows for.
+    }
+    return std::chrono::microseconds(info.tcpi_rtt);
+  }
+
   // Sends the response to the request with this number; a second one for it is dropped.
   void Respond(std::uint64_t number, HttpResponse response) {
     if (number != request_number_ || !active_) return;
--- a/src/node/caller_request.cc
+++ b/src/node/caller_request.cc
@@ -71,6 +71,7 @@
   result.target = std::move(request.target);
   result.body = std::move(request.body);
   result.received = request.received;
+  result.way = request.way;
   return result;
 }
 
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -109,7 +109,7 @@
   TimePoint deadline =
       request.received + std::min(request.patience.value_or(route->timeout), route->timeout);
   auto exchange = std::make_shared<Exchange>(
-      loop_, MakeSpec(*route, request.received, deadline),
+      loop_, MakeSpec(*route, {request.received, deadline, OutsideTime(*route, request)}),
       ForwardPolicies{beliefs_.backends(), budgets_, budget_options_,
                       latencies_.try_emplace(route->name, route->objective).first->second});
   exchange->request = std::move(request);
@@ -131,15 +131,17 @@
   Carry(exchange, exchange->run.Start(Now()));
 }
 
-ForwardSpec ForwardService::MakeSpec(const Route& route, TimePoint received, TimePoint deadline) {
-  if (!route.shards.empty()) {
-    return MakeQuerySpec(route, beliefs_.routes()->Plan(route), received, deadline);
-  }
+Duration ForwardService::OutsideTime(const Route& route, const CallerRequest& request) const {
+  return TimeOnTheWay(request.way, route.objective) + timer_delay_.allowance();
+}
+
+ForwardSpec ForwardService::MakeSpec(const Route& route, const ForwardTimes& times) {
+  if (!route.shards.empty()) return MakeQuerySpec(route, beliefs_.routes()->Plan(route), times);
   ServiceName service;
   if (!route.targets.empty()) {
     service = route.targets[splits_[route.name].Next(route.targets)].service;
   }
-  return MakePlainSpec(route, service, received, deadline);
+  return MakePlainSpec(route, service, times);
 }
 
 // Callers of a crowd are told different times, so that they do not come back as a crowd.
@@ -237,9 +239,11 @@
 
 void ForwardService::Wake(const std::shared_ptr<Exchange>& exchange, TimePoint at) {
   exchange->timer.expires_at(at);
-  exchange->timer.async_wait([this, exchange](const boost::system::error_code& error) {
+  exchange->timer.async_wait([this, exchange, at](const boost::system::error_code& error) {
     if (error || exchange->run.finished()) return;
-    Carry(exchange, exchange->run.OnTimer(Now()));
+    TimePoint now = Now();
+    timer_delay_.OnFired(at, now);
+    Carry(exchange, exchange->run.OnTimer(now));
   });
 }
 
