Heed servers that say they leave and servers that ask for a pause

Change: an answer of any kind with Server-Leaving: 1, also one that is skipped or not complete, takes its server out of use at this node until it starts anew; older beats, and an entry that lapsed and came back, do not undo it. A 503 with Retry-After (fractions rounded up, at most an hour, malformed values ignored) keeps requests, copies and repeats from the server for that time; a shard of which all servers asked for it is left out at once, and a refusal says when enough of them are back. What one node hears is not passed on to others: the store's entry and their own first answer say it.

--- a/include/damaskroute/forward/backend.h
+++ b/include/damaskroute/forward/backend.h
@@ -17,6 +17,8 @@
   int max_kept = 1;          ///< Connections of this node that may stay open without a call.
   bool gone = false;         ///< Its entry was removed or replaced.
   bool misdirected = false;  ///< Another server answered at its address, so it is gone.
+  bool leaving = false;      ///< It said so in an answer; holds until it starts anew.
+  TimePoint quiet_until;     ///< It asked this node for no more requests until then.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKROUTE_FORWARD_BACKEND_TABLE_H_
 #define DAMASKROUTE_FORWARD_BACKEND_TABLE_H_
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <memory>
@@ -71,6 +72,13 @@
   void OnCallEnded(Backend& backend, TimePoint sent, EvidenceOf kind, Duration usual,
                    TimePoint now);
 
+  /// The server asked this node for a pause. Returns whether it had not asked for one before.
+  bool OnAskedToWait(Backend& backend, std::chrono::milliseconds pause, TimePoint now);
+
+  /// When the first server of the service that asked for a pause takes requests again;
+  /// `TimePoint::max()` if none did.
+  TimePoint ReturnOf(const ServiceName& service, TimePoint now) const;
+
   /// An attempt to open a connection outside of a call, begun at `begun`, ended.
   void OnProbed(Backend& backend, TimePoint begun, bool opened, TimePoint now);
 
--- a/include/damaskroute/forward/backend_use.h
+++ b/include/damaskroute/forward/backend_use.h
@@ -17,7 +17,8 @@
   kColdLimit,  ///< In cold start, and this node's part of its limit is used up.
   kBusy,       ///< This node's part of its connections is in use.
   kClosedZone,
-  kDraining,
+  kAskedToWait,  ///< It asked for a pause.
+  kDraining,     ///< It leaves, by its entry or by one of its answers.
   kMisdirected,  ///< Another server has its address.
 };
 
--- a/include/damaskroute/forward/call_result.h
+++ b/include/damaskroute/forward/call_result.h
@@ -1,7 +1,9 @@
 #ifndef DAMASKROUTE_FORWARD_CALL_RESULT_H_
 #define DAMASKROUTE_FORWARD_CALL_RESULT_H_
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +29,9 @@
   std::string body;
   std::vector<HeaderField> headers;
   const char* reason = "";  ///< For the log.
+  bool leaving = false;     ///< The server says that it is leaving.
+  /// For how long the server wants no more requests from this node.
+  std::optional<std::chrono::milliseconds> pause;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/forward/forward_run.h
+++ b/include/damaskroute/forward/forward_run.h
@@ -79,6 +79,7 @@
   bool IsHopeless(const BackendChoice& choice) const;
   CallTimes Times() const;
   std::chrono::milliseconds RetryAfter(TimePoint now) const;
+  TimePoint EnoughReturnAt(TimePoint now) const;
   BackendChoice Choose(std::uint32_t part, TimePoint now) const;
   bool Send(std::uint32_t part, CallKind kind, BackendChoice choice, TimePoint now,
             Actions& actions);
--- a/include/damaskroute/http/backend_client_options.h
+++ b/include/damaskroute/http/backend_client_options.h
@@ -10,6 +10,8 @@
 struct BackendClientOptions {
   /// Header in which the server repeats the request's id.
   std::string request_id_header = "Damask-Request-Id";
+  /// Header by which the server says, with the value 1, that it is leaving; empty if there is none.
+  std::string leaving_header;
   /// Whether `ExchangeResult::headers` is filled.
   bool keep_headers = false;
   /// Whether an answer to another request is skipped, so that the right one is read after it.
--- a/include/damaskroute/http/exchange_result.h
+++ b/include/damaskroute/http/exchange_result.h
@@ -32,6 +32,9 @@
   KeyRange range;             ///< `Damask-Range`.
   BootId boot_id = 0;         ///< `Damask-Boot-Id`.
   std::string state;          ///< `Damask-State`.
+  /// Whether this or a skipped answer has `BackendClientOptions::leaving_header`, also if the
+  /// exchange failed.
+  bool leaving = false;
   std::string body;
   std::vector<HeaderField> headers;  ///< All, if `BackendClientOptions::keep_headers`.
 };
--- a/include/damaskroute/node/forward_beliefs.h
+++ b/include/damaskroute/node/forward_beliefs.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKROUTE_NODE_FORWARD_BELIEFS_H_
 #define DAMASKROUTE_NODE_FORWARD_BELIEFS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -12,6 +13,7 @@
 #include "damaskroute/node/backend_pool.h"
 #include "damaskroute/node/reach_prober.h"
 #include "damaskroute/routing/backend_directory.h"
+#include "damaskroute/routing/leaving_servers.h"
 #include "damaskroute/routing/route_table.h"
 
 namespace damaskroute {
@@ -38,6 +40,13 @@
   /// All entries were read, and these are the servers that have one.
   void OnAllBackends(const std::set<BackendName>& present, bool after_outage);
 
+  /// An answer of the server says that it is leaving. Holds until it starts anew, whatever older
+  /// entries say.
+  void OnLeaving(const std::shared_ptr<Backend>& backend);
+
+  /// The server turned a request away and wants no more from this node for so long.
+  void OnAskedToWait(const std::shared_ptr<Backend>& backend, std::chrono::milliseconds pause);
+
   /// Zones that get no more work.
   void SetClosedZones(std::set<ZoneName> zones);
 
@@ -74,7 +83,8 @@
   BackendPool pool_;
   ReachProber prober_;
   asio::steady_timer expiry_timer_;
-  std::set<ZoneName> lost_zones_;            // As logged.
+  std::set<ZoneName> lost_zones_;  // As logged.
+  LeavingServers leaving_;
   std::map<ServiceName, TimePoint> lapsed_;  // When an entry was removed of a server in service.
 };
 
--- a/include/damaskroute/node/forward_protocol.h
+++ b/include/damaskroute/node/forward_protocol.h
@@ -13,6 +13,7 @@
   std::string expected_server;  ///< Id of the server that may run the request.
   std::string not_executed;     ///< In an answer: the server did not run the request.
   std::string server_stamp;     ///< The server's signature on its answer.
+  std::string leaving;          ///< In any answer of a server, with the value 1: it is leaving.
   std::string part_stamps;      ///< In a merged answer: the signatures of its parts.
   std::string missing_parts;    ///< In a merged answer: number of shards that are not in.
 };
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -106,8 +106,9 @@
 BackendUse BackendTable::UseOf(const Backend& backend, TimePoint now) const {
   const BackendEvidence& evidence = backend.evidence;
   if (backend.misdirected) return BackendUse::kMisdirected;
-  if (backend.entry.draining) return BackendUse::kDraining;
+  if (backend.entry.draining || backend.leaving) return BackendUse::kDraining;
   if (closed_zones_.contains(backend.entry.zone)) return BackendUse::kClosedZone;
+  if (now < backend.quiet_until) return BackendUse::kAskedToWait;
   if (evidence.outstanding() >= backend.max_outstanding) return BackendUse::kBusy;
   if (!backend.cold.Allows(now)) return BackendUse::kColdLimit;
   if (!evidence.HasRoom()) return BackendUse::kNoRoom;
@@ -176,6 +177,22 @@
   }
 }
 
+bool BackendTable::OnAskedToWait(Backend& backend, std::chrono::milliseconds pause, TimePoint now) {
+  bool was_waiting = now < backend.quiet_until;
+  backend.quiet_until = std::max<TimePoint>(backend.quiet_until, now + pause);
+  return !was_waiting && now < backend.quiet_until;
+}
+
+TimePoint BackendTable::ReturnOf(const ServiceName& service, TimePoint now) const {
+  TimePoint first = TimePoint::max();
+  for (const auto& server : Of(service)) {
+    if (UseOf(*server, now) == BackendUse::kAskedToWait) {
+      first = std::min(first, server->quiet_until);
+    }
+  }
+  return first;
+}
+
 void BackendTable::OnProbed(Backend& backend, TimePoint begun, bool opened, TimePoint now) {
   if (!opened) {
     return zone_reach_.OnNoConnection(backend.entry.zone, backend.entry.id, begun, now);
--- a/src/forward/backend_use.cc
+++ b/src/forward/backend_use.cc
@@ -22,6 +22,8 @@
       return "no: its connections are in use";
     case BackendUse::kClosedZone:
       return "no: its zone is closed";
+    case BackendUse::kAskedToWait:
+      return "no: it asked for a pause";
     case BackendUse::kDraining:
       return "no: it leaves";
     case BackendUse::kMisdirected:
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -84,9 +84,9 @@
   for (std::uint32_t i = 0; i < parts_.size(); ++i) {
     if (!IsHopeless(choices[i])) continue;
     parts_[i].state = PartState::kFailed;
+    ++failed_;
     left_out_.push_back(spec_.services[i]);
   }
-  failed_ = left_out_.size();
   if (parts_.size() - failed_ >= spec_.min_parts) return false;
   ForwardAnswer answer;
   answer.missing = failed_;
@@ -110,10 +110,31 @@
 }
 
 // Troubles that leave a request without servers mostly last seconds, so the caller comes back as
-// late as leaves it time for one more attempt.
+// late as leaves it time for one more attempt. Where servers have asked for a pause it is known
+// when there will be enough of them.
 std::chrono::milliseconds ForwardRun::RetryAfter(TimePoint now) const {
-  auto left = std::chrono::duration_cast<std::chrono::milliseconds>(spec_.deadline - now);
-  return std::clamp(left * 3 / 10, kLeastRetryAfter, kLongestRetryAfter);
+  using std::chrono::milliseconds;
+  auto left = std::chrono::duration_cast<milliseconds>(spec_.deadline - now);
+  auto usual = std::clamp(left * 3 / 10, kLeastRetryAfter, kLongestRetryAfter);
+  TimePoint returns = EnoughReturnAt(now);
+  if (returns == TimePoint::max()) return usual;
+  return std::max(std::chrono::ceil<milliseconds>(returns - now), kLeastRetryAfter);
+}
+
+// When servers that asked for a pause make up the parts that are missing for an answer;
+// `TimePoint::max()` if they do not.
+TimePoint ForwardRun::EnoughReturnAt(TimePoint now) const {
+  std::vector<TimePoint> returns;
+  for (std::size_t i = 0; i < parts_.size(); ++i) {
+    if (parts_[i].state != PartState::kFailed) continue;
+    TimePoint at = policies_.backends.ReturnOf(spec_.services[i], now);
+    if (at != TimePoint::max()) returns.push_back(at);
+  }
+  std::size_t there = parts_.size() - failed_;
+  if (there >= spec_.min_parts || there + returns.size() < spec_.min_parts) return TimePoint::max();
+  auto last = returns.begin() + static_cast<std::ptrdiff_t>(spec_.min_parts - there - 1);
+  std::nth_element(returns.begin(), last, returns.end());
+  return *last;
 }
 
 std::vector<ForwardAction> ForwardRun::OnResult(std::uint32_t call_number, CallResult result,
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -91,6 +91,7 @@
   std::string request_id;
   std::size_t sent = 0;
   int skipped = 0;
+  bool leaving = false;  // Said in a skipped or unfinished answer.
   TimePoint deadline;
   TimePoint usable_until = TimePoint::max();  // While idle; from the server's Keep-Alive header.
   bool connecting = false;
@@ -250,6 +251,7 @@
 
 void BackendClient::Connection::SkipAnswer() {
   ++skipped;
+  leaving = leaving || reader->leaving();
   reader.emplace(state->options);
   if (buffer.size() > 0) return Parse({});
   Read();
@@ -301,6 +303,7 @@
 void BackendClient::Connection::Finish(ExchangeResult result, bool reusable) {
   auto self = shared_from_this();  // The list of running exchanges may hold the last reference.
   Callback callback = std::exchange(done, nullptr);
+  result.leaving = result.leaving || leaving || (reader && reader->leaving());
   bool closed = state->closed;
   state->Remove(self, reusable);
   if (!closed) callback(std::move(result));
@@ -344,6 +347,7 @@
   connection->sent = 0;
   connection->deadline = Now() + request.time_left;
   connection->skipped = 0;
+  connection->leaving = false;
   connection->reader.emplace(state.options);
   connection->done = std::move(done);
   state.Add(connection);
--- a/src/http/response_reader.cc
+++ b/src/http/response_reader.cc
@@ -69,6 +69,8 @@
     result_.state = value;
   } else if (is_first(32, "Damask-Range")) {
     result_.range = ParseKeyRange(value).value_or(KeyRange{});
+  } else if (!options_.leaving_header.empty() && is_first(64, options_.leaving_header)) {
+    result_.leaving = value == "1";
   }
 }
 
--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -21,6 +21,8 @@
   /// Id of the request that is answered; empty if the answer has none.
   const std::string& request_id() const { return result_.request_id; }
 
+  bool leaving() const { return result_.leaving; }
+
   /// How long the server keeps the connection open when idle, if it says so.
   std::optional<std::chrono::seconds> keep_alive_timeout() const { return keep_alive_timeout_; }
 
--- a/src/node/forward_beliefs.cc
+++ b/src/node/forward_beliefs.cc
@@ -51,6 +51,7 @@
   if (change == DirectoryChange::kNone) return;
   if (change == DirectoryChange::kReplaced) Drop(entry.id, "replaced by a new incarnation");
   backends_.Put(entry, Now());
+  backends_.Find(entry.id)->leaving = leaving_.Contains(entry.id, entry.incarnation);
   LogLine(LogLevel::kInfo, "backend server known")
       .Field("backend", entry.id)
       .Field("service", entry.service)
@@ -62,6 +63,27 @@
       .Field("new", change == DirectoryChange::kUpdated ? "no" : "yes");
 }
 
+void ForwardBeliefs::OnLeaving(const std::shared_ptr<Backend>& backend) {
+  if (backend->leaving) return;
+  backend->leaving = true;
+  leaving_.Add(backend->entry.id, backend->entry.incarnation);
+  LogLine(LogLevel::kInfo, "backend server leaves")
+      .Field("backend", backend->entry.id)
+      .Field("service", backend->entry.service)
+      .Field("entry_draining", backend->entry.draining ? "yes" : "no")
+      .Field("outstanding", backend->evidence.outstanding());
+}
+
+void ForwardBeliefs::OnAskedToWait(const std::shared_ptr<Backend>& backend,
+                                   std::chrono::milliseconds pause) {
+  if (!backends_.OnAskedToWait(*backend, pause, Now())) return;
+  LogLine(LogLevel::kInfo, "backend server asks for a pause")
+      .Field("backend", backend->entry.id)
+      .Field("service", backend->entry.service)
+      .Field("pause_ms", pause.count())
+      .Field("outstanding", backend->evidence.outstanding());
+}
+
 void ForwardBeliefs::OnBackendRemoved(const BackendName& id, bool after_outage) {
   DirectoryChange change = directory_.OnRemoved(id, after_outage, Now());
   if (change == DirectoryChange::kRemoved) Drop(id, "entry removed");
--- a/src/node/forward_call.cc
+++ b/src/node/forward_call.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <utility>
 
+#include "absl/strings/numbers.h"
 #include "damaskroute/forward/record_merge.h"
 #include "fmt/compile.h"
 #include "fmt/format.h"
@@ -15,6 +17,11 @@
 constexpr std::size_t kHeaderBytes = 512;
 
 constexpr int kMisdirectedStatus = 421;
+constexpr int kUnavailableStatus = 503;
+
+// A server's Retry-After is honoured up to this time: far longer than a server's restart, and short
+// enough that a wrong value does not take it out of use for good.
+constexpr std::chrono::hours kLongestServerPause{1};
 
 void AppendHeader(std::string& out, std::string_view name, std::string_view value) {
   out.append(name).append(": ").append(value).append("\r\n");
@@ -103,8 +110,23 @@
   return call;
 }
 
-CallResult JudgeForwardCall(const CallerRequest& request, ExchangeResult result, bool query,
-                            const ForwardProtocol& protocol) {
+namespace {
+
+// Seconds with an optional fraction, rounded up. Nothing if the text is anything else, a date among
+// them, which this platform does not use.
+std::optional<std::chrono::milliseconds> ParseRetryAfter(std::string_view text) {
+  double seconds = 0;
+  if (!absl::SimpleAtod(absl::string_view(text.data(), text.size()), &seconds)) {
+    return std::nullopt;
+  }
+  if (!(seconds > 0)) return std::nullopt;
+  std::chrono::duration<double> pause = std::min<std::chrono::duration<double>>(
+      std::chrono::duration<double>(seconds), kLongestServerPause);
+  return std::chrono::ceil<std::chrono::milliseconds>(pause);
+}
+
+CallResult JudgeAnswer(const CallerRequest& request, ExchangeResult result, bool query,
+                       const ForwardProtocol& protocol) {
   if (result.end != ExchangeEnd::kAnswered) return JudgeBroken(result.end);
   if (!result.request_id.empty() && result.request_id != request.id) {
     return Ended(CallEnd::kLost, "answer to another request");
@@ -131,6 +153,23 @@
   return judged;
 }
 
+}  // namespace
+
+CallResult JudgeForwardCall(const CallerRequest& request, ExchangeResult result, bool query,
+                            const ForwardProtocol& protocol) {
+  std::optional<std::chrono::milliseconds> pause;
+  if (result.end == ExchangeEnd::kAnswered && result.status == kUnavailableStatus) {
+    pause = ParseRetryAfter(HeaderValue(result.headers, "Retry-After"));
+  }
+  bool leaving = result.leaving;
+  CallResult judged = JudgeAnswer(request, std::move(result), query, protocol);
+  // An answer of another server at the address says nothing of the one that was called.
+  if (judged.end == CallEnd::kMisdirected) return judged;
+  judged.leaving = leaving;
+  judged.pause = pause;
+  return judged;
+}
+
 HttpResponse MakeForwardRefusal(const CallerRequest& request, int status, const char* reason,
                                 std::chrono::milliseconds retry_after,
                                 const ForwardProtocol& protocol) {
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -22,6 +22,7 @@
                                    const ForwardProtocol& protocol) {
   BackendClientOptions client;
   client.request_id_header = protocol.request_id;
+  client.leaving_header = protocol.leaving;
   client.keep_headers = true;
   client.skip_foreign_answers = true;
   client.connect_timeout = options.connect_timeout;
@@ -220,6 +221,8 @@
         exchange->calls.erase(found);
         CallResult judged = JudgeForwardCall(exchange->request, std::move(result),
                                              exchange->run.spec().query, protocol_);
+        if (judged.leaving) beliefs_.OnLeaving(backend);
+        if (judged.pause) beliefs_.OnAskedToWait(backend, *judged.pause);
         if (judged.end == CallEnd::kAnswered) {
           metrics_.call_latency.Record(latency);
         } else {
