Bound answers that do not end: head, framing, body, and all bodies together

Cause, found by a new test: Beast's parser bounds the head (8 KB by default) and the body, but neither a chunk's extension nor a trailer, so bytes there filled the buffer until the call's deadline. An interim answer (100) was passed on as the final one. Bodies of 8 MB each had no common bound.

Interim answers are skipped, at most four for one exchange. endless_bytes_test: 14 kinds of endless answers, 100 of them at once, the caller served by the other server, and 8 kinds of endless requests; it failed before on chunk extensions, trailers and interim answers.

--- a/include/damaskroute/forward/call_result.h
+++ b/include/damaskroute/forward/call_result.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "damaskroute/http/byte_budget.h"
 #include "damaskroute/http/header_field.h"
 
 namespace damaskroute {
@@ -27,6 +28,7 @@
   int status = 0;     ///< 0 without an answer.
   std::string stamp;  ///< The server's signature on its answer.
   std::string body;
+  HeldBytes held;  ///< For `body`.
   std::vector<HeaderField> headers;
   const char* reason = "";  ///< For the log.
   bool leaving = false;     ///< The server says that it is leaving.
--- a/include/damaskroute/http/exchange_result.h
+++ b/include/damaskroute/http/exchange_result.h
@@ -7,6 +7,7 @@
 
 #include "damaskroute/core/ids.h"
 #include "damaskroute/core/key_range.h"
+#include "damaskroute/http/byte_budget.h"
 #include "damaskroute/http/header_field.h"
 
 namespace damaskroute {
@@ -36,6 +37,7 @@
   /// exchange failed.
   bool leaving = false;
   std::string body;
+  HeldBytes held;                    ///< For `body`, from `BackendClientOptions::held_bodies`.
   std::vector<HeaderField> headers;  ///< All, if `BackendClientOptions::keep_headers`.
 };
 
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -41,8 +41,8 @@
 // An idle connection is given up this long before the server says that it closes it.
 constexpr std::chrono::milliseconds kIdleMargin{500};
 
-// Answers to other requests that are skipped during one exchange.
-constexpr int kMaxForeignAnswers = 4;
+// Answers to other requests, and interim answers, that are skipped during one exchange.
+constexpr int kMaxSkippedAnswers = 4;
 
 TimePoint Now() { return SteadyClock().Now(); }
 
@@ -64,7 +64,7 @@
   void Read();
   void OnRead(const error_code& error, std::size_t size);
   void Parse(const error_code& error);
-  bool IsForeign() const;
+  bool IsSkipped() const;
   void SkipAnswer();
   void SetSocketOptions();
   void FailLater(const error_code& error);
@@ -243,10 +243,12 @@
   Parse(error);
 }
 
-bool BackendClient::Connection::IsForeign() const {
+bool BackendClient::Connection::IsSkipped() const {
+  if (skipped >= kMaxSkippedAnswers) return false;
+  if (reader->is_interim()) return true;
   const std::string& answered = reader->request_id();
   return state->options.skip_foreign_answers && !answered.empty() && answered != request_id &&
-         reader->keep_alive() && skipped < kMaxForeignAnswers;
+         reader->keep_alive();
 }
 
 void BackendClient::Connection::SkipAnswer() {
@@ -262,16 +264,19 @@
   if (!error) {
     buffer.consume(reader->put(buffer.data(), failed));
     if (failed == http::error::need_more) failed = {};
-    if (!failed && reader->is_done() && IsForeign()) return SkipAnswer();
+    if (!failed && reader->is_done() && IsSkipped()) return SkipAnswer();
   } else if (error == asio::error::eof && reader->got_some()) {
     failed = {};
     reader->put_eof(failed);
   }
   if (failed) return Fail(failed);
   if (!reader->is_done()) {
+    // The parser has no limit for the framing of chunks and for trailers.
+    if (buffer.size() > state->options.max_head_bytes) return Fail(http::error::header_limit);
     if (abort_reason.has_value()) return Fail(asio::error::operation_aborted);
     return Read();
   }
+  if (reader->is_interim()) return Fail(http::error::bad_status);
   bool reusable = !abort_reason.has_value() && !error && reader->keep_alive() && buffer.size() == 0;
   auto idle_time = reader->keep_alive_timeout();
   usable_until = idle_time ? Now() + *idle_time - kIdleMargin : TimePoint::max();
--- a/src/http/response_reader.cc
+++ b/src/http/response_reader.cc
@@ -8,9 +8,6 @@
 namespace damaskroute::internal {
 namespace {
 
-// A response body above this size ends the exchange, as it would fill the node's memory.
-constexpr std::uint64_t kMaxResponseBytes = 8 << 20;
-
 // A stated length is not trusted beyond this size.
 constexpr std::uint64_t kMaxReservedBytes = 256 << 10;
 
@@ -24,8 +21,10 @@
 }  // namespace
 
 ResponseReader::ResponseReader(const BackendClientOptions& options) : options_(options) {
-  body_limit(kMaxResponseBytes);
+  header_limit(options.max_head_bytes);
+  body_limit(options.max_body_bytes);
   eager(true);
+  result_.held = HeldBytes(options.held_bodies);
 }
 
 ExchangeResult ResponseReader::TakeResult() {
@@ -78,13 +77,22 @@
   if (length.has_value()) result_.body.reserve(std::min(*length, kMaxReservedBytes));
 }
 
-std::size_t ResponseReader::on_body_impl(Text body, Error&) {
+void ResponseReader::Append(Text body, Error& error) {
+  std::size_t size = result_.body.size() + body.size();
+  if (size > BackendClientOptions::kUncountedBodyBytes && !result_.held.GrowTo(size)) {
+    error = boost::beast::http::error::body_limit;
+    return;
+  }
   result_.body.append(body.data(), body.size());
+}
+
+std::size_t ResponseReader::on_body_impl(Text body, Error& error) {
+  Append(body, error);
   return body.size();
 }
 
-std::size_t ResponseReader::on_chunk_body_impl(std::uint64_t, Text body, Error&) {
-  result_.body.append(body.data(), body.size());
+std::size_t ResponseReader::on_chunk_body_impl(std::uint64_t, Text body, Error& error) {
+  Append(body, error);
   return body.size();
 }
 
--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -23,6 +23,9 @@
 
   bool leaving() const { return result_.leaving; }
 
+  /// Whether it is an interim answer (1xx), which is followed by the final one.
+  bool is_interim() const { return result_.status < 200; }
+
   /// How long the server keeps the connection open when idle, if it says so.
   std::optional<std::chrono::seconds> keep_alive_timeout() const { return keep_alive_timeout_; }
 
@@ -45,6 +48,7 @@
   void on_finish_impl(Error&) override {}
 
   void ReadKeepAlive(std::string_view value);
+  void Append(Text body, Error& error);
 
   const BackendClientOptions& options_;
   std::optional<std::chrono::seconds> keep_alive_timeout_;
--- a/src/node/forward_call.cc
+++ b/src/node/forward_call.cc
@@ -149,6 +149,7 @@
   judged.end = error ? CallEnd::kServerError : CallEnd::kAnswered;
   if (error) judged.reason = "the server reports an error";
   judged.body = std::move(result.body);
+  judged.held = std::move(result.held);
   judged.headers = std::move(result.headers);
   return judged;
 }
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -24,6 +24,7 @@
   client.request_id_header = protocol.request_id;
   client.leaving_header = protocol.leaving;
   client.keep_headers = true;
+  client.held_bodies = std::make_shared<ByteBudget>(options.max_held_bytes);
   client.skip_foreign_answers = true;
   client.connect_timeout = options.connect_timeout;
   client.silence_timeout = options.silence_timeout;
--- a/tests/backend_client_test.cc
+++ b/tests/backend_client_test.cc
@@ -98,7 +98,7 @@
   ExchangeResult One(microseconds time_left = seconds(20)) {
     Start(time_left);
     REQUIRE(Wait(1));
-    return results.front();
+    return std::move(results.front());
   }
 
   asio::io_context loop;
--- /dev/null
+++ b/tests/endless_bytes_test.cc
@@ -0,0 +1,169 @@
+#include <doctest/doctest.h>
+
+#include "damaskroute/http/backend_client.h"
+#include "damaskroute/http/byte_budget.h"
+#include "tests/support/flood_server.h"
+#include "tests/support/platform_world.h"
+
+// Servers whose bytes do not end, in a head, a body or the framing between them. Each exchange must
+// end at a stated size, whatever its deadline, and what the node holds must stay bounded.
+
+namespace damaskroute {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct Flood {
+  const char* name;
+  std::string start;
+  std::string filler;
+};
+
+const std::string kOk = "HTTP/1.1 200 OK\r\n";
+const std::string kChunked = kOk + "Transfer-Encoding: chunked\r\n\r\n";
+
+std::vector<Flood> Floods() {
+  return {
+      {"reason", "HTTP/1.1 200 ", "a"},
+      {"field", kOk + "X: ", "a"},
+      {"fields", kOk, "X: a\r\n"},
+      {"zeroes", std::string(1, '\0'), std::string(1, '\0')},
+      {"empty lines", "\r\n", "\r\n"},
+      {"body without length", kOk + "\r\n", "a"},
+      {"body longer than it can be", kOk + "Content-Length: 999999999999\r\n\r\n", "a"},
+      {"chunk size", kChunked, "0"},
+      {"chunk extension", kChunked + "1;a=", "a"},
+      {"chunks", kChunked, "1\r\na\r\n"},
+      {"one chunk", kChunked + "FFFFFFFFFFF\r\n", "a"},
+      {"trailer", kChunked + "1\r\na\r\n0\r\nX: ", "a"},
+      {"trailers", kChunked + "1\r\na\r\n0\r\n", "X: a\r\n"},
+      {"interim answers", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"},
+  };
+}
+
+// What a socket's buffers may take beyond what the client reads: 6 MB received, 4 MB sent.
+constexpr std::uint64_t kSocketBuffers = 10 << 20;
+
+// The limit only ends a failed test.
+void AwaitResult(asio::io_context& loop, const std::optional<ExchangeResult>& result) {
+  auto limit = std::chrono::steady_clock::now() + seconds(10);
+  while (!result && std::chrono::steady_clock::now() < limit) loop.run_one_for(seconds(1));
+}
+
+TEST_CASE("an answer without an end is given up at a stated size, long before its deadline") {
+  standins::Loop servers;
+  for (const Flood& flood : Floods()) {
+    CAPTURE(flood.name);
+    FloodServer server(servers, flood.start, flood.filler);
+    asio::io_context loop;
+    BackendClientOptions options;
+    options.max_body_bytes = 1 << 20;
+    BackendClient client(loop, server.endpoint(), 1, options);
+    std::optional<ExchangeResult> result;
+    client.Start({"GET / HTTP/1.1\r\n\r\n", std::chrono::hours(1)},
+                 [&](ExchangeResult ended) { result = std::move(ended); });
+    AwaitResult(loop, result);
+    REQUIRE(result);
+    CHECK(result->end == ExchangeEnd::kBadAnswer);
+    CHECK(server.sent() < options.max_body_bytes + kSocketBuffers);
+  }
+}
+
+TEST_CASE("many answers without an end together hold no more than their budget") {
+  standins::Loop servers;
+  FloodServer server(servers, kOk + "\r\n", "a");
+  asio::io_context loop;
+  BackendClientOptions options;
+  constexpr std::size_t kBudget = 4 << 20;
+  constexpr std::size_t kServers = 100;
+  options.held_bodies = std::make_shared<ByteBudget>(kBudget);
+  std::vector<std::unique_ptr<BackendClient>> clients;
+  std::size_t ended = 0;
+  std::size_t most = 0;
+  for (std::size_t i = 0; i < kServers; ++i) {
+    clients.push_back(std::make_unique<BackendClient>(loop, server.endpoint(), 1, options));
+    clients.back()->Start({"GET / HTTP/1.1\r\n\r\n", std::chrono::hours(1)},
+                          [&](const ExchangeResult& result) {
+                            ++ended;
+                            CHECK(result.end == ExchangeEnd::kBadAnswer);
+                          });
+  }
+  while (ended < kServers && loop.run_one_for(seconds(60)) > 0) {
+    most = std::max(most, options.held_bodies->held());
+  }
+  CHECK(ended == kServers);
+  CHECK(most <= kBudget);
+  CHECK(most > kBudget / 2);
+  CHECK(options.held_bodies->held() == 0);
+}
+
+// Guards against servers without an end that keep the usual answers of all others out.
+TEST_CASE("a usual answer is read while the budget is used up") {
+  standins::Loop servers;
+  FloodServer good(servers, kOk + "Content-Length: 5\r\n\r\nhello", "");
+  asio::io_context loop;
+  BackendClientOptions options;
+  options.held_bodies = std::make_shared<ByteBudget>(0);
+  BackendClient client(loop, good.endpoint(), 1, options);
+  std::optional<ExchangeResult> result;
+  client.Start({"GET / HTTP/1.1\r\n\r\n", seconds(60)},
+               [&](ExchangeResult ended) { result = std::move(ended); });
+  AwaitResult(loop, result);
+  REQUIRE(result);
+  CHECK(result->body == "hello");
+}
+
+TEST_CASE("callers are served by the other server while one sends without an end") {
+  for (const Flood& flood : Floods()) {
+    CAPTURE(flood.name);
+    PlatformWorld w;
+    FloodServer bad(w.loop, flood.start, flood.filler);
+    w.store.Write(platform::kServerPrefix + std::string("i-1"),
+                  PlatformWorld::Server::EntryAt(bad.endpoint(), "desk", "a", 1, "ready"));
+    w.AddServer("i-2", "desk", "b");
+    REQUIRE(w.StartServing(2));
+    for (int i = 0; i < 3; ++i) CHECK(w.Get("/one/x", fmt::format("id-{}", i)).status == 200);
+  }
+}
+
+// A caller may do the same to the node. The connection is closed, and the node goes on.
+TEST_CASE("a request without an end is refused at a stated size") {
+  const std::string post = "POST /one/x HTTP/1.1\r\nHost: desk.example\r\n";
+  const std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::pair<std::string, std::string> floods[] = {
+      {"POST /", "a"},
+      {post + "X: ", "a"},
+      {post, "X: a\r\n"},
+      {post + "Content-Length: 999999999\r\n\r\n", "a"},
+      {chunked + "1;a=", "a"},
+      {chunked, "1\r\na\r\n"},
+      {chunked + "1\r\na\r\n0\r\nX: ", "a"},
+      {chunked + "1\r\na\r\n0\r\n", "X: a\r\n"},
+  };
+  PlatformWorld w;
+  auto& server = w.AddServer("i-1", "desk");
+  REQUIRE(w.StartServing(1));
+  for (const auto& [start, filler] : floods) {
+    CAPTURE(start);
+    CAPTURE(filler);
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    socket.connect({asio::ip::make_address("127.0.0.1"), w.settings.callers.port});
+    std::string piece = start;
+    boost::system::error_code error;
+    std::uint64_t sent = 0;
+    while (!error && sent < (std::uint64_t{64} << 20)) {
+      sent += asio::write(socket, asio::buffer(piece), error);
+      piece.clear();
+      while (piece.size() < 4096) piece += filler;
+    }
+    CHECK(error);
+    CHECK(sent < (std::uint64_t{4} << 20) + kSocketBuffers);
+  }
+  CHECK(server.runs().empty());
+  CHECK(w.Get("/one/x").status == 200);
+}
+
+}  // namespace
+}  // namespace damaskroute
--- a/tests/server_signs_test.cc
+++ b/tests/server_signs_test.cc
@@ -130,7 +130,7 @@
     answer.end = ExchangeEnd::kAnswered;
     answer.status = 503;
     answer.headers = {{protocol.not_executed, "1"}, {"Retry-After", text}};
-    CHECK(JudgeForwardCall({}, answer, false, protocol).pause == std::chrono::hours(1));
+    CHECK(JudgeForwardCall({}, std::move(answer), false, protocol).pause == std::chrono::hours(1));
   }
 }
 
@@ -141,7 +141,7 @@
   answer.end = ExchangeEnd::kAnswered;
   answer.status = 421;
   answer.leaving = true;
-  CHECK_FALSE(JudgeForwardCall({}, answer, false, protocol).leaving);
+  CHECK_FALSE(JudgeForwardCall({}, std::move(answer), false, protocol).leaving);
 }
 
 TEST_CASE(
