Answer requests that a planned stop finds unaccepted; trust no answer without an id

Looked for the failures that operators of similar systems report, with real sockets: - Planned stop: the port was closed while connections stood in the kernel's queue, and accepted connections without a request were closed at once, so requests that had just arrived got a reset. Once a server has repeated an id, an answer without one is invalid; a refusal without one is no longer believed to speak of this request.

--- a/include/damaskroute/http/backend_client_options.h
+++ b/include/damaskroute/http/backend_client_options.h
@@ -19,8 +19,9 @@
   std::string leaving_header;
   /// Whether `ExchangeResult::headers` is filled.
   bool keep_headers = false;
-  /// Whether an answer to another request is skipped, so that the right one is read after it.
-  /// Otherwise such an answer is the result, for the caller to reject.
+  /// Whether an answer to another request is skipped, so that the right one is read after it, and
+  /// an answer without an id is invalid once the server has sent one with an id. Otherwise such an
+  /// answer is the result, for the caller to reject.
   bool skip_foreign_answers = false;
   /// A longer head of an answer, or a longer part of its framing, ends the exchange.
   std::uint32_t max_head_bytes = std::uint32_t{16} << 10;
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -65,6 +65,7 @@
   void OnRead(const error_code& error, std::size_t size);
   void Parse(const error_code& error);
   bool IsSkipped() const;
+  bool IsUnattributed();
   void SkipAnswer();
   void SetSocketOptions();
   void FailLater(const error_code& error);
@@ -173,6 +174,7 @@
   std::uint64_t connects = 0;
   std::uint64_t next_id = 1;
   bool closed = false;
+  bool repeats_ids = false;  // The server has answered with a request's id before.
   std::vector<std::shared_ptr<Connection>> idle;
   std::vector<std::shared_ptr<Connection>> running;
 };
@@ -251,6 +253,14 @@
          reader->keep_alive();
 }
 
+// On a server that repeats the ids of requests, an answer without one may belong to any request,
+// for example as the late second copy of an earlier answer.
+bool BackendClient::Connection::IsUnattributed() {
+  if (!state->options.skip_foreign_answers || request_id.empty()) return false;
+  if (!reader->request_id().empty()) state->repeats_ids = true;
+  return reader->request_id().empty() && state->repeats_ids;
+}
+
 void BackendClient::Connection::SkipAnswer() {
   ++skipped;
   leaving = leaving || reader->leaving();
@@ -277,6 +287,7 @@
     return Read();
   }
   if (reader->is_interim()) return Fail(http::error::bad_status);
+  if (IsUnattributed()) return Fail(http::error::bad_field);
   bool reusable = !abort_reason.has_value() && !error && reader->keep_alive() && buffer.size() == 0;
   auto idle_time = reader->keep_alive_timeout();
   usable_until = idle_time ? Now() + *idle_time - kIdleMargin : TimePoint::max();
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -51,6 +51,19 @@
                                  });
 }
 
+// Accepts the connections that the kernel has opened already. Closing the port would reset them,
+// and their requests, which may have arrived, would get no answer.
+void AcceptWaiting(const std::shared_ptr<Shared>& shared) {
+  error_code error;
+  shared->acceptor->non_blocking(true, error);
+  for (std::size_t next = 0; !error; ++next) {
+    std::size_t loop = next % shared->loops.size();
+    Tcp::socket socket(*shared->loops[loop]);
+    shared->acceptor->accept(socket, error);
+    if (!error) OnAccepted(shared, loop, error, std::move(socket));
+  }
+}
+
 }  // namespace
 
 HttpServer::HttpServer(std::vector<asio::io_context*> loops, HttpServerOptions options,
@@ -91,8 +104,10 @@
 void HttpServer::BeginDrain() {
   shared_->draining = true;
   asio::post(*shared_->loops.front(), [shared = shared_] {
+    if (!shared->acceptor) return;
+    AcceptWaiting(shared);
     error_code ignored;
-    if (shared->acceptor) shared->acceptor->close(ignored);
+    shared->acceptor->close(ignored);
   });
 }
 
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -51,7 +51,8 @@
       ReadHeader();
       return;
     }
-    if (shared_->draining && !watching_) {
+    // A new connection may bring a request that has been sent already.
+    if (shared_->draining && !watching_ && request_number_ > 0) {
       Close();
       return;
     }
--- /dev/null
+++ b/tests/broken_answers_test.cc
@@ -0,0 +1,138 @@
+#include <doctest/doctest.h>
+
+#include "tests/support/flood_server.h"
+#include "tests/support/platform_world.h"
+#include "tests/support/scripted_server.h"
+
+// Answers that are not what they look like: a late second copy on a connection that is in use
+// again, and answers that break off. Operators of similar systems saw callers get another caller's
+// answer, and half an answer as a success.
+
+namespace damaskroute {
+namespace {
+
+using platform::EchoBody;
+using platform::EchoStamp;
+using std::chrono::milliseconds;
+
+// Renders an answer of an echoing server `i-1`. `id`: the one that it repeats; empty for none.
+std::string Answer(const std::string& request, const std::string& id) {
+  std::string body = EchoBody("i-1", request);
+  std::string head = "HTTP/1.1 200 OK\r\n";
+  if (!id.empty()) head += fmt::format("{}: {}\r\n", platform::kRequestIdHeader, id);
+  return fmt::format("{}{}: {}\r\nContent-Length: {}\r\n\r\n{}", head, platform::kServerStampHeader,
+                     EchoStamp("i-1", request), body.size(), body);
+}
+
+std::string Refusal(const std::string& id) {
+  std::string head = "HTTP/1.1 503 Service Unavailable\r\n";
+  if (!id.empty()) head += fmt::format("{}: {}\r\n", platform::kRequestIdHeader, id);
+  return fmt::format("{}{}: 1\r\nContent-Length: 0\r\n\r\n", head, platform::kNotExecutedHeader);
+}
+
+// What the server sends for the second request on a connection, before or behind its own answer.
+struct Row {
+  const char* name;
+  std::vector<std::string> pieces;  // Sent 5 ms apart.
+  int status;                       // Of the caller's answer.
+};
+
+std::vector<Row> Rows() {
+  std::string late = Answer("id-0", "id-0");
+  std::string own = Answer("id-1", "id-1");
+  return {
+      {"a late copy before the answer", {late + own}, 200},
+      {"a late copy in pieces",
+       {late.substr(0, 20), late.substr(20, 60), late.substr(80), own},
+       200},
+      {"a late copy without an id", {Answer("id-0", "") + own}, 502},
+      {"a late copy without an id in pieces",
+       {Answer("id-0", "").substr(0, 30), Answer("id-0", "").substr(30) + own},
+       502},
+      {"a late copy of a refusal", {Refusal("id-0") + own}, 200},
+      {"a late copy of a refusal without an id", {Refusal("") + own}, 502},
+      {"a late copy with the end of the connection",
+       {"HTTP/1.1 200 OK\r\n" + std::string(platform::kRequestIdHeader) + ": id-0\r\n" +
+        platform::kServerStampHeader + ": s\r\nConnection: close\r\nContent-Length: 1\r\n\r\na"},
+       502},
+      {"its own answer with another id", {Answer("id-1", "id-7")}, 504},
+      {"another answer with its id behind the first one", {own + Answer("id-0", "id-1")}, 200},
+  };
+}
+
+// The requests are actions, which are never sent again: what the caller gets is what was read.
+TEST_CASE("no caller gets an answer to another request, however late copies arrive") {
+  for (const Row& row : Rows()) {
+    CAPTURE(row.name);
+    PlatformWorld w;
+    ScriptedServer server(w.loop, {{Answer("id-0", "id-0")}, row.pieces, {Answer("id-2", "id-2")}});
+    w.store.Write(platform::kServerPrefix + std::string("i-1"),
+                  PlatformWorld::Server::EntryAt(server.endpoint(), "desk", "a", 1, "ready"));
+    REQUIRE(w.StartServing(1));
+    CHECK(w.Call("POST", "/act/x", "id-0", "book").body == EchoBody("i-1", "id-0"));
+    auto response = w.Call("POST", "/act/x", "id-1", "book", 400);
+    CHECK(response.status == row.status);
+    if (response.status == 200) CHECK(response.body == EchoBody("i-1", "id-1"));
+    // Bytes that are left over do not reach the next caller.
+    auto next = w.Call("POST", "/act/x", "id-2", "book", 400);
+    if (next.status == 200) CHECK(next.body == EchoBody("i-1", "id-2"));
+    CHECK(server.requests() <= 3);
+  }
+}
+
+struct Broken {
+  const char* name;
+  std::string bytes;
+};
+
+std::vector<Broken> BrokenAnswers(const std::string& id) {
+  std::string head = fmt::format("HTTP/1.1 200 OK\r\n{}: {}\r\n{}: s\r\n",
+                                 platform::kRequestIdHeader, id, platform::kServerStampHeader);
+  return {
+      {"in the head", head.substr(0, head.size() - 5)},
+      {"before the body", head + "Content-Length: 32\r\n\r\n"},
+      {"in the body", head + "Content-Length: 32\r\n\r\n0123456789abcdef"},
+      {"without the last chunk",
+       head + "Transfer-Encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n"},
+      {"in a chunk", head + "Transfer-Encoding: chunked\r\n\r\n20\r\n0123456789abcdef"},
+      {"in the trailer", head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX: "},
+  };
+}
+
+TEST_CASE("an answer that breaks off is no success, neither alone nor as a part of a query") {
+  for (FloodEnd end : {FloodEnd::kClose, FloodEnd::kReset}) {
+    for (const Broken& broken : BrokenAnswers("id-1")) {
+      CAPTURE(broken.name);
+      CAPTURE(static_cast<int>(end));
+      PlatformWorld w(/*min_coverage=*/0.5);
+      FloodServer server(w.loop, broken.bytes, "", end);
+      for (const char* service : {"desk", "s0"}) {
+        w.store.Write(fmt::format("{}bad-{}", platform::kServerPrefix, service),
+                      PlatformWorld::Server::EntryAt(server.endpoint(), service, "a", 1, "ready"));
+      }
+      w.AddServer("i-1", "s1").SetBody("0000000000000001");
+      w.AddServer("i-2", "s2").SetBody("0000000000000002");
+      REQUIRE(w.StartServing(4));
+      CHECK(w.Call("POST", "/act/x", "id-1", "book").status == 502);
+      auto query = w.Get("/all/x", "id-1");
+      CHECK(query.status == 200);
+      CHECK(query[platform::kMissingPartsHeader] == "1");
+      CHECK(query.body == "00000000000000020000000000000001");
+    }
+  }
+}
+
+// An answer without a length ends with its connection; a reset is no end.
+TEST_CASE("an answer without a length that is reset is no success") {
+  PlatformWorld w;
+  std::string head = fmt::format("HTTP/1.1 200 OK\r\n{}: id-1\r\n{}: s\r\n\r\nhalf",
+                                 platform::kRequestIdHeader, platform::kServerStampHeader);
+  FloodServer server(w.loop, head, "", FloodEnd::kReset);
+  w.store.Write(platform::kServerPrefix + std::string("i-1"),
+                PlatformWorld::Server::EntryAt(server.endpoint(), "desk", "a", 1, "ready"));
+  REQUIRE(w.StartServing(1));
+  CHECK(w.Call("POST", "/act/x", "id-1", "book").status == 502);
+}
+
+}  // namespace
+}  // namespace damaskroute
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -200,6 +200,38 @@
   loop.Stop();
 }
 
+// Guards against a planned stop under load that cuts off requests which had just arrived: their
+// connections stand in the kernel's queue, or were accepted and not read yet.
+TEST_CASE("a drain answers the requests of connections that were not accepted yet") {
+  EventLoop loop(1);
+  HttpServerOptions options;
+  options.listen = testing::FreeEndpoint();
+  HttpServer server({&loop.context()}, options, [&](const HttpRequest&, HttpResponder respond) {
+    respond({200, "text/plain", "done"});
+  });
+  REQUIRE(server.Start().ok());
+  asio::io_context client;
+  std::vector<Tcp::socket> sockets;
+  const std::string request = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+  for (int i = 0; i < 50; ++i) {
+    Tcp::socket& socket = sockets.emplace_back(client);
+    socket.connect({asio::ip::make_address("127.0.0.1"), options.listen.port});
+    // The others send after the stop has begun, and some of them in two pieces.
+    if (i % 2 == 0) asio::write(socket, asio::buffer(request));
+    if (i % 4 == 1) asio::write(socket, asio::buffer(request.substr(0, 10)));
+  }
+  server.BeginDrain();
+  loop.Start();
+  for (std::size_t i = 0; i < sockets.size(); ++i) {
+    if (i % 4 == 1) asio::write(sockets[i], asio::buffer(request.substr(10)));
+    if (i % 4 == 3) asio::write(sockets[i], asio::buffer(request));
+    std::string answer = Fixture::ReadAll(sockets[i]);
+    CHECK(HasStatus(answer, 200));
+    CHECK(answer.find("Connection: close") != std::string::npos);
+  }
+  loop.Stop();
+}
+
 // Answers are given by the test, and the handler sees who leaves.
 struct HeldServer {
   HeldServer() : loop(1) {
--- a/tests/support/flood_server.h
+++ b/tests/support/flood_server.h
@@ -14,14 +14,18 @@
 
 namespace damaskroute {
 
+/// What a `FloodServer` without a filler does after its answer.
+enum class FloodEnd : std::uint8_t { kKeep, kClose, kReset };
+
 /// Server that answers each connection with `start` and then with `filler` without an end, until
 /// the other side closes; with an empty `filler` just with `start`.
 class FloodServer {
  public:
   using Tcp = asio::ip::tcp;
 
-  FloodServer(standins::Loop& loop, std::string start, std::string filler)
-      : loop_(loop), start_(std::move(start)), filler_(std::move(filler)) {
+  FloodServer(standins::Loop& loop, std::string start, std::string filler,
+              FloodEnd end = FloodEnd::kKeep)
+      : loop_(loop), start_(std::move(start)), filler_(std::move(filler)), end_(end) {
     // Written in larger pieces, as a fast server would.
     std::string one = filler_;
     while (!one.empty() && filler_.size() < kPiece) filler_ += one;
@@ -68,13 +72,28 @@
     asio::async_write(*connection, asio::buffer(bytes),
                       [this, connection](const auto& error, std::size_t size) {
                         sent_ += size;
-                        if (!error && !filler_.empty()) Write(connection, filler_);
+                        if (error) return;
+                        if (!filler_.empty()) return Write(connection, filler_);
+                        End(*connection);
                       });
   }
 
+  void End(Tcp::socket& connection) const {
+    if (end_ == FloodEnd::kKeep) return;
+    boost::system::error_code ignored;
+    // Unread bytes would turn a close into a reset.
+    if (end_ == FloodEnd::kClose) {
+      connection.shutdown(Tcp::socket::shutdown_send, ignored);
+      return;
+    }
+    connection.set_option(asio::socket_base::linger(true, 0), ignored);
+    connection.close(ignored);
+  }
+
   standins::Loop& loop_;
   const std::string start_;
   std::string filler_;
+  const FloodEnd end_;
   std::unique_ptr<Tcp::acceptor> acceptor_;
   std::list<std::shared_ptr<Tcp::socket>> sockets_;
   std::atomic<std::uint64_t> sent_{0};
