Leave one log line for a batch of server entries

Cause: a node wrote 1,497 lines "backend server known" in the seconds in which it was furthest behind. From 20 items on, lines on single entries go to debug, and one line has the counts. feed_backlog_test.

--- a/include/damaskroute/node/forward_beliefs.h
+++ b/include/damaskroute/node/forward_beliefs.h
@@ -2,6 +2,7 @@
 #define DAMASKROUTE_NODE_FORWARD_BELIEFS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -10,6 +11,7 @@
 #include "damaskroute/core/asio.h"
 #include "damaskroute/forward/backend_table.h"
 #include "damaskroute/http/backend_client_options.h"
+#include "damaskroute/log/log_level.h"
 #include "damaskroute/node/backend_pool.h"
 #include "damaskroute/node/reach_prober.h"
 #include "damaskroute/routing/backend_directory.h"
@@ -31,6 +33,12 @@
   /// whether it was installed.
   bool InstallRoutes(RoutingDocument document);
 
+  /// So many items of the store follow. From `kManyItems` on, entries of backend servers get no
+  /// lines of their own above debug, but one for all at `EndItems`.
+  void BeginItems(std::size_t count);
+  void EndItems();
+  static constexpr std::size_t kManyItems = 20;
+
   /// The store says that a backend server exists.
   void OnBackend(const BackendEntry& entry);
 
@@ -72,6 +80,13 @@
   ReachProber& prober() { return prober_; }
 
  private:
+  struct EntryCounts {
+    int added = 0;
+    int updated = 0;
+    int replaced = 0;
+    int removed = 0;
+  };
+
   void Drop(const BackendName& id, const char* reason);
   void ScheduleExpiry();
 
@@ -85,6 +100,8 @@
   asio::steady_timer expiry_timer_;
   std::set<ZoneName> lost_zones_;  // As logged.
   LeavingServers leaving_;
+  LogLevel entry_level_ = LogLevel::kInfo;   // Of lines on single entries.
+  EntryCounts entry_counts_;                 // Since `BeginItems`.
   std::map<ServiceName, TimePoint> lapsed_;  // When an entry was removed of a server in service.
 };
 
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -112,6 +112,8 @@
   static TimePoint Now() { return SteadyClock().Now(); }
 
   void OnItems(const std::vector<StoreItem>& items, bool after_outage) {
+    ForwardBeliefs& beliefs = front_.service().beliefs();
+    beliefs.BeginItems(items.size());
     for (const StoreItem& item : items) {
       FactKey key = platform_.ParseKey(item.key);
       if (item.removed) {
@@ -120,10 +122,11 @@
         OnWritten(key, item, after_outage);
       }
     }
+    beliefs.EndItems();
     front_.SetClosedZones(closed_zones_);
     front_.SetNodes(nodes_.Count(Now()));
     if (!items.empty()) UpdateRelays();
-    feed_.SetEager(front_.service().beliefs().MissesServers(Now()));
+    feed_.SetEager(beliefs.MissesServers(Now()));
   }
 
   void UpdateRelays() {
--- a/src/node/forward_beliefs.cc
+++ b/src/node/forward_beliefs.cc
@@ -46,13 +46,34 @@
   return true;
 }
 
+void ForwardBeliefs::BeginItems(std::size_t count) {
+  entry_level_ = count >= kManyItems ? LogLevel::kDebug : LogLevel::kInfo;
+  entry_counts_ = {};
+}
+
+void ForwardBeliefs::EndItems() {
+  const EntryCounts& counts = entry_counts_;
+  if (entry_level_ == LogLevel::kDebug) {
+    LogLine(LogLevel::kInfo, "backend servers changed")
+        .Field("added", counts.added)
+        .Field("updated", counts.updated)
+        .Field("replaced", counts.replaced)
+        .Field("removed", counts.removed)
+        .Field("known", backends_.size());
+  }
+  entry_level_ = LogLevel::kInfo;
+}
+
 void ForwardBeliefs::OnBackend(const BackendEntry& entry) {
   DirectoryChange change = directory_.OnEntry(entry);
   if (change == DirectoryChange::kNone) return;
+  if (change == DirectoryChange::kAdded) ++entry_counts_.added;
+  if (change == DirectoryChange::kUpdated) ++entry_counts_.updated;
+  if (change == DirectoryChange::kReplaced) ++entry_counts_.replaced;
   if (change == DirectoryChange::kReplaced) Drop(entry.id, "replaced by a new incarnation");
   backends_.Put(entry, Now());
   backends_.Find(entry.id)->leaving = leaving_.Contains(entry.id, entry.incarnation);
-  LogLine(LogLevel::kInfo, "backend server known")
+  LogLine(entry_level_, "backend server known")
       .Field("backend", entry.id)
       .Field("service", entry.service)
       .Field("endpoint", FormatEndpoint(entry.endpoint))
@@ -86,7 +107,10 @@
 
 void ForwardBeliefs::OnBackendRemoved(const BackendName& id, bool after_outage) {
   DirectoryChange change = directory_.OnRemoved(id, after_outage, Now());
-  if (change == DirectoryChange::kRemoved) Drop(id, "entry removed");
+  if (change == DirectoryChange::kRemoved) {
+    ++entry_counts_.removed;
+    Drop(id, "entry removed");
+  }
   if (change == DirectoryChange::kHeld) ScheduleExpiry();
 }
 
@@ -98,7 +122,7 @@
 }
 
 void ForwardBeliefs::Drop(const BackendName& id, const char* reason) {
-  LogLine(LogLevel::kInfo, "backend server gone").Field("backend", id).Field("reason", reason);
+  LogLine(entry_level_, "backend server gone").Field("backend", id).Field("reason", reason);
   auto backend = backends_.Find(id);
   std::erase_if(lapsed_, [](const auto& entry) { return Now() >= entry.second + kLapsedReturn; });
   if (backend && !backend->entry.draining) lapsed_.insert_or_assign(backend->entry.service, Now());
--- a/tests/feed_backlog_test.cc
+++ b/tests/feed_backlog_test.cc
@@ -1,5 +1,10 @@
 #include <doctest/doctest.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <array>
+
+#include "damaskroute/log/log_writer.h"
 #include "tests/support/platform_world.h"
 #include "tests/support/relay_reader.h"
 
@@ -87,6 +92,41 @@
   CHECK(ClosedZones(w) == std::set<ZoneName>{"b"});
 }
 
+// Guards against logs that grow with the number of entries: 1,497 lines in a few seconds.
+TEST_CASE("a batch of entries leaves one line, a single entry its own") {
+  std::array<int, 2> pipe_ends{};
+  REQUIRE(pipe(pipe_ends.data()) == 0);
+  {
+    LogWriter writer({.descriptor = pipe_ends[1]});
+    SetLogWriter(&writer);
+    asio::io_context loop;
+    ForwardBeliefs beliefs(loop, {}, {}, 1);
+    auto put = [&](std::size_t from, std::size_t to) {
+      beliefs.BeginItems(to - from);
+      for (std::size_t i = from; i < to; ++i) {
+        BackendEntry entry;
+        entry.id = fmt::format("i-{}", i);
+        entry.service = "desk";
+        beliefs.OnBackend(entry);
+      }
+      beliefs.EndItems();
+    };
+    put(0, 500);
+    put(500, 501);
+    SetLogWriter(nullptr);
+    writer.Flush();
+  }
+  close(pipe_ends[1]);
+  std::string text(64 << 10, ' ');
+  text.resize(
+      static_cast<std::size_t>(std::max<ssize_t>(read(pipe_ends[0], text.data(), text.size()), 0)));
+  close(pipe_ends[0]);
+  CHECK(std::count(text.begin(), text.end(), '\n') == 2);
+  CHECK(text.find(R"("added":500,"updated":0,"replaced":0,"removed":0,"known":500)") !=
+        std::string::npos);
+  CHECK(text.find(R"("backend server known","backend":"i-500")") != std::string::npos);
+}
+
 // Guards against a follower that waits for nodes which the store turns away.
 TEST_CASE("a follower whose followed nodes do not reach the store has the newest routes as well") {
   PlatformWorld w;
