Probe zones of which nothing was heard, so that idle nodes learn that they are cut off

Zone d was cut off from second 33.5 to 39. Each of its 24 nodes sees a query each 2.4 s and learnt of the cut from its callers' requests, between seconds 34.2 and 38.6; the balancer uses nodes of other zones only when none of the zone is ready, so d refused 120 requests.

Change: at each question of the balancer a node opens a connection to one server of each other zone that gave no sign of life for 0.9 s, and to three more if it is silent; silent ones are tried again like those that calls found. No request is sent.

--- a/include/damaskroute/forward/backend_evidence.h
+++ b/include/damaskroute/forward/backend_evidence.h
@@ -46,6 +46,9 @@
   /// Whether recent failures speak against the server.
   bool IsAvoided(TimePoint now) const { return now < avoid_until_; }
 
+  /// No connection to the server could be opened outside of a call.
+  void OnNotReached(TimePoint now);
+
   /// A connection to the server was opened outside of a call.
   void OnReachable(TimePoint now);
 
--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -99,6 +99,12 @@
   /// All zones of which no server is likely to be reached.
   std::set<ZoneName> LostZones(TimePoint now) const { return zone_reach_.Lost(now); }
 
+  /// Other zones that are in use and of which nothing was heard lately.
+  std::set<ZoneName> QuietZones(TimePoint now) const;
+
+  /// Up to `count` servers of a zone, chosen at random, that are not known to be unreachable.
+  std::vector<std::shared_ptr<Backend>> SomeOf(const ZoneName& zone, std::size_t count);
+
   /// Whether a server may be called now, and what speaks against it.
   BackendUse UseOf(const Backend& backend, TimePoint now) const;
 
--- a/include/damaskroute/forward/zone_reach.h
+++ b/include/damaskroute/forward/zone_reach.h
@@ -30,6 +30,10 @@
   /// probed each 0.4 s at least while they are known.
   static constexpr std::chrono::milliseconds kRemembered{1000};
 
+  /// A zone of which nothing was heard for so long is worth a probe. The balancer's questions, at
+  /// which this is looked at, come each second.
+  static constexpr std::chrono::milliseconds kQuiet{900};
+
   /// An attempt to connect to a server that began at `begun` ended without a connection.
   void OnNoConnection(const ZoneName& zone, const BackendName& backend, TimePoint begun,
                       TimePoint now);
@@ -40,6 +44,9 @@
   /// Whether no server of the zone is likely to be reached.
   bool IsLost(const ZoneName& zone, TimePoint now) const;
 
+  /// Whether nothing was heard of the zone for `kQuiet`, and it does not count as lost yet.
+  bool IsQuiet(const ZoneName& zone, TimePoint now) const;
+
   /// All zones that count as lost.
   std::set<ZoneName> Lost(TimePoint now) const;
 
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -49,6 +49,9 @@
   /// Whether the node reaches enough shards for a query of any route; true without such routes.
   bool ReachesShards() const;
 
+  /// Finds out whether zones of which nothing was heard lately are still reached.
+  void ProbeQuietZones();
+
   /// Calls `hook` whenever a backend server could not be reached.
   void SetOnUnreachable(std::function<void()> hook) { on_unreachable_ = std::move(hook); }
 
--- a/include/damaskroute/node/reach_prober.h
+++ b/include/damaskroute/node/reach_prober.h
@@ -25,12 +25,20 @@
   /// A call to the server failed for lack of a connection. Calls while it is probed are ignored.
   void OnUnreachable(const std::shared_ptr<Backend>& backend);
 
+  /// Probes a server of each zone of which nothing was heard lately, and more of them if it is
+  /// silent: a node without queries learns in this way that it is cut off, before a caller's
+  /// request does. Silent servers are tried again like those that calls found. `on_silent` is
+  /// called after each probe that found nothing.
+  void ProbeQuietZones(std::function<void()> on_silent);
+
   /// Servers that are probed now.
   std::size_t size() const { return probed_.size(); }
 
  private:
   struct Probe;
 
+  void ProbeZone(const ZoneName& zone, std::size_t servers, const std::function<void()>& on_silent);
+
   void Wait(const std::shared_ptr<Probe>& probe);
   void Try(const std::shared_ptr<Probe>& probe);
 
@@ -38,6 +46,8 @@
   BackendPool& pool_;
   BackendTable& backends_;
   std::map<const Backend*, std::shared_ptr<Probe>> probed_;
+  std::map<ZoneName, int> zone_probes_;  // In progress.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace damaskroute
--- a/src/forward/backend_evidence.cc
+++ b/src/forward/backend_evidence.cc
@@ -82,6 +82,11 @@
   }
 }
 
+void BackendEvidence::OnNotReached(TimePoint now) {
+  unreachable_ = true;
+  Avoid(kFirstAvoidance, now);
+}
+
 void BackendEvidence::OnReachable(TimePoint now) {
   if (!unreachable_) return;
   unreachable_ = false;
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -195,6 +195,7 @@
 
 void BackendTable::OnProbed(Backend& backend, TimePoint begun, bool opened, TimePoint now) {
   if (!opened) {
+    backend.evidence.OnNotReached(now);
     return zone_reach_.OnNoConnection(backend.entry.zone, backend.entry.id, begun, now);
   }
   backend.evidence.OnReachable(now);
@@ -206,6 +207,33 @@
          !closed_zones_.contains(backend.entry.zone) && !IsLost(backend.entry.zone, now);
 }
 
+std::set<ZoneName> BackendTable::QuietZones(TimePoint now) const {
+  std::set<ZoneName> quiet;
+  for (const auto& [id, backend] : by_id_) {
+    const ZoneName& zone = backend->entry.zone;
+    if (zone == options_.own_zone || quiet.contains(zone)) continue;
+    if (IsReached(*backend, now) && zone_reach_.IsQuiet(zone, now)) quiet.insert(zone);
+  }
+  return quiet;
+}
+
+std::vector<std::shared_ptr<Backend>> BackendTable::SomeOf(const ZoneName& zone,
+                                                           std::size_t count) {
+  std::vector<std::shared_ptr<Backend>> chosen;
+  std::size_t seen = 0;
+  for (const auto& [id, backend] : by_id_) {
+    if (backend->entry.zone != zone || backend->misdirected) continue;
+    if (backend->evidence.is_unreachable()) continue;
+    ++seen;
+    if (chosen.size() < count) {
+      chosen.push_back(backend);
+    } else if (std::size_t place = random_.Below(seen); place < count) {
+      chosen[place] = backend;  // Reservoir sampling.
+    }
+  }
+  return chosen;
+}
+
 std::ptrdiff_t BackendTable::CountReached(const ServiceName& service, TimePoint now) const {
   const auto& servers = Of(service);
   return std::count_if(servers.begin(), servers.end(),
--- a/src/forward/zone_reach.cc
+++ b/src/forward/zone_reach.cc
@@ -27,6 +27,12 @@
   return found != zones_.end() && IsLost(found->second, now);
 }
 
+bool ZoneReach::IsQuiet(const ZoneName& zone, TimePoint now) const {
+  auto found = zones_.find(zone);
+  return found == zones_.end() ||
+         (now >= found->second.heard + kQuiet && !IsLost(found->second, now));
+}
+
 std::set<ZoneName> ZoneReach::Lost(TimePoint now) const {
   std::set<ZoneName> lost;
   for (const auto& [name, zone] : zones_) {
--- a/src/node/forward_front.cc
+++ b/src/node/forward_front.cc
@@ -162,6 +162,7 @@
 }
 
 void ForwardFront::HandleReady(const HttpRequest& request, const HttpResponder& respond) {
+  service_.ProbeQuietZones();
   CheckReach();
   HttpResponse response;
   response.content_type = "text/plain";
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -241,6 +241,12 @@
   if (on_unreachable_) on_unreachable_();
 }
 
+void ForwardService::ProbeQuietZones() {
+  beliefs_.prober().ProbeQuietZones([this] {
+    if (on_unreachable_) on_unreachable_();
+  });
+}
+
 void ForwardService::Wake(const std::shared_ptr<Exchange>& exchange, TimePoint at) {
   exchange->timer.expires_at(at);
   exchange->timer.async_wait([this, exchange, at](const boost::system::error_code& error) {
--- a/src/node/reach_prober.cc
+++ b/src/node/reach_prober.cc
@@ -40,6 +40,31 @@
   Wait(probe);
 }
 
+void ReachProber::ProbeQuietZones(std::function<void()> on_silent) {
+  for (const ZoneName& zone : backends_.QuietZones(Now())) {
+    if (zone_probes_[zone] == 0) ProbeZone(zone, /*servers=*/1, on_silent);
+  }
+}
+
+void ReachProber::ProbeZone(const ZoneName& zone, std::size_t servers,
+                            const std::function<void()>& on_silent) {
+  for (const auto& backend : backends_.SomeOf(zone, servers)) {
+    ++zone_probes_[zone];
+    auto client = pool_.For(backend);
+    // The attempt may end after this object.
+    client->OpenConnection([this, alive = std::weak_ptr(alive_), client, backend, zone, servers,
+                            on_silent, begun = Now()](bool opened) {
+      if (alive.expired()) return;
+      --zone_probes_[zone];
+      backends_.OnProbed(*backend, begun, opened, Now());
+      if (opened) return;
+      OnUnreachable(backend);
+      if (servers == 1) ProbeZone(zone, ZoneReach::kSilentServers, on_silent);
+      on_silent();
+    });
+  }
+}
+
 void ReachProber::Wait(const std::shared_ptr<Probe>& probe) {
   probe->timer.expires_after(probe->pause);
   probe->pause = std::min(probe->pause * 2, kLongestPause);
