--- a/include/damaskroute/node/reach_prober.h
+++ b/include/damaskroute/node/reach_prober.h
@@ -29,7 +29,7 @@
   /// silent: a node without queries learns in this way that it is cut off, before a caller's
   /// request does. Silent servers are tried again like those that calls found. `on_silent` is
   /// called after each probe that found nothing.
-  void ProbeQuietZones(std::function<void()> on_silent);
+  void ProbeQuietZones(const std::function<void()>& on_silent);
 
   /// Servers that are probed now.
   std::size_t size() const { return probed_.size(); }
--- a/src/node/reach_prober.cc
+++ b/src/node/reach_prober.cc
@@ -40,7 +40,7 @@
   Wait(probe);
 }
 
-void ReachProber::ProbeQuietZones(std::function<void()> on_silent) {
+void ReachProber::ProbeQuietZones(const std::function<void()>& on_silent) {
   for (const ZoneName& zone : backends_.QuietZones(Now())) {
     if (zone_probes_[zone] == 0) ProbeZone(zone, /*servers=*/1, on_silent);
   }
