Probe only idle servers; count bodies beyond the first 64 KB as documented

Found on the last read: a server whose connections are all in use would have counted as not reached, and the budget of held bodies counted the first 64 KB as well once a body was longer.

--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -102,7 +102,8 @@
   /// Other zones that are in use and of which nothing was heard lately.
   std::set<ZoneName> QuietZones(TimePoint now) const;
 
-  /// Up to `count` servers of a zone, chosen at random, that are not known to be unreachable.
+  /// Up to `count` servers of a zone, chosen at random, that have no calls in progress and are not
+  /// known to be unreachable.
   std::vector<std::shared_ptr<Backend>> SomeOf(const ZoneName& zone, std::size_t count);
 
   /// Whether a server may be called now, and what speaks against it.
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -223,7 +223,7 @@
   std::size_t seen = 0;
   for (const auto& [id, backend] : by_id_) {
     if (backend->entry.zone != zone || backend->misdirected) continue;
-    if (backend->evidence.is_unreachable()) continue;
+    if (backend->evidence.is_unreachable() || backend->evidence.outstanding() > 0) continue;
     ++seen;
     if (chosen.size() < count) {
       chosen.push_back(backend);
--- a/src/http/response_reader.cc
+++ b/src/http/response_reader.cc
@@ -78,8 +78,9 @@
 }
 
 void ResponseReader::Append(Text body, Error& error) {
+  constexpr std::size_t kUncounted = BackendClientOptions::kUncountedBodyBytes;
   std::size_t size = result_.body.size() + body.size();
-  if (size > BackendClientOptions::kUncountedBodyBytes && !result_.held.GrowTo(size)) {
+  if (size > kUncounted && !result_.held.GrowTo(size - kUncounted)) {
     error = boost::beast::http::error::body_limit;
     return;
   }
--- a/tests/quiet_zones_test.cc
+++ b/tests/quiet_zones_test.cc
@@ -64,6 +64,11 @@
     }
   }
   CHECK(chosen.size() > 20);
+  // All connections of a busy server may be in use, which says nothing of the way to it.
+  w.Begin(w.Query(40, 40));
+  for (const auto& server : w.table.SomeOf("b", 40)) CHECK(server->evidence.outstanding() == 0);
+  w.table.Find("s7b")->evidence.OnSent(w.clock.Now());
+  CHECK(w.table.SomeOf("b", 40).size() == 39);
 }
 
 TEST_CASE("a node without requests finds out that a zone is lost, and sends no request for it") {
