--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -185,20 +185,26 @@
       FactKey key = platform_.ParseKey(text);
       if (key.kind == FactKind::kClosedZone) zones.insert(key.name);
     }
+    CloseOnly(std::move(zones));
+  }
+
+  void CloseOnly(std::set<ZoneName> zones) {
     closed_zones_ = std::move(zones);
     front_.SetClosedZones(closed_zones_);
   }
 
   void OnAllRead(const std::vector<std::string>& keys, bool after_outage) {
     std::set<BackendName> backends;
+    std::set<ZoneName> zones;
     std::set<NodeName> nodes;
     for (const std::string& text : keys) {
       FactKey key = platform_.ParseKey(text);
       if (key.kind == FactKind::kBackend) backends.insert(key.name);
+      if (key.kind == FactKind::kClosedZone) zones.insert(key.name);
       if (key.kind == FactKind::kNode) nodes.insert(key.name);
     }
     front_.service().beliefs().OnAllBackends(backends, after_outage);
-    OnOrdersRead(keys);
+    CloseOnly(std::move(zones));
     nodes_.Keep(nodes, Now());
     std::erase_if(records_, [&](const auto& entry) { return !nodes.contains(entry.first); });
     front_.SetNodes(nodes_.Count(Now()));
--- a/include/damaskroute/node/reach_prober.h
+++ b/include/damaskroute/node/reach_prober.h
@@ -46,8 +46,10 @@
   BackendPool& pool_;
   BackendTable& backends_;
   std::map<const Backend*, std::shared_ptr<Probe>> probed_;
-  std::map<ZoneName, int> zone_probes_;  // In progress.
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  // Probes in progress of each zone; they may end after this object, which then owns this no
+  // longer.
+  using ZoneProbes = std::map<ZoneName, int>;
+  std::shared_ptr<ZoneProbes> zone_probes_ = std::make_shared<ZoneProbes>();
 };
 
 }  // namespace damaskroute
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -209,10 +209,14 @@
 
 std::set<ZoneName> BackendTable::QuietZones(TimePoint now) const {
   std::set<ZoneName> quiet;
+  std::set<ZoneName> decided = {options_.own_zone};  // There are few zones and many servers.
   for (const auto& [id, backend] : by_id_) {
     const ZoneName& zone = backend->entry.zone;
-    if (zone == options_.own_zone || quiet.contains(zone)) continue;
-    if (IsReached(*backend, now) && zone_reach_.IsQuiet(zone, now)) quiet.insert(zone);
+    if (decided.contains(zone)) continue;
+    bool is_quiet = zone_reach_.IsQuiet(zone, now);
+    if (is_quiet && !IsReached(*backend, now)) continue;  // Another server of it may be reached.
+    if (is_quiet) quiet.insert(zone);
+    decided.insert(zone);
   }
   return quiet;
 }
--- a/src/node/reach_prober.cc
+++ b/src/node/reach_prober.cc
@@ -42,20 +42,20 @@
 
 void ReachProber::ProbeQuietZones(const std::function<void()>& on_silent) {
   for (const ZoneName& zone : backends_.QuietZones(Now())) {
-    if (zone_probes_[zone] == 0) ProbeZone(zone, /*servers=*/1, on_silent);
+    if ((*zone_probes_)[zone] == 0) ProbeZone(zone, /*servers=*/1, on_silent);
   }
 }
 
 void ReachProber::ProbeZone(const ZoneName& zone, std::size_t servers,
                             const std::function<void()>& on_silent) {
   for (const auto& backend : backends_.SomeOf(zone, servers)) {
-    ++zone_probes_[zone];
+    ++(*zone_probes_)[zone];
     auto client = pool_.For(backend);
-    // The attempt may end after this object.
-    client->OpenConnection([this, alive = std::weak_ptr(alive_), client, backend, zone, servers,
-                            on_silent, begun = Now()](bool opened) {
-      if (alive.expired()) return;
-      --zone_probes_[zone];
+    client->OpenConnection([this, weak = std::weak_ptr(zone_probes_), client, backend, zone,
+                            servers, on_silent, begun = Now()](bool opened) {
+      auto probes = weak.lock();
+      if (!probes) return;
+      --(*probes)[zone];
       backends_.OnProbed(*backend, begun, opened, Now());
       if (opened) return;
       OnUnreachable(backend);
--- a/tests/feed_backlog_test.cc
+++ b/tests/feed_backlog_test.cc
@@ -39,6 +39,14 @@
   }
 }
 
+// Writes the backlog while the store is away, which then serves so many watches.
+void FallBehind(PlatformWorld& w, std::size_t watches) {
+  w.store.SetMode(StoreMode::kReset);
+  WriteBacklog(w);
+  w.store.SetWatchesLeft(watches);
+  w.store.SetMode(StoreMode::kServe);
+}
+
 std::set<ZoneName> ClosedZones(PlatformWorld& w) {
   return w.Beliefs([](const ForwardBeliefs& b) { return b.backends().closed_zones(); });
 }
@@ -52,10 +60,7 @@
   w.AddServer("i-1", "desk");
   w.store.SetPages(kPage, milliseconds(20));
   REQUIRE(w.StartServing(1));
-  w.store.SetMode(StoreMode::kReset);
-  WriteBacklog(w);
-  w.store.SetWatchesLeft(1);
-  w.store.SetMode(StoreMode::kServe);
+  FallBehind(w, 1);
   // Of the backlog the node gets the first page only.
   REQUIRE(PlatformWorld::Await([&] { return w.RoutesVersion() == 6; }));
   CHECK(Servers(w) <= kPage + 1);
@@ -73,10 +78,7 @@
   w.AddServer("i-1", "desk", "c");
   w.store.SetPages(kPage, milliseconds(0));
   REQUIRE(w.StartServing(1));
-  w.store.SetMode(StoreMode::kReset);
-  WriteBacklog(w);
-  w.store.SetWatchesLeft(2);
-  w.store.SetMode(StoreMode::kServe);
+  FallBehind(w, 2);
   REQUIRE(PlatformWorld::Await([&] { return Servers(w) > kPage + 1; }));
   CHECK(ClosedZones(w) == std::set<ZoneName>{"b"});
   CHECK(w.Get("/one/x").status == 200);
--- a/tests/server_signs_test.cc
+++ b/tests/server_signs_test.cc
@@ -16,6 +16,14 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// A node with two servers to choose from; it prefers the one in its own zone.
+struct TwoServers : PlatformWorld {
+  TwoServers() { REQUIRE(StartServing(2)); }
+
+  Server& preferred = AddServer("i-1", "desk", "a");
+  Server& other = AddServer("i-2", "desk", "b");
+};
+
 std::string EntryWith(PlatformWorld::Server& server, int sequence, std::int64_t born = 1000) {
   std::string entry =
       PlatformWorld::Server::EntryAt(server.endpoint(), "desk", "a", sequence, "ready");
@@ -23,10 +31,8 @@
 }
 
 TEST_CASE("a server that says in an answer that it leaves gets no further request") {
-  PlatformWorld w;
-  auto& leaving = w.AddServer("i-1", "desk", "a");
-  w.AddServer("i-2", "desk", "b");
-  REQUIRE(w.StartServing(2));
+  TwoServers w;
+  auto& leaving = w.preferred;
   leaving.SetMode(ServerMode::kLeaving);
   CHECK(w.Get("/one/x").status == 200);
   CHECK(leaving.runs().size() == 1);
@@ -37,10 +43,8 @@
 // Guards against a beat that the server wrote before it began to leave, and against an entry that
 // lapsed and came back.
 TEST_CASE("entries that say ready do not bring a leaving server back, its new start does") {
-  PlatformWorld w;
-  auto& leaving = w.AddServer("i-1", "desk", "a");
-  w.AddServer("i-2", "desk", "b");
-  REQUIRE(w.StartServing(2));
+  TwoServers w;
+  auto& leaving = w.preferred;
   leaving.SetMode(ServerMode::kLeaving);
   CHECK(w.Get("/one/x").status == 200);
   std::string key = platform::kServerPrefix + std::string("i-1");
@@ -61,10 +65,8 @@
 
 // The header stands in the answer to a request that nobody waits for any more.
 TEST_CASE("an answer to another request tells as well that its server leaves") {
-  PlatformWorld w;
-  auto& leaving = w.AddServer("i-1", "desk", "a");
-  w.AddServer("i-2", "desk", "b");
-  REQUIRE(w.StartServing(2));
+  TwoServers w;
+  auto& leaving = w.preferred;
   leaving.SetMode(ServerMode::kLeavingLost);
   CHECK(w.Get("/one/x").status == 200);  // By a copy at the other server.
   leaving.SetMode(ServerMode::kAnswer);
@@ -82,15 +84,13 @@
 }
 
 TEST_CASE("a server that asks for a pause gets nothing while the others serve") {
-  PlatformWorld w;
-  auto& busy = w.AddServer("i-1", "desk", "a");
-  auto& other = w.AddServer("i-2", "desk", "b");
-  REQUIRE(w.StartServing(2));
+  TwoServers w;
+  auto& busy = w.preferred;
   busy.SetMode(ServerMode::kPause);
   busy.SetRetryAfter("3600");
   for (int i = 0; i < 20; ++i) CHECK(w.Get("/one/x", fmt::format("id-{}", i)).status == 200);
   CHECK(busy.turned_away() == 1);
-  CHECK(other.runs().size() == 20);
+  CHECK(w.other.runs().size() == 20);
 }
 
 TEST_CASE("a pause ends, also one of a fraction of a second") {
--- a/tests/support/flood_server.h
+++ b/tests/support/flood_server.h
@@ -3,14 +3,11 @@
 
 #include <atomic>
 #include <cstdint>
-#include <list>
 #include <memory>
 #include <string>
 #include <utility>
 
-#include "damaskroute/core/asio.h"
-#include "damaskroute/core/endpoint.h"
-#include "standins/loop.h"
+#include "tests/support/raw_server.h"
 
 namespace damaskroute {
 
@@ -21,82 +18,67 @@
 /// the other side closes; with an empty `filler` just with `start`.
 class FloodServer {
  public:
-  using Tcp = asio::ip::tcp;
-
   FloodServer(standins::Loop& loop, std::string start, std::string filler,
               FloodEnd end = FloodEnd::kKeep)
-      : loop_(loop), start_(std::move(start)), filler_(std::move(filler)), end_(end) {
-    // Written in larger pieces, as a fast server would.
-    std::string one = filler_;
-    while (!one.empty() && filler_.size() < kPiece) filler_ += one;
-    loop_.Run([this] {
-      acceptor_ = std::make_unique<Tcp::acceptor>(
-          loop_.io(), Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-      Accept();
-    });
-  }
+      : start_(std::move(start)),
+        filler_(InPieces(std::move(filler))),
+        end_(end),
+        server_(loop, [this](const Connection& connection) { Read(connection); }) {}
 
-  ~FloodServer() {
-    loop_.Run([this] {
-      acceptor_.reset();
-      for (auto& socket : sockets_) socket->close();
-    });
-  }
-
-  Endpoint endpoint() {
-    return {"127.0.0.1", loop_.Run([this] { return acceptor_->local_endpoint().port(); })};
-  }
+  Endpoint endpoint() { return server_.endpoint(); }
 
   /// Bytes that the other sides and the sockets' buffers have taken.
-  std::uint64_t sent() const { return sent_; }
+  std::uint64_t sent() const { return *sent_; }
 
  private:
+  using Connection = RawServer::Connection;
   static constexpr std::size_t kPiece = 4096;
 
-  void Accept() {
-    acceptor_->async_accept([this](const boost::system::error_code& error, Tcp::socket socket) {
-      if (error) return;
-      auto connection = std::make_shared<Tcp::socket>(std::move(socket));
-      sockets_.push_back(connection);
-      // The request is not needed; a part of it shows that there is one.
-      auto byte = std::make_shared<char>();
-      connection->async_read_some(asio::buffer(byte.get(), 1),
-                                  [this, connection, byte](const auto& failed, std::size_t) {
-                                    if (!failed) Write(connection, start_);
-                                  });
-      Accept();
-    });
+  // Written in larger pieces, as a fast server would.
+  static std::string InPieces(std::string filler) {
+    std::string one = filler;
+    while (!one.empty() && filler.size() < kPiece) filler += one;
+    return filler;
+  }
+
+  // The request is not needed; a part of it shows that there is one.
+  void Read(const Connection& connection) {
+    auto byte = std::make_shared<char>();
+    connection->async_read_some(asio::buffer(byte.get(), 1),
+                                [this, connection, byte](const auto& error, std::size_t) {
+                                  if (!error) Write(connection, start_);
+                                });
   }
 
-  void Write(const std::shared_ptr<Tcp::socket>& connection, const std::string& bytes) {
+  void Write(const Connection& connection, const std::string& bytes) {
+    // A write that this object's end has broken off ends after it.
     asio::async_write(*connection, asio::buffer(bytes),
-                      [this, connection](const auto& error, std::size_t size) {
-                        sent_ += size;
+                      [this, connection, sent = sent_](const auto& error, std::size_t size) {
+                        *sent += size;
                         if (error) return;
                         if (!filler_.empty()) return Write(connection, filler_);
                         End(*connection);
                       });
   }
 
-  void End(Tcp::socket& connection) const {
+  void End(RawServer::Tcp::socket& connection) const {
     if (end_ == FloodEnd::kKeep) return;
     boost::system::error_code ignored;
     // Unread bytes would turn a close into a reset.
     if (end_ == FloodEnd::kClose) {
-      connection.shutdown(Tcp::socket::shutdown_send, ignored);
+      connection.shutdown(RawServer::Tcp::socket::shutdown_send, ignored);
       return;
     }
     connection.set_option(asio::socket_base::linger(true, 0), ignored);
     connection.close(ignored);
   }
 
-  standins::Loop& loop_;
   const std::string start_;
-  std::string filler_;
+  const std::string filler_;
   const FloodEnd end_;
-  std::unique_ptr<Tcp::acceptor> acceptor_;
-  std::list<std::shared_ptr<Tcp::socket>> sockets_;
-  std::atomic<std::uint64_t> sent_{0};
+  const std::shared_ptr<std::atomic<std::uint64_t>> sent_ =
+      std::make_shared<std::atomic<std::uint64_t>>(0);
+  RawServer server_;  // Uses the members above.
 };
 
 }  // namespace damaskroute
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -3,15 +3,12 @@
 
 #include <atomic>
 #include <chrono>
-#include <list>
 #include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "damaskroute/core/asio.h"
-#include "damaskroute/core/endpoint.h"
-#include "standins/loop.h"
+#include "tests/support/raw_server.h"
 
 namespace damaskroute {
 
@@ -19,46 +16,23 @@
 /// milliseconds apart, on whichever connection the request comes. Keeps its connections open.
 class ScriptedServer {
  public:
-  using Tcp = asio::ip::tcp;
   using Pieces = std::vector<std::string>;
 
   ScriptedServer(standins::Loop& loop, std::vector<Pieces> answers)
-      : loop_(loop), answers_(std::move(answers)) {
-    loop_.Run([this] {
-      acceptor_ = std::make_unique<Tcp::acceptor>(
-          loop_.io(), Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-      Accept();
-    });
-  }
+      : loop_(loop),
+        answers_(std::move(answers)),
+        server_(loop, [this](const Connection& connection) { Read(connection); }) {}
 
-  ~ScriptedServer() {
-    loop_.Run([this] {
-      acceptor_.reset();
-      for (auto& socket : sockets_) socket->close();
-    });
-  }
-
-  Endpoint endpoint() {
-    return {"127.0.0.1", loop_.Run([this] { return acceptor_->local_endpoint().port(); })};
-  }
+  Endpoint endpoint() { return server_.endpoint(); }
 
   std::size_t requests() const { return requests_; }
 
  private:
+  using Connection = RawServer::Connection;
   static constexpr std::chrono::milliseconds kGap{5};
 
-  void Accept() {
-    acceptor_->async_accept([this](const boost::system::error_code& error, Tcp::socket socket) {
-      if (error) return;
-      auto connection = std::make_shared<Tcp::socket>(std::move(socket));
-      sockets_.push_back(connection);
-      Read(connection);
-      Accept();
-    });
-  }
-
   // Each request comes in one piece, as it is short.
-  void Read(const std::shared_ptr<Tcp::socket>& connection) {
+  void Read(const Connection& connection) {
     auto bytes = std::make_shared<std::string>(4096, ' ');
     connection->async_read_some(asio::buffer(*bytes),
                                 [this, connection, bytes](const auto& error, std::size_t) {
@@ -69,7 +43,7 @@
                                 });
   }
 
-  void Send(const std::shared_ptr<Tcp::socket>& connection, std::size_t answer, std::size_t piece) {
+  void Send(const Connection& connection, std::size_t answer, std::size_t piece) {
     if (piece == answers_[answer].size()) return;
     boost::system::error_code ignored;  // The client may have closed.
     asio::write(*connection, asio::buffer(answers_[answer][piece]), ignored);
@@ -81,9 +55,8 @@
 
   standins::Loop& loop_;
   const std::vector<Pieces> answers_;
-  std::unique_ptr<Tcp::acceptor> acceptor_;
-  std::list<std::shared_ptr<Tcp::socket>> sockets_;
   std::atomic<std::size_t> requests_{0};
+  RawServer server_;  // Uses the members above.
 };
 
 }  // namespace damaskroute
