Log the rate limits that servers state

Cause: no line said that a backend server had stated a limit (Server-Limit), and none counted the calls of a node to one server, so the hypotheses of the incident could not be told apart. Change: the header is read and recorded; the log has the limit's begin and end and, at most each 4 s, the calls of this node to the server; a metric and damaskctl beliefs show the servers concerned. Nothing is decided by it yet.

--- a/include/damaskroute/forward/backend.h
+++ b/include/damaskroute/forward/backend.h
@@ -2,6 +2,7 @@
 #define DAMASKROUTE_FORWARD_BACKEND_H_
 
 #include "damaskroute/forward/backend_call_stats.h"
+#include "damaskroute/forward/backend_rate_limit.h"
 #include "damaskroute/forward/cold_gate.h"
 #include "damaskroute/routing/backend_entry.h"
 
@@ -18,6 +19,7 @@
   bool gone = false;             ///< Its entry was removed or replaced.
   bool misdirected = false;      ///< Another server responded at its address.
   bool leaving = false;          ///< Reported in a response; set until the next incarnation.
+  BackendRateLimit rate_limit;   ///< Stated in its responses.
   TimePoint backoff_until;       ///< End of the backoff that the server requested (Retry-After).
 };
 
--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -124,6 +124,9 @@
 
   std::size_t size() const { return by_id_.size(); }
 
+  /// Number of servers that state a rate limit.
+  std::size_t CountRateLimited() const;
+
  private:
   static bool HasTime(const Backend& backend, const CallTimes& times, TimePoint now);
   static BackendRank RankOf(const Backend& backend, BackendEligibility eligibility,
--- a/include/damaskroute/forward/call_result.h
+++ b/include/damaskroute/forward/call_result.h
@@ -34,6 +34,8 @@
   bool leaving = false;     ///< The server reports that it is leaving.
   /// Backoff that the server requested (Retry-After).
   std::optional<std::chrono::milliseconds> backoff;
+  /// Request rate that the server accepts from all nodes together, in requests per second.
+  std::optional<double> rate_limit;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/http/backend_client_options.h
+++ b/include/damaskroute/http/backend_client_options.h
@@ -17,6 +17,8 @@
   std::string request_id_header = "Damask-Request-Id";
   /// Header with which the server announces, by the value 1, that it is leaving; empty for none.
   std::string leaving_header;
+  /// Header with the request rate that the server accepts; empty for none.
+  std::string rate_limit_header;
   /// Whether `ExchangeResult::headers` is filled.
   bool keep_headers = false;
   /// Whether to skip a response that carries the id of another request and read the next one, and
--- a/include/damaskroute/http/exchange_result.h
+++ b/include/damaskroute/http/exchange_result.h
@@ -2,6 +2,7 @@
 #define DAMASKROUTE_HTTP_EXCHANGE_RESULT_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,9 @@
   /// Whether this response or a skipped one carried `BackendClientOptions::leaving_header`. Also
   /// set if the exchange failed.
   bool leaving = false;
+  /// Value of `BackendClientOptions::rate_limit_header` in this response or, if it has none, in the
+  /// last skipped one: requests per second, not negative. Also set if the exchange failed.
+  std::optional<double> rate_limit;
   std::string body;
   BudgetedBytes budgeted_bytes;  ///< Reserved for `body` from `BackendClientOptions::body_budget`.
   std::vector<HeaderField> headers;  ///< Filled if `BackendClientOptions::keep_headers`.
--- a/include/damaskroute/node/forward_protocol.h
+++ b/include/damaskroute/node/forward_protocol.h
@@ -14,8 +14,11 @@
   std::string not_executed;     ///< In a response: the server did not run the request.
   std::string server_stamp;     ///< The server's signature of its response.
   std::string leaving;          ///< In a server's response, with the value 1: it is leaving.
-  std::string part_stamps;      ///< In a merged answer: the signatures of its parts.
-  std::string missing_parts;    ///< In a merged answer: number of shards that it lacks.
+  /// In a server's response: the requests per second, as a decimal number, that it accepts from all
+  /// nodes together until a response without this header.
+  std::string rate_limit;
+  std::string part_stamps;    ///< In a merged answer: the signatures of its parts.
+  std::string missing_parts;  ///< In a merged answer: number of shards that it lacks.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/node/forwarding_state.h
+++ b/include/damaskroute/node/forwarding_state.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "damaskroute/core/asio.h"
@@ -57,6 +58,11 @@
   void OnBackoffRequested(const std::shared_ptr<Backend>& backend,
                           std::chrono::milliseconds backoff);
 
+  /// Handles a complete response to a call that was sent at `sent`, or a failed one that states a
+  /// rate limit. `rate_limit`: stated requests per second; nothing if none is stated.
+  void OnRateLimit(const std::shared_ptr<Backend>& backend, std::optional<double> rate_limit,
+                   TimePoint sent);
+
   /// Sets the zones to which no new requests are sent.
   void SetClosedZones(std::set<ZoneName> zones);
 
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -259,4 +259,10 @@
   return found == by_id_.end() ? nullptr : found->second;
 }
 
+std::size_t BackendTable::CountRateLimited() const {
+  return static_cast<std::size_t>(
+      std::count_if(by_id_.begin(), by_id_.end(),
+                    [](const auto& entry) { return entry.second->rate_limit.rate().has_value(); }));
+}
+
 }  // namespace damaskroute
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -214,6 +214,7 @@
   part.tried.push_back(backend);
   backend->call_stats.OnSent(now);
   backend->cold.OnSent(now);
+  backend->rate_limit.OnSent(now);
   auto number = static_cast<std::uint32_t>(calls_.size());
   calls_.push_back({index, backend, now, true});
   part.check_at = spec_.idempotent ? LateAt(calls_.back()) : TimePoint::max();
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -92,7 +92,8 @@
   std::string request_id;
   std::size_t sent = 0;
   int skipped_answers = 0;
-  bool leaving = false;  // Announced in a skipped or incomplete response.
+  bool leaving = false;              // Announced in a skipped response.
+  std::optional<double> rate_limit;  // Of the last skipped response that stated one.
   TimePoint deadline;
   TimePoint usable_until = TimePoint::max();  // From the server's Keep-Alive header.
   bool connecting = false;
@@ -264,6 +265,7 @@
 void BackendClient::Connection::SkipAnswer() {
   ++skipped_answers;
   leaving = leaving || reader->leaving();
+  if (reader->rate_limit()) rate_limit = reader->rate_limit();
   reader.emplace(state->options);
   if (buffer.size() > 0) return Parse({});
   Read();
@@ -320,6 +322,8 @@
   auto self = shared_from_this();  // `active_connections` may hold the last reference.
   Callback callback = std::exchange(done, nullptr);
   result.leaving = result.leaving || leaving || (reader && reader->leaving());
+  if (!result.rate_limit && reader) result.rate_limit = reader->rate_limit();
+  if (!result.rate_limit) result.rate_limit = rate_limit;
   bool closed = state->closed;
   state->Remove(self, reusable);
   if (!closed) callback(std::move(result));
@@ -366,6 +370,7 @@
   connection->deadline = Now() + request.time_left;
   connection->skipped_answers = 0;
   connection->leaving = false;
+  connection->rate_limit.reset();
   connection->reader.emplace(state.options);
   connection->done = std::move(done);
   state.Add(connection);
--- a/src/http/response_reader.cc
+++ b/src/http/response_reader.cc
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <utility>
 
+#include "absl/strings/numbers.h"
+
 namespace damaskroute::internal {
 namespace {
 
@@ -18,6 +20,13 @@
   return parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() ? value : fallback;
 }
 
+// Returns nothing for a negative or invalid rate.
+std::optional<double> ParseRate(std::string_view text) {
+  double rate = 0;
+  bool valid = absl::SimpleAtod(absl::string_view(text.data(), text.size()), &rate) && rate >= 0;
+  return valid ? std::optional(rate) : std::nullopt;
+}
+
 }  // namespace
 
 ResponseReader::ResponseReader(const BackendClientOptions& options) : options_(options) {
@@ -70,6 +79,8 @@
     result_.range = ParseKeyRange(value).value_or(KeyRange{});
   } else if (!options_.leaving_header.empty() && is_first(64, options_.leaving_header)) {
     result_.leaving = value == "1";
+  } else if (!options_.rate_limit_header.empty() && is_first(128, options_.rate_limit_header)) {
+    result_.rate_limit = ParseRate(value);
   }
 }
 
--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -23,6 +23,8 @@
 
   bool leaving() const { return result_.leaving; }
 
+  const std::optional<double>& rate_limit() const { return result_.rate_limit; }
+
   /// Whether this is an interim response (1xx), which precedes the final one.
   bool is_interim() const { return result_.status < 200; }
 
--- a/src/node/forward_call.cc
+++ b/src/node/forward_call.cc
@@ -165,11 +165,13 @@
     backoff = ParseRetryAfter(HeaderValue(result.headers, "Retry-After"));
   }
   bool leaving = result.leaving;
+  std::optional<double> rate_limit = result.rate_limit;
   CallResult call_result = ClassifyExchange(request, std::move(result), query, protocol);
   // Another server answered at the address, so the headers do not concern the server called.
   if (call_result.end == CallEnd::kMisdirected) return call_result;
   call_result.leaving = leaving;
   call_result.backoff = backoff;
+  call_result.rate_limit = rate_limit;
   return call_result;
 }
 
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -215,6 +215,9 @@
   page.Sample("", static_cast<double>(service_.active()));
   page.Family("damaskroute_forward_backends", "gauge", "Backend servers that are known.");
   page.Sample("", static_cast<double>(service_.forwarding_state().backends().size()));
+  page.Family("damaskroute_forward_rate_limited_backends", "gauge",
+              "Backend servers that state a rate limit.");
+  page.Sample("", static_cast<double>(service_.forwarding_state().backends().CountRateLimited()));
   page.Family("damaskroute_forward_routes_version", "gauge", "Version of the routes in force.");
   page.Sample("", static_cast<double>(service_.forwarding_state().routes_version()));
   page.Family("damaskroute_forward_connects_total", "counter", "Connections opened to servers.");
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -23,6 +23,7 @@
   BackendClientOptions client;
   client.request_id_header = protocol.request_id;
   client.leaving_header = protocol.leaving;
+  client.rate_limit_header = protocol.rate_limit;
   client.keep_headers = true;
   client.body_budget = std::make_shared<ByteBudget>(options.max_held_bytes);
   client.skip_mismatched_answers = true;
@@ -220,7 +221,8 @@
         auto found = exchange->calls.find(number);
         if (found == exchange->calls.end()) return;
         TimePoint ended = Now();
-        Duration latency = ended - found->second.sent;
+        TimePoint sent = found->second.sent;
+        Duration latency = ended - sent;
         // Defers the client's destruction until this callback, which the client runs, has returned.
         asio::post(loop_, [client = std::move(found->second.client)] {});
         exchange->calls.erase(found);
@@ -230,6 +232,11 @@
         if (call_result.backoff) {
           forwarding_state_.OnBackoffRequested(backend, *call_result.backoff);
         }
+        bool complete =
+            call_result.end == CallEnd::kAnswered || call_result.end == CallEnd::kServerError;
+        if (call_result.rate_limit || complete) {
+          forwarding_state_.OnRateLimit(backend, call_result.rate_limit, sent);
+        }
         if (call_result.end == CallEnd::kAnswered) {
           metrics_.call_latency.Record(latency);
         } else {
--- a/src/node/forward_service_state.cc
+++ b/src/node/forward_service_state.cc
@@ -37,6 +37,11 @@
     WriteNumber(writer, "failure_rate", call_stats.FailureRate(now));
     WriteInteger(writer, "avoided_ms",
                  call_stats.IsAvoided(now) ? Milliseconds(call_stats.avoid_until() - now) : 0);
+    if (backend->rate_limit.rate()) {
+      WriteNumber(writer, "limit_per_s", *backend->rate_limit.rate());
+      WriteInteger(writer, "calls_in_window",
+                   static_cast<std::int64_t>(backend->rate_limit.CallsInWindow(now)));
+    }
     writer.EndObject();
   }
   writer.EndArray();
--- a/src/node/forwarding_state.cc
+++ b/src/node/forwarding_state.cc
@@ -108,6 +108,23 @@
       .Field("outstanding", backend->call_stats.outstanding());
 }
 
+void ForwardingState::OnRateLimit(const std::shared_ptr<Backend>& backend,
+                                  std::optional<double> rate_limit, TimePoint sent) {
+  BackendRateLimit& limit = backend->rate_limit;
+  TimePoint now = Now();
+  std::size_t calls = limit.CallsInWindow(now);
+  bool began_or_ended = rate_limit ? limit.OnStated(*rate_limit, now) : limit.OnNotStated(sent);
+  if (!began_or_ended && !(limit.rate() && limit.IsReportDue(now))) return;
+  LogLine(LogLevel::kInfo,
+          limit.rate() ? "backend server limits its requests" : "backend server has no limit now")
+      .Field("backend", backend->entry.id)
+      .Field("service", backend->entry.service)
+      .Field("per_s", limit.rate().value_or(0))
+      .Field("nodes", nodes_)
+      .Field("calls", calls)
+      .Field("window_ms", std::chrono::milliseconds(BackendRateLimit::kWindow).count());
+}
+
 void ForwardingState::OnBackendRemoved(const BackendName& id, bool after_outage) {
   DirectoryChange change = directory_.OnRemoved(id, after_outage, Now());
   if (change == DirectoryChange::kRemoved) {
