Keep the calls to a server within the rate that it states

Cause: nodes did not act on Server-Limit. Each node alone was below the rate, so a limit per node would not have been enough either: the rate has to be divided among the nodes. Change: BackendRateLimit gives each node a fixed share, from the number of nodes that the store has, as for servers in cold start. A token bucket paces calls; a window bounds them strictly. Where shares are below one call per window, nodes take turns. Other servers are preferred; hedges leave half of the saved-up calls; a shard without calls left is left out, a request without a server refused at once with the time of the next call as Retry-After.

--- a/include/damaskroute/forward/backend_eligibility.h
+++ b/include/damaskroute/forward/backend_eligibility.h
@@ -17,6 +17,7 @@
   kNoCapacity,  ///< It shed calls at this concurrency.
   kColdLimit,   ///< In cold start, and this node's share of its limit is used up.
   kBusy,        ///< This node's share of its connections is in use.
+  kRateLimit,   ///< This node's share of the request rate that it states is used up.
   kClosedZone,
   kBackoffRequested,  ///< It requested a backoff (Retry-After).
   kDraining,          ///< Leaving, by its entry or one of its responses.
--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -33,6 +33,7 @@
   TimePoint deadline;                      ///< The caller waits no longer.
   TimePoint answer_by = TimePoint::max();  ///< A later response misses the objective.
   Duration mean_latency = std::chrono::milliseconds(20);  ///< Of the route, to all servers.
+  bool hedge = false;  ///< Whether another call of the same part is in progress.
 };
 
 /// A chosen backend server; null if none is eligible.
@@ -76,9 +77,9 @@
   /// backoff.
   bool OnBackoffRequested(Backend& backend, std::chrono::milliseconds backoff, TimePoint now);
 
-  /// Earliest end of a backoff among the servers of the service; `TimePoint::max()` if no server is
-  /// in backoff.
-  TimePoint BackoffEndOf(const ServiceName& service, TimePoint now) const;
+  /// Earliest time at which a server of the service accepts calls that it does not accept now
+  /// because of a backoff or its rate limit; `TimePoint::max()` if there is no such server.
+  TimePoint AcceptsAgainAt(const ServiceName& service, TimePoint now) const;
 
   /// Records the end of an attempt, begun at `begun`, to open a connection outside of a call.
   void OnProbed(Backend& backend, TimePoint begun, bool opened, TimePoint now);
@@ -128,6 +129,7 @@
   std::size_t CountRateLimited() const;
 
  private:
+  static bool AllowsCall(const Backend& backend, const CallTimes& times, TimePoint now);
   static bool HasTime(const Backend& backend, const CallTimes& times, TimePoint now);
   static BackendRank RankOf(const Backend& backend, BackendEligibility eligibility,
                             const CallTimes& times, TimePoint now);
@@ -136,6 +138,7 @@
   double NodeColdRate(const ServicePolicy& policy) const;
 
   const BackendTableOptions options_;
+  const std::uint64_t seed_;
   Random random_;
   std::shared_ptr<const RouteTable> routes_;
   int nodes_ = 1;
--- a/include/damaskroute/forward/call_result.h
+++ b/include/damaskroute/forward/call_result.h
@@ -36,6 +36,7 @@
   std::optional<std::chrono::milliseconds> backoff;
   /// Request rate that the server accepts from all nodes together, in requests per second.
   std::optional<double> rate_limit;
+  bool has_no_rate_limit = false;  ///< The server answered without stating a rate limit.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/forward/forward_run.h
+++ b/include/damaskroute/forward/forward_run.h
@@ -79,10 +79,9 @@
   bool RefuseIfUnservable(const std::vector<BackendChoice>& choices, TimePoint now,
                           Actions& actions);
   bool IsUnservable(const BackendChoice& choice) const;
-  CallTimes Times() const;
   std::chrono::milliseconds RetryAfter(TimePoint now) const;
-  TimePoint RequiredBackoffsEndAt(TimePoint now) const;
-  BackendChoice Choose(std::uint32_t part, TimePoint now) const;
+  TimePoint EnoughAcceptAgainAt(TimePoint now) const;
+  BackendChoice Choose(std::uint32_t part, CallKind kind, TimePoint now) const;
   bool Send(std::uint32_t part, CallKind kind, BackendChoice choice, TimePoint now,
             Actions& actions);
   void SendTo(std::uint32_t part, std::shared_ptr<Backend> backend, TimePoint now,
--- a/include/damaskroute/node/forwarding_state.h
+++ b/include/damaskroute/node/forwarding_state.h
@@ -58,8 +58,8 @@
   void OnBackoffRequested(const std::shared_ptr<Backend>& backend,
                           std::chrono::milliseconds backoff);
 
-  /// Handles a complete response to a call that was sent at `sent`, or a failed one that states a
-  /// rate limit. `rate_limit`: stated requests per second; nothing if none is stated.
+  /// Handles a response to a call that was sent at `sent`. `rate_limit`: the request rate that it
+  /// states, in requests per second; nothing if the server has no limit.
   void OnRateLimit(const std::shared_ptr<Backend>& backend, std::optional<double> rate_limit,
                    TimePoint sent);
 
--- a/src/forward/backend_eligibility.cc
+++ b/src/forward/backend_eligibility.cc
@@ -20,6 +20,8 @@
       return "no: it is cold and at its call limit";
     case BackendEligibility::kBusy:
       return "no: its connections are in use";
+    case BackendEligibility::kRateLimit:
+      return "no: this node's share of its rate limit is used up";
     case BackendEligibility::kClosedZone:
       return "no: its zone is closed";
     case BackendEligibility::kBackoffRequested:
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -6,6 +6,8 @@
 #include <optional>
 #include <utility>
 
+#include "damaskroute/core/hash.h"
+
 namespace damaskroute {
 namespace {
 
@@ -15,6 +17,10 @@
 // Cost in seconds that places an avoided server behind all others of its rank.
 constexpr double kAvoidedCostSeconds = 1;
 
+// Factor of the cost of a server that states a rate limit, so that calls prefer other servers while
+// these are not busy.
+constexpr double kRateLimitedCostFactor = 2;
+
 // Relative random spread of the cost, so that nodes with the same view do not all choose the same
 // server. Smaller than the cost of another zone.
 constexpr double kCostSpread = 0.05;
@@ -43,12 +49,15 @@
                                               backend.call_stats.Slowness(now));
 }
 
+// Maps a hash to [0, 1).
+double Fraction(std::uint64_t hash) { return static_cast<double>(hash >> 11) * 0x1.0p-53; }
+
 double Seconds(Duration span) { return std::chrono::duration<double>(span).count(); }
 
 }  // namespace
 
 BackendTable::BackendTable(BackendTableOptions options, std::uint64_t seed)
-    : options_(std::move(options)), random_(seed) {}
+    : options_(std::move(options)), seed_(seed), random_(seed) {}
 
 void BackendTable::Put(const BackendEntry& entry, TimePoint now) {
   auto found = by_id_.find(entry.id);
@@ -59,6 +68,7 @@
   std::shared_ptr<Backend> backend;
   if (found == by_id_.end()) {
     backend = std::make_shared<Backend>();
+    backend->rate_limit = BackendRateLimit(Fraction(Hash64(entry.id, seed_)));
     by_id_.emplace(entry.id, backend);
     by_service_[entry.service].push_back(backend);
   } else {
@@ -95,6 +105,7 @@
 }
 
 void BackendTable::ApplyPolicy(Backend& backend) const {
+  backend.rate_limit.SetNodes(nodes_);
   if (!routes_) return;
   const ServicePolicy& policy = routes_->Policy(backend.entry.service);
   backend.cold.SetRate(NodeColdRate(policy));
@@ -112,6 +123,7 @@
   if (now < backend.backoff_until) return BackendEligibility::kBackoffRequested;
   if (call_stats.outstanding() >= backend.max_outstanding) return BackendEligibility::kBusy;
   if (!backend.cold.Allows(now)) return BackendEligibility::kColdLimit;
+  if (!backend.rate_limit.Allows(now)) return BackendEligibility::kRateLimit;
   if (!call_stats.HasCapacity()) return BackendEligibility::kNoCapacity;
   if (call_stats.IsUnreachable(now) || IsZoneUnreachable(backend.entry.zone, now)) {
     return BackendEligibility::kUnreachable;
@@ -121,6 +133,10 @@
   return backend.cold.IsCold(now) ? BackendEligibility::kCold : BackendEligibility::kGood;
 }
 
+bool BackendTable::AllowsCall(const Backend& backend, const CallTimes& times, TimePoint now) {
+  return (!times.hedge || backend.rate_limit.AllowsHedge(now)) && HasTime(backend, times, now);
+}
+
 // Whether another call can end before the deadline, behind those that wait for the server.
 bool BackendTable::HasTime(const Backend& backend, const CallTimes& times, TimePoint now) {
   int waiting = backend.call_stats.outstanding() / std::max(backend.entry.slots, 1);
@@ -144,6 +160,7 @@
   if (backend.entry.zone != options_.local_zone) {
     cost += cost * kZoneCostFraction + Seconds(options_.zone_cost);
   }
+  if (backend.rate_limit.rate()) cost *= kRateLimitedCostFactor;
   if (call_stats.IsAvoided(now)) cost += kAvoidedCostSeconds;
   return cost;
 }
@@ -156,7 +173,7 @@
   for (const auto& server : ServersOf(service)) {
     if (Contains(tried, server.get())) continue;
     BackendEligibility eligibility = EligibilityOf(*server, now);
-    if (!IsEligible(eligibility) || !HasTime(*server, times, now)) continue;
+    if (!IsEligible(eligibility) || !AllowsCall(*server, times, now)) continue;
     BackendRank rank = RankOf(*server, eligibility, times, now);
     double cost = CostOf(*server, times, now);
     if (!best.backend || rank < best.rank || (rank == best.rank && cost < best_cost)) {
@@ -185,11 +202,14 @@
   return !had_backoff && now < backend.backoff_until;
 }
 
-TimePoint BackendTable::BackoffEndOf(const ServiceName& service, TimePoint now) const {
+TimePoint BackendTable::AcceptsAgainAt(const ServiceName& service, TimePoint now) const {
   TimePoint first = TimePoint::max();
   for (const auto& server : ServersOf(service)) {
-    if (EligibilityOf(*server, now) == BackendEligibility::kBackoffRequested) {
+    BackendEligibility eligibility = EligibilityOf(*server, now);
+    if (eligibility == BackendEligibility::kBackoffRequested) {
       first = std::min(first, server->backoff_until);
+    } else if (eligibility == BackendEligibility::kRateLimit) {
+      first = std::min(first, server->rate_limit.AllowedAt(now));
     }
   }
   return first;
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -64,7 +64,9 @@
   }
   std::vector<BackendChoice> choices;
   choices.reserve(parts_.size());
-  for (std::uint32_t i = 0; i < parts_.size(); ++i) choices.push_back(Choose(i, now));
+  for (std::uint32_t i = 0; i < parts_.size(); ++i) {
+    choices.push_back(Choose(i, CallKind::kFirst, now));
+  }
   if (RefuseIfUnservable(choices, now, actions)) return actions;
   calls_.reserve(parts_.size() + 4);
   for (std::uint32_t i = 0; i < parts_.size(); ++i) {
@@ -102,41 +104,41 @@
   return spec_.query && choice.rank >= BackendRank::kUnreachable;
 }
 
-CallTimes ForwardRun::Times() const {
-  return {spec_.deadline, spec_.answer_by, context_.latency.mean()};
-}
-
-BackendChoice ForwardRun::Choose(std::uint32_t index, TimePoint now) const {
-  return context_.backends.Choose(spec_.services[index], parts_[index].tried, Times(), now);
+BackendChoice ForwardRun::Choose(std::uint32_t index, CallKind kind, TimePoint now) const {
+  CallTimes times{.deadline = spec_.deadline,
+                  .answer_by = spec_.answer_by,
+                  .mean_latency = context_.latency.mean(),
+                  .hedge = kind == CallKind::kHedge};
+  return context_.backends.Choose(spec_.services[index], parts_[index].tried, times, now);
 }
 
 // Faults that leave a request without servers mostly last seconds, so the caller should retry as
-// late as it can, with time left for one more attempt. If servers have requested a backoff, the
-// time at which enough of them accept requests is known.
+// late as it can, with time left for one more attempt. If servers have requested a backoff or limit
+// their requests, the time at which enough of them accept requests is known.
 std::chrono::milliseconds ForwardRun::RetryAfter(TimePoint now) const {
   using std::chrono::milliseconds;
   auto remaining = std::chrono::duration_cast<milliseconds>(spec_.deadline - now);
   auto default_delay = std::clamp(remaining * 3 / 10, kMinRetryAfter, kMaxRetryAfter);
-  TimePoint backoff_ends = RequiredBackoffsEndAt(now);
-  if (backoff_ends == TimePoint::max()) return default_delay;
-  return std::max(std::chrono::ceil<milliseconds>(backoff_ends - now), kMinRetryAfter);
+  TimePoint accepts_at = EnoughAcceptAgainAt(now);
+  if (accepts_at == TimePoint::max()) return default_delay;
+  return std::max(std::chrono::ceil<milliseconds>(accepts_at - now), kMinRetryAfter);
 }
 
-// Time at which enough backoffs have ended for an answer with the minimum number of parts;
+// Time at which enough servers accept calls again for an answer with the minimum number of parts;
 // `TimePoint::max()` if there are enough parts without them or too few with them.
-TimePoint ForwardRun::RequiredBackoffsEndAt(TimePoint now) const {
-  std::vector<TimePoint> backoff_ends;
+TimePoint ForwardRun::EnoughAcceptAgainAt(TimePoint now) const {
+  std::vector<TimePoint> accepted_at;
   for (std::size_t i = 0; i < parts_.size(); ++i) {
     if (parts_[i].state != PartState::kFailed) continue;
-    TimePoint at = context_.backends.BackoffEndOf(spec_.services[i], now);
-    if (at != TimePoint::max()) backoff_ends.push_back(at);
+    TimePoint at = context_.backends.AcceptsAgainAt(spec_.services[i], now);
+    if (at != TimePoint::max()) accepted_at.push_back(at);
   }
   std::size_t available = parts_.size() - failed_;
-  if (available >= spec_.min_parts || available + backoff_ends.size() < spec_.min_parts) {
+  if (available >= spec_.min_parts || available + accepted_at.size() < spec_.min_parts) {
     return TimePoint::max();
   }
-  auto last = backoff_ends.begin() + static_cast<std::ptrdiff_t>(spec_.min_parts - available - 1);
-  std::nth_element(backoff_ends.begin(), last, backoff_ends.end());
+  auto last = accepted_at.begin() + static_cast<std::ptrdiff_t>(spec_.min_parts - available - 1);
+  std::nth_element(accepted_at.begin(), last, accepted_at.end());
   return *last;
 }
 
@@ -176,7 +178,9 @@
   Part& part = parts_[index];
   bool may_retry = spec_.idempotent || !MayHaveRun(result.end);
   if (result.end == CallEnd::kServerError) part.result = std::move(result);
-  if (may_retry && Send(index, CallKind::kRetry, Choose(index, now), now, actions)) return;
+  if (may_retry &&
+      Send(index, CallKind::kRetry, Choose(index, CallKind::kRetry, now), now, actions))
+    return;
   if (part.open_calls > 0) return;
   part.state = PartState::kFailed;
   ++failed_;
@@ -277,7 +281,7 @@
     part.check_at = late_at;
     return;
   }
-  if (Send(index, CallKind::kHedge, Choose(index, now), now, actions)) return;
+  if (Send(index, CallKind::kHedge, Choose(index, CallKind::kHedge, now), now, actions)) return;
   // Other servers may recover, and the budget refills.
   part.check_at = now + kHedgeCheckInterval;
 }
--- a/src/node/forward_call.cc
+++ b/src/node/forward_call.cc
@@ -166,12 +166,15 @@
   }
   bool leaving = result.leaving;
   std::optional<double> rate_limit = result.rate_limit;
+  bool states_no_rate = !rate_limit && FindHeader(result.headers, protocol.rate_limit) == nullptr;
   CallResult call_result = ClassifyExchange(request, std::move(result), query, protocol);
   // Another server answered at the address, so the headers do not concern the server called.
   if (call_result.end == CallEnd::kMisdirected) return call_result;
   call_result.leaving = leaving;
   call_result.backoff = backoff;
   call_result.rate_limit = rate_limit;
+  bool ran = call_result.end == CallEnd::kAnswered || call_result.end == CallEnd::kServerError;
+  call_result.has_no_rate_limit = ran && states_no_rate;
   return call_result;
 }
 
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -232,9 +232,7 @@
         if (call_result.backoff) {
           forwarding_state_.OnBackoffRequested(backend, *call_result.backoff);
         }
-        bool complete =
-            call_result.end == CallEnd::kAnswered || call_result.end == CallEnd::kServerError;
-        if (call_result.rate_limit || complete) {
+        if (call_result.rate_limit || call_result.has_no_rate_limit) {
           forwarding_state_.OnRateLimit(backend, call_result.rate_limit, sent);
         }
         if (call_result.end == CallEnd::kAnswered) {
