Retain a server's backoff and rate limit while its entry is gone

A backoff and a rate limit were in the object that represents the entry; when it expired and returned, the node sent requests again at once. Change: ReportingServers retains every server that reported something, until its next incarnation, and replaces LeavingServers; a report that arrives after the entry returned reaches the current object. Evidence: the new case of server_rate_limit_test failed before (no limit after the return; 2 requests instead of 1 within a backoff of an hour) and passes. The bound on the number of servers that are retained is tested as before, on the new class.

--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -15,6 +15,7 @@
 #include "damaskroute/forward/backend.h"
 #include "damaskroute/forward/backend_eligibility.h"
 #include "damaskroute/forward/backend_table_options.h"
+#include "damaskroute/forward/reporting_servers.h"
 #include "damaskroute/forward/zone_reachability.h"
 #include "damaskroute/routing/route_table.h"
 
@@ -73,6 +74,14 @@
   void OnCallEnded(Backend& backend, TimePoint sent, CallObservation observation,
                    Duration mean_latency, TimePoint now);
 
+  /// The server that was called, as it is known now: after its entry has expired and returned,
+  /// another object may represent it.
+  std::shared_ptr<Backend> Current(const std::shared_ptr<Backend>& called) const;
+
+  /// Same as `Current`, and retains what the server reports of itself (`leaving`, `rate_limit`,
+  /// `backoff_until`) until its next incarnation, whatever happens to its entry.
+  std::shared_ptr<Backend> RetainReport(const std::shared_ptr<Backend>& called);
+
   /// Records a backoff that the server requested (Retry-After). Returns whether this begins a
   /// backoff.
   bool OnBackoffRequested(Backend& backend, std::chrono::milliseconds backoff, TimePoint now);
@@ -129,6 +138,7 @@
   std::size_t CountRateLimited() const;
 
  private:
+  std::shared_ptr<Backend> MakeBackend(const BackendEntry& entry) const;
   static bool AllowsCall(const Backend& backend, const CallTimes& times, TimePoint now);
   static bool HasTime(const Backend& backend, const CallTimes& times, TimePoint now);
   static BackendRank RankOf(const Backend& backend, BackendEligibility eligibility,
@@ -144,6 +154,7 @@
   int nodes_ = 1;
   std::set<ZoneName> closed_zones_;
   ZoneReachability zone_reachability_;
+  ReportingServers reporting_;
   std::map<BackendName, std::shared_ptr<Backend>> by_id_;
   std::map<ServiceName, std::vector<std::shared_ptr<Backend>>> by_service_;
 };
--- a/include/damaskroute/node/forwarding_state.h
+++ b/include/damaskroute/node/forwarding_state.h
@@ -16,7 +16,6 @@
 #include "damaskroute/node/backend_pool.h"
 #include "damaskroute/node/reachability_prober.h"
 #include "damaskroute/routing/backend_directory.h"
-#include "damaskroute/routing/leaving_servers.h"
 #include "damaskroute/routing/route_table.h"
 
 namespace damaskroute {
@@ -52,15 +51,15 @@
 
   /// Handles a response in which the server reports that it is leaving. The server counts as
   /// leaving until its next incarnation, whatever its entry says.
-  void OnLeaving(const std::shared_ptr<Backend>& backend);
+  void OnLeaving(const std::shared_ptr<Backend>& called);
 
   /// Handles a rejected request for which the server sent a backoff time (Retry-After).
-  void OnBackoffRequested(const std::shared_ptr<Backend>& backend,
+  void OnBackoffRequested(const std::shared_ptr<Backend>& called,
                           std::chrono::milliseconds backoff);
 
   /// Handles a response to a call that was sent at `sent`. `rate_limit`: the request rate that it
   /// states, in requests per second; nothing if the server has no limit.
-  void OnRateLimit(const std::shared_ptr<Backend>& backend, std::optional<double> rate_limit,
+  void OnRateLimit(const std::shared_ptr<Backend>& called, std::optional<double> rate_limit,
                    TimePoint sent);
 
   /// Sets the zones to which no new requests are sent.
@@ -107,7 +106,6 @@
   ReachabilityProber prober_;
   asio::steady_timer expiry_timer_;
   std::set<ZoneName> logged_unreachable_zones_;
-  LeavingServers leaving_;
   LogLevel entry_level_ = LogLevel::kInfo;  // Level of messages about single entries.
   EntryCounts entry_counts_;                // Changes since `BeginBatch`.
   // When a service last lost the entry of a server that was not draining.
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -67,8 +67,7 @@
   }
   std::shared_ptr<Backend> backend;
   if (found == by_id_.end()) {
-    backend = std::make_shared<Backend>();
-    backend->rate_limit = BackendRateLimit(Fraction(Hash64(entry.id, seed_)));
+    backend = MakeBackend(entry);
     by_id_.emplace(entry.id, backend);
     by_service_[entry.service].push_back(backend);
   } else {
@@ -81,6 +80,17 @@
   if (entry.warmup_left.count() > 0) backend->cold.SetCold(now + entry.warmup_left);
 }
 
+std::shared_ptr<Backend> BackendTable::MakeBackend(const BackendEntry& entry) const {
+  if (auto backend = reporting_.Find(entry.id, entry.incarnation)) {
+    backend->gone = false;
+    backend->call_stats = BackendCallStats();
+    return backend;
+  }
+  auto backend = std::make_shared<Backend>();
+  backend->rate_limit = BackendRateLimit(Fraction(Hash64(entry.id, seed_)));
+  return backend;
+}
+
 void BackendTable::Remove(const BackendName& id) {
   auto found = by_id_.find(id);
   if (found == by_id_.end()) return;
@@ -195,6 +205,19 @@
   }
 }
 
+std::shared_ptr<Backend> BackendTable::Current(const std::shared_ptr<Backend>& called) const {
+  auto known = Find(called->entry.id);
+  return known && known->entry.incarnation == called->entry.incarnation ? known : called;
+}
+
+std::shared_ptr<Backend> BackendTable::RetainReport(const std::shared_ptr<Backend>& called) {
+  auto current = Current(called);
+  auto known = Find(called->entry.id);
+  bool replaced = known && known != current;
+  if (!replaced) reporting_.Add(current);
+  return current;
+}
+
 bool BackendTable::OnBackoffRequested(Backend& backend, std::chrono::milliseconds backoff,
                                       TimePoint now) {
   bool had_backoff = now < backend.backoff_until;
--- a/src/node/forwarding_state.cc
+++ b/src/node/forwarding_state.cc
@@ -75,7 +75,6 @@
     RemoveBackend(entry.id, "replaced by a new incarnation");
   }
   backends_.Put(entry, Now());
-  backends_.Find(entry.id)->leaving = leaving_.Contains(entry.id, entry.incarnation);
   LogLine(entry_level_, "backend server known")
       .Field("backend", entry.id)
       .Field("service", entry.service)
@@ -87,10 +86,10 @@
       .Field("new", change == DirectoryChange::kUpdated ? "no" : "yes");
 }
 
-void ForwardingState::OnLeaving(const std::shared_ptr<Backend>& backend) {
+void ForwardingState::OnLeaving(const std::shared_ptr<Backend>& called) {
+  auto backend = backends_.RetainReport(called);
   if (backend->leaving) return;
   backend->leaving = true;
-  leaving_.Add(backend->entry.id, backend->entry.incarnation);
   LogLine(LogLevel::kInfo, "backend server leaves")
       .Field("backend", backend->entry.id)
       .Field("service", backend->entry.service)
@@ -98,8 +97,9 @@
       .Field("outstanding", backend->call_stats.outstanding());
 }
 
-void ForwardingState::OnBackoffRequested(const std::shared_ptr<Backend>& backend,
+void ForwardingState::OnBackoffRequested(const std::shared_ptr<Backend>& called,
                                          std::chrono::milliseconds backoff) {
+  auto backend = backends_.RetainReport(called);
   if (!backends_.OnBackoffRequested(*backend, backoff, Now())) return;
   LogLine(LogLevel::kInfo, "backend server asks for a pause")
       .Field("backend", backend->entry.id)
@@ -108,8 +108,11 @@
       .Field("outstanding", backend->call_stats.outstanding());
 }
 
-void ForwardingState::OnRateLimit(const std::shared_ptr<Backend>& backend,
+void ForwardingState::OnRateLimit(const std::shared_ptr<Backend>& called,
                                   std::optional<double> rate_limit, TimePoint sent) {
+  bool unchanged = !rate_limit && !called->gone && !called->rate_limit.rate();
+  if (unchanged) return;  // The common case, which needs no search.
+  auto backend = rate_limit ? backends_.RetainReport(called) : backends_.Current(called);
   BackendRateLimit& limit = backend->rate_limit;
   TimePoint now = Now();
   std::size_t calls = limit.CallsInWindow(now);
--- a/tests/backend_rate_limit_test.cc
+++ b/tests/backend_rate_limit_test.cc
@@ -51,9 +51,9 @@
   std::size_t most_in_window() const { return most_; }
 
   std::size_t allowed_in_window() const {
-    return static_cast<std::size_t>(
-        BackendRateLimit::kOvershoot * rate_ * BackendRateLimit::kWindow.count() +
-        BackendRateLimit::kSlack);
+    return static_cast<std::size_t>(BackendRateLimit::kOvershoot * rate_ *
+                                        BackendRateLimit::kWindow.count() +
+                                    BackendRateLimit::kSlack);
   }
 
  private:
--- a/tests/leaving_and_backoff_test.cc
+++ b/tests/leaving_and_backoff_test.cc
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
+#include "damaskroute/forward/reporting_servers.h"
 #include "damaskroute/node/forward_call.h"
-#include "damaskroute/routing/leaving_servers.h"
 #include "fmt/format.h"
 #include "tests/support/forward_fixture.h"
 #include "tests/support/platform_fixture.h"
@@ -75,15 +75,42 @@
   CHECK(leaving.runs().size() == 1);
 }
 
-TEST_CASE("the number of servers recorded as leaving is bounded") {
-  LeavingServers servers;
-  for (std::size_t i = 0; i < LeavingServers::kMaxServers + 10; ++i) {
-    servers.Add(fmt::format("{}", i), 7);
+TEST_CASE("the number of servers whose reports are retained is bounded") {
+  ReportingServers servers;
+  for (std::size_t i = 0; i < ReportingServers::kMaxServers + 10; ++i) {
+    auto backend = std::make_shared<Backend>();
+    backend->entry.id = fmt::format("{}", i);
+    backend->entry.incarnation = 7;
+    servers.Add(backend);
   }
-  CHECK(servers.size() == LeavingServers::kMaxServers);
-  CHECK_FALSE(servers.Contains("0", 7));
-  CHECK(servers.Contains("100", 7));
-  CHECK_FALSE(servers.Contains("100", 8));
+  CHECK(servers.size() == ReportingServers::kMaxServers);
+  CHECK_FALSE(servers.Find("0", 7));
+  CHECK(servers.Find("100", 7));
+  CHECK_FALSE(servers.Find("100", 8));
+}
+
+// The report is in the response to a call that began before the entry expired.
+TEST_CASE("a report that comes after the server's entry expired and returned counts") {
+  ForwardFixture w(1);
+  auto called = w.table.Find("s0a");
+  w.table.Remove("s0a");
+  w.AddServer(0, "a");
+  REQUIRE(w.table.Find("s0a") != called);
+  CHECK(w.table.RetainReport(called) == w.table.Find("s0a"));
+}
+
+TEST_CASE("a report of an earlier incarnation does not concern the server that replaced it") {
+  ForwardFixture w(1);
+  auto called = w.table.Find("s0a");
+  w.table.Remove("s0a");
+  BackendEntry next = ForwardFixture::Entry(0, "a");
+  next.incarnation = called->entry.incarnation + 1;
+  w.table.Put(next, w.clock.Now());
+  w.table.RetainReport(called)->leaving = true;
+  CHECK_FALSE(w.table.Find("s0a")->leaving);
+  w.table.Remove("s0a");
+  w.table.Put(next, w.clock.Now());
+  CHECK_FALSE(w.table.Find("s0a")->leaving);
 }
 
 TEST_CASE("a server that requested a backoff gets no requests while others can serve them") {
--- a/tests/server_rate_limit_test.cc
+++ b/tests/server_rate_limit_test.cc
@@ -129,5 +129,33 @@
   CHECK(HasRateLimit(w, "i-1"));
 }
 
+// The entry expires while the store is down or the server cannot reach it, and comes back.
+TEST_CASE("a rate limit and a backoff outlast the server's entry") {
+  PlatformFixture w;
+  auto& server = w.AddServer("i-1", "desk");
+  auto& busy = w.AddServer("i-2", "busy");
+  REQUIRE(w.StartServing(2));
+  server.SetRateLimit("0.5");
+  busy.SetMode(ServerMode::kBackoff);
+  busy.SetRetryAfter("3600");
+  w.store.Write(platform::kConfigKey, PlatformFixture::Config(2, 0.6, "busy", "busy"));
+  REQUIRE(PlatformFixture::Await([&] { return w.RoutesVersion() == 2; }));
+  CHECK(w.Get("/one/x").status == 200);
+  CHECK(w.Get("/busy/x").status == 503);
+  CHECK(busy.backoff_responses() == 1);
+  for (const char* id : {"i-1", "i-2"}) w.store.Remove(platform::kServerPrefix + std::string(id));
+  REQUIRE(w.AwaitServers(0));
+  w.store.Write(std::string(platform::kServerPrefix) + "i-1", server.Entry("desk", "a"));
+  w.store.Write(std::string(platform::kServerPrefix) + "i-2", busy.Entry("busy", "a"));
+  REQUIRE(w.AwaitServers(2));
+  CHECK(HasRateLimit(w, "i-1"));
+  for (int i = 0; i < 30; ++i) {
+    w.Get("/one/x", fmt::format("id-{}", i));
+    CHECK(w.Get("/busy/x", fmt::format("id-2{}", i)).status == 503);
+  }
+  CHECK(MaxWithinWindow(server.arrivals()) <= MaxAllowed(0.5));
+  CHECK(busy.backoff_responses() == 1);
+}
+
 }  // namespace
 }  // namespace damaskroute
--- a/tests/support/platform_fixture.h
+++ b/tests/support/platform_fixture.h
@@ -36,7 +36,8 @@
   ~PlatformFixture() { StopNode(); }
 
   static std::string Config(int version, double min_coverage = 0.6,
-                            const std::string& extra_route = "") {
+                            const std::string& extra_route = "",
+                            const std::string& extra_service = "desk") {
     auto route = [](const std::string& prefix, const std::string& rest) {
       return fmt::format(
           R"({{"name":"r{}","host":"desk.example","prefix":"/{}/","timeoutMs":1500,"maxAttempts":2,)"
@@ -50,7 +51,8 @@
                                  R"("minCoverage":{},"targetLatencyMs":300)",
                                  min_coverage));
     if (!extra_route.empty()) {
-      routes += "," + route(extra_route, R"("type":"idempotent","service":"desk")");
+      routes += "," + route(extra_route,
+                            fmt::format(R"("type":"idempotent","service":"{}")", extra_service));
     }
     return fmt::format(
         R"({{"version":{},"routes":[{}],"services":[{{"name":"desk","maxConnections":64}}],)"
