--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Runs the fault soak for a range of seeds: scripts/soak.sh FIRST LAST [SECONDS] [PROCESSES]
+# Runs the fault soak for a range of seeds: scripts/soak.sh FIRST LAST [SECONDS] [PROCESSES] [NODES]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 first=${1:?first seed}
@@ -8,7 +8,8 @@
 dir=$(mktemp -d)
 run_seed() {
   mkdir -p "$2"
-  if build/release/damask_soak --folder="$2/$1" --seed="$1" --seconds="$3" >"$2/$1.out" 2>&1; then
+  if build/release/damask_soak --folder="$2/$1" --seed="$1" --seconds="$3" --nodes="$4" \
+    >"$2/$1.out" 2>&1; then
     rm -rf "${2:?}/$1"
   else
     echo "seed $1 failed, logs in $2/$1:"
@@ -16,5 +17,5 @@
   fi
 }
 export -f run_seed
-seq "$first" "$last" | xargs -P "${4:-4}" -I{} bash -c 'run_seed "$@"' _ {} "$dir" "$seconds"
+seq "$first" "$last" | xargs -P "${4:-4}" -I{} bash -c 'run_seed "$@"' _ {} "$dir" "$seconds" "${5:-8}"
 echo "seeds $first to $last: $(grep -l ' 0 promises broken' "$dir"/*.out | wc -l) green"
--- a/tests/server_rate_limit_test.cc
+++ b/tests/server_rate_limit_test.cc
@@ -17,10 +17,12 @@
 constexpr seconds kWindow{4};
 
 // Greatest number of arrivals within any window.
-std::size_t MaxWithinWindow(const std::vector<TimePoint>& arrivals) {
+std::size_t MaxWithinWindow(const std::vector<platform::ArrivedRequest>& arrivals) {
   std::size_t most = 0;
   for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-    auto last = std::lower_bound(first, arrivals.end(), *first + kWindow);
+    auto last = std::find_if(first, arrivals.end(), [&](const auto& request) {
+      return request.at >= first->at + kWindow;
+    });
     most = std::max(most, static_cast<std::size_t>(last - first));
   }
   return most;
