Give calls to a limited server to some nodes of a large fleet, not turns to all

Cause: where shares are below one call per window, all nodes took turns, whose random order used a third of the rate or less. Change: half of what is allowed goes to the first nodes in an order that differs by server (rendezvous hashing of the names in the store), one call per window each; the others keep turns, from which they learn that the limit has ended. A refusal for a used-up share sends the caller back after 200 ms at most, as its retry reaches another node. The log repeats a limit each 20 s instead of each 4 s.

--- a/include/damaskroute/forward/backend_rate_limit.h
+++ b/include/damaskroute/forward/backend_rate_limit.h
@@ -15,12 +15,14 @@
 /// `kOvershoot` times the stated rate plus `kSlack` requests. Each node uses a fixed share of this,
 /// so the sum stays within it without coordination between nodes.
 ///
-/// A node whose share is at least one call per window takes calls from a token bucket, and no more
-/// than its share in any window. With a smaller share the node has turns of one window each, at
-/// intervals at which the nodes' turns hardly overlap, and may send one call in each turn.
+/// A node takes calls from a token bucket, and no more than its share in any window. If there are
+/// too many nodes for one call per window each, only the first ones, in an order that differs by
+/// server, have such a share. The others have turns of one window each, at intervals at which the
+/// turns of different nodes hardly overlap, and may send one call in each turn.
 class BackendRateLimit {
  public:
   static constexpr std::chrono::seconds kWindow{4};
+  static constexpr std::chrono::seconds kReportInterval{20};
   static constexpr double kOvershoot = 1.5;
   static constexpr double kSlack = 5;
 
@@ -31,6 +33,9 @@
   /// Sets the number of nodes that share the limit.
   void SetNodes(int nodes) { nodes_ = std::max(nodes, 1); }
 
+  /// Sets the number of nodes that precede this one in the server's order of the nodes.
+  void SetPosition(int position) { position_ = position; }
+
   /// Records a response that states `rate`, in requests per second. Returns whether this begins a
   /// limit.
   bool OnStated(double rate, TimePoint now);
@@ -59,21 +64,24 @@
   /// Calls within the last `kWindow` while the limit was in effect.
   std::size_t CallsInWindow(TimePoint now) const;
 
-  /// Whether an existing limit is to be logged again; true at most once in `kWindow`.
+  /// Whether an existing limit is to be logged again; true at most once in `kReportInterval`.
   bool IsReportDue(TimePoint now);
 
  private:
-  double MaxCallsInWindow() const;  // Of all nodes.
-  double CallsPerWindow() const;    // This node's share.
+  double MaxCallsInWindow() const;     // Of all nodes.
+  std::size_t CallsPerWindow() const;  // This node's share.
   double TokensPerSecond() const;
   double MaxTokens() const;
   double TokensAt(TimePoint now) const;
   TimePoint NextTokenAt(TimePoint now) const;
+  std::size_t FirstNodes() const;
+  TimePoint NextInWindowAt(std::size_t max_calls, TimePoint now) const;
   TimePoint NextTurnAt(TimePoint now) const;
   void SettleTokens(TimePoint now);
 
   double phase_;
   int nodes_ = 1;
+  int position_ = 0;
   std::optional<double> rate_;
   TimePoint stated_at_;
   TimePoint next_report_;
--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -64,6 +64,9 @@
   /// Installs the policies of the services. `nodes`: number of nodes that share the limits.
   void SetPolicies(std::shared_ptr<const RouteTable> routes, int nodes);
 
+  /// Sets the names of the nodes that share the limits, which order them for each server.
+  void SetNodeNames(std::vector<NodeName> names);
+
   /// Selects a server for a call that is not among `tried`.
   BackendChoice Choose(const ServiceName& service,
                        const std::vector<std::shared_ptr<Backend>>& tried, const CallTimes& times,
@@ -82,12 +85,16 @@
   /// `backoff_until`) until its next incarnation, whatever happens to its entry.
   std::shared_ptr<Backend> RetainReport(const std::shared_ptr<Backend>& called);
 
+  /// Records a response that states a rate limit. Returns whether this begins a limit.
+  bool OnRateStated(Backend& backend, double rate, TimePoint now);
+
   /// Records a backoff that the server requested (Retry-After). Returns whether this begins a
   /// backoff.
   bool OnBackoffRequested(Backend& backend, std::chrono::milliseconds backoff, TimePoint now);
 
   /// Earliest time at which a server of the service accepts calls that it does not accept now
-  /// because of a backoff or its rate limit; `TimePoint::max()` if there is no such server.
+  /// because of a backoff or its rate limit; `TimePoint::max()` if there is no such server. In the
+  /// latter case at most a short time from now, after which another node may serve the request.
   TimePoint AcceptsAgainAt(const ServiceName& service, TimePoint now) const;
 
   /// Records the end of an attempt, begun at `begun`, to open a connection outside of a call.
@@ -145,6 +152,7 @@
                             const CallTimes& times, TimePoint now);
   double CostOf(const Backend& backend, const CallTimes& times, TimePoint now);
   void ApplyPolicy(Backend& backend) const;
+  int PositionFor(const Backend& backend) const;
   double NodeColdRate(const ServicePolicy& policy) const;
 
   const BackendTableOptions options_;
@@ -152,6 +160,7 @@
   Random random_;
   std::shared_ptr<const RouteTable> routes_;
   int nodes_ = 1;
+  std::vector<NodeName> node_names_;
   std::set<ZoneName> closed_zones_;
   ZoneReachability zone_reachability_;
   ReportingServers reporting_;
--- a/include/damaskroute/forward/backend_table_options.h
+++ b/include/damaskroute/forward/backend_table_options.h
@@ -9,6 +9,7 @@
 
 /// Settings of a `BackendTable`.
 struct BackendTableOptions {
+  NodeName local_node;
   ZoneName local_zone;
   /// Latency that a call to another zone must save to justify its traffic: twice the one-way delay
   /// between zones.
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -124,11 +124,17 @@
     }
     forwarding_state.EndBatch();
     forward_server_.SetClosedZones(closed_zones_);
-    forward_server_.SetNodes(nodes_.Count(Now()));
+    ApplyNodes();
     if (!items.empty()) UpdateRelays();
     feed_.SetEager(forwarding_state.ExpectsReturningServers(Now()));
   }
 
+  void ApplyNodes() {
+    TimePoint now = Now();
+    forward_server_.SetNodes(nodes_.Count(now));
+    forward_server_.service().forwarding_state().SetNodeNames(nodes_.Counted(now));
+  }
+
   void UpdateRelays() {
     auto relays = ChooseRelays(node_, zone_, node_records_);
     if (relays == feed_.relays()) return;
@@ -207,7 +213,7 @@
     ReplaceClosedZones(std::move(zones));
     nodes_.RetainOnly(nodes, Now());
     std::erase_if(node_records_, [&](const auto& entry) { return !nodes.contains(entry.first); });
-    forward_server_.SetNodes(nodes_.Count(Now()));
+    ApplyNodes();
     UpdateRelays();
   }
 
--- a/include/damaskroute/node/forwarding_state.h
+++ b/include/damaskroute/node/forwarding_state.h
@@ -8,6 +8,8 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
+#include <vector>
 
 #include "damaskroute/core/asio.h"
 #include "damaskroute/forward/backend_table.h"
@@ -71,6 +73,9 @@
   /// Sets the number of nodes that share the limits of backend servers.
   void SetNodes(int nodes);
 
+  /// Sets the names of these nodes.
+  void SetNodeNames(std::vector<NodeName> names) { backends_.SetNodeNames(std::move(names)); }
+
   /// Whether a service has at most one server left while others may return soon: their zone is
   /// closed, they are unreachable, or their entries expired recently.
   bool ExpectsReturningServers(TimePoint now) const;
--- a/include/damaskroute/node/node_count.h
+++ b/include/damaskroute/node/node_count.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <set>
+#include <vector>
 
 #include "damaskroute/core/ids.h"
 #include "damaskroute/core/time.h"
@@ -32,7 +33,14 @@
 
   int Count(TimePoint now) const;
 
+  /// The counted nodes, in ascending order.
+  std::vector<NodeName> Counted(TimePoint now) const;
+
  private:
+  static bool IsCounted(TimePoint removed_at, TimePoint now) {
+    return removed_at == TimePoint::max() || now - removed_at < kRemovedNodeRetention;
+  }
+
   std::map<NodeName, TimePoint> removed_at_;  // `max()` while the key is present.
 };
 
--- a/src/forward/backend_rate_limit.cc
+++ b/src/forward/backend_rate_limit.cc
@@ -30,10 +30,17 @@
 // Fraction of the accumulated calls that hedged calls leave.
 constexpr double kHedgeReserve = 0.5;
 
-// Greatest mean of a random number of independent events that rarely exceeds `max`: `max` is four
+// Fraction of the limit that the first nodes use if there are too many nodes for a call per window
+// each. The turns of the others use the rest.
+constexpr double kFirstNodesFraction = 0.5;
+
+// Rates above this are no limit in practice.
+constexpr double kMaxRate = 1e9;
+
+// Greatest mean of a random number of independent events that rarely exceeds `max`: `max` is three
 // standard deviations above it.
 double MeanBelow(double max) {
-  constexpr double kDeviations = 4;
+  constexpr double kDeviations = 3;
   double root = (std::sqrt(kDeviations * kDeviations + 4 * max) - kDeviations) / 2;
   return root * root;
 }
@@ -49,8 +56,12 @@
   return *rate_ * kOvershoot * Seconds(kWindow).count() + kSlack;
 }
 
-double BackendRateLimit::CallsPerWindow() const {
-  return kUsedFraction * MaxCallsInWindow() / nodes_;
+// Divides whole calls; the first nodes get one more than the others.
+std::size_t BackendRateLimit::CallsPerWindow() const {
+  auto nodes = static_cast<std::size_t>(nodes_);
+  auto calls = static_cast<std::size_t>(kUsedFraction * MaxCallsInWindow());
+  if (calls < nodes) calls = FirstNodes();
+  return calls / nodes + (static_cast<std::size_t>(position_) < calls % nodes ? 1 : 0);
 }
 
 double BackendRateLimit::TokensPerSecond() const {
@@ -76,11 +87,11 @@
   if (begins) {
     tokens_ = 1;
     tokens_at_ = now;
-    next_report_ = now + kWindow;
+    next_report_ = now + kReportInterval;
   } else {
     SettleTokens(now);
   }
-  rate_ = rate;
+  rate_ = std::min(rate, kMaxRate);
   return begins;
 }
 
@@ -102,19 +113,24 @@
 
 TimePoint BackendRateLimit::AllowedAt(TimePoint now) const {
   if (!rate_) return now;
-  double share = CallsPerWindow();
-  if (share < 1) return NextTurnAt(now);
-  TimePoint allowed_at = NextTokenAt(now);
-  auto max_calls = static_cast<std::size_t>(std::min(share, 1e9));
-  if (recent_.size() >= max_calls) {
-    allowed_at = std::max(allowed_at, recent_[recent_.size() - max_calls] + kSendWindow);
-  }
-  return allowed_at;
+  std::size_t calls = CallsPerWindow();
+  if (calls == 0) return NextTurnAt(now);
+  TimePoint in_window_at = NextInWindowAt(calls, now);
+  return calls == 1 ? in_window_at : std::max(in_window_at, NextTokenAt(now));
+}
+
+TimePoint BackendRateLimit::NextInWindowAt(std::size_t max_calls, TimePoint now) const {
+  if (recent_.size() < max_calls) return now;
+  return std::max(now, recent_[recent_.size() - max_calls] + kSendWindow);
+}
+
+std::size_t BackendRateLimit::FirstNodes() const {
+  return static_cast<std::size_t>(kFirstNodesFraction * MaxCallsInWindow());
 }
 
 bool BackendRateLimit::AllowsHedge(TimePoint now) const {
   if (!rate_) return true;
-  return Allows(now) && CallsPerWindow() >= 1 && TokensAt(now) - 1 >= MaxTokens() * kHedgeReserve;
+  return Allows(now) && CallsPerWindow() > 1 && TokensAt(now) - 1 >= MaxTokens() * kHedgeReserve;
 }
 
 TimePoint BackendRateLimit::NextTokenAt(TimePoint now) const {
@@ -126,7 +142,8 @@
 // before it.
 TimePoint BackendRateLimit::NextTurnAt(TimePoint now) const {
   constexpr Seconds kTurn = kWindow;
-  Seconds interval = 2 * kTurn * nodes_ / MeanBelow(kUsedFraction * MaxCallsInWindow());
+  double calls = MeanBelow((1 - kFirstNodesFraction) * MaxCallsInWindow());
+  Seconds interval = 2 * kTurn * (static_cast<double>(nodes_) - FirstNodes()) / calls;
   double turns = Seconds(now.time_since_epoch()) / interval + phase_;
   Seconds into_turn = (turns - std::floor(turns)) * interval;
   bool used = last_sent_ >= now - ToDuration(into_turn);
@@ -141,7 +158,7 @@
 
 bool BackendRateLimit::IsReportDue(TimePoint now) {
   if (now < next_report_) return false;
-  next_report_ = now + kWindow;
+  next_report_ = now + kReportInterval;
   return true;
 }
 
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -21,6 +21,10 @@
 // these are not busy.
 constexpr double kRateLimitedCostFactor = 2;
 
+// Maximum time to wait for this node's share of a rate limit. Sooner than that, a retry that
+// reaches another node may find that node's share unused.
+constexpr std::chrono::milliseconds kMaxShareWait{200};
+
 // Relative random spread of the cost, so that nodes with the same view do not all choose the same
 // server. Smaller than the cost of another zone.
 constexpr double kCostSpread = 0.05;
@@ -108,6 +112,29 @@
   for (auto& [id, backend] : by_id_) ApplyPolicy(*backend);
 }
 
+void BackendTable::SetNodeNames(std::vector<NodeName> names) {
+  if (names == node_names_) return;
+  node_names_ = std::move(names);
+  for (auto& [id, backend] : by_id_) {
+    if (backend->rate_limit.rate()) backend->rate_limit.SetPosition(PositionFor(*backend));
+  }
+}
+
+// Number of nodes that precede this one in the order of the nodes for the server.
+int BackendTable::PositionFor(const Backend& backend) const {
+  const BackendName& id = backend.entry.id;
+  std::uint64_t own = RendezvousWeight(id, options_.local_node);
+  return static_cast<int>(
+      std::count_if(node_names_.begin(), node_names_.end(),
+                    [&](const NodeName& node) { return RendezvousWeight(id, node) > own; }));
+}
+
+bool BackendTable::OnRateStated(Backend& backend, double rate, TimePoint now) {
+  bool begins = backend.rate_limit.OnStated(rate, now);
+  if (begins) backend.rate_limit.SetPosition(PositionFor(backend));
+  return begins;
+}
+
 double BackendTable::NodeColdRate(const ServicePolicy& policy) const {
   if (policy.cold_rate <= 0) return std::numeric_limits<double>::infinity();
   double all = policy.cold_rate * options_.cold_overshoot + options_.cold_slack;
@@ -211,10 +238,11 @@
 }
 
 std::shared_ptr<Backend> BackendTable::RetainReport(const std::shared_ptr<Backend>& called) {
-  auto current = Current(called);
   auto known = Find(called->entry.id);
-  bool replaced = known && known != current;
-  if (!replaced) reporting_.Add(current);
+  bool replaced = known && known->entry.incarnation != called->entry.incarnation;
+  if (replaced) return called;
+  auto current = known ? known : called;
+  reporting_.Add(current);
   return current;
 }
 
@@ -232,7 +260,7 @@
     if (eligibility == BackendEligibility::kBackoffRequested) {
       first = std::min(first, server->backoff_until);
     } else if (eligibility == BackendEligibility::kRateLimit) {
-      first = std::min(first, server->rate_limit.AllowedAt(now));
+      first = std::min({first, server->rate_limit.AllowedAt(now), now + kMaxShareWait});
     }
   }
   return first;
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -178,9 +178,10 @@
   Part& part = parts_[index];
   bool may_retry = spec_.idempotent || !MayHaveRun(result.end);
   if (result.end == CallEnd::kServerError) part.result = std::move(result);
-  if (may_retry &&
-      Send(index, CallKind::kRetry, Choose(index, CallKind::kRetry, now), now, actions))
-    return;
+  if (may_retry) {
+    BackendChoice choice = Choose(index, CallKind::kRetry, now);
+    if (Send(index, CallKind::kRetry, std::move(choice), now, actions)) return;
+  }
   if (part.open_calls > 0) return;
   part.state = PartState::kFailed;
   ++failed_;
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -85,7 +85,8 @@
                              const ForwardProtocol& protocol, std::uint64_t seed)
     : settings_(settings),
       service_(loop,
-               {.backends = {.local_zone = settings.zone,
+               {.backends = {.local_node = settings.node,
+                             .local_zone = settings.zone,
                              .cold_overshoot = settings.cold_overshoot,
                              .cold_slack = settings.cold_slack},
                 .seed = seed},
--- a/src/node/forwarding_state.cc
+++ b/src/node/forwarding_state.cc
@@ -116,7 +116,8 @@
   BackendRateLimit& limit = backend->rate_limit;
   TimePoint now = Now();
   std::size_t calls = limit.CallsInWindow(now);
-  bool began_or_ended = rate_limit ? limit.OnStated(*rate_limit, now) : limit.OnNotStated(sent);
+  bool began_or_ended =
+      rate_limit ? backends_.OnRateStated(*backend, *rate_limit, now) : limit.OnNotStated(sent);
   if (!began_or_ended && !(limit.rate() && limit.IsReportDue(now))) return;
   LogLine(LogLevel::kInfo,
           limit.rate() ? "backend server limits its requests" : "backend server has no limit now")
--- a/src/node/node_count.cc
+++ b/src/node/node_count.cc
@@ -16,10 +16,17 @@
 }
 
 int NodeCount::Count(TimePoint now) const {
-  auto count = std::count_if(removed_at_.begin(), removed_at_.end(), [now](const auto& node) {
-    return node.second == TimePoint::max() || now - node.second < kRemovedNodeRetention;
-  });
+  auto count = std::count_if(removed_at_.begin(), removed_at_.end(),
+                             [now](const auto& node) { return IsCounted(node.second, now); });
   return std::max(kMinNodes, static_cast<int>(count));
 }
 
+std::vector<NodeName> NodeCount::Counted(TimePoint now) const {
+  std::vector<NodeName> nodes;
+  for (const auto& [node, removed_at] : removed_at_) {
+    if (IsCounted(removed_at, now)) nodes.push_back(node);
+  }
+  return nodes;
+}
+
 }  // namespace damaskroute
--- a/tests/backend_rate_limit_test.cc
+++ b/tests/backend_rate_limit_test.cc
@@ -3,8 +3,10 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <limits>
 #include <vector>
 
+#include "damaskroute/core/hash.h"
 #include "damaskroute/core/random.h"
 #include "tests/support/forward_fixture.h"
 
@@ -24,6 +26,7 @@
     for (int i = 0; i < nodes; ++i) {
       nodes_.emplace_back(random.NextDouble());
       nodes_.back().SetNodes(counted_nodes);
+      nodes_.back().SetPosition(i);
       nodes_.back().OnStated(rate, clock_.Now());
     }
   }
@@ -66,7 +69,7 @@
 };
 
 constexpr int kFleetSizes[] = {4, 24, 33, 118, 1000};
-constexpr double kRates[] = {0, 0.5, 4.5, 27.1, 400};
+constexpr double kRates[] = {0, 0.5, 2.1, 4.5, 27.1, 400};
 
 TEST_CASE("nodes under full load together keep to the rate that a server states") {
   for (int nodes : kFleetSizes) {
@@ -106,10 +109,12 @@
   }
 }
 
-// Shares that are rounded down must not leave most of the rate unused.
+// Shares that are rounded down, and nodes that wait for a turn, must not leave most of the rate
+// unused.
 TEST_CASE("nodes under full load use at least two thirds of the rate of a server") {
-  for (int nodes : {4, 24, 33}) {
-    for (double rate : {27.1, 400.0}) {
+  for (int nodes : kFleetSizes) {
+    for (double rate : kRates) {
+      if (rate == 0) continue;
       CAPTURE(nodes);
       CAPTURE(rate);
       Fleet fleet(nodes, nodes, rate);
@@ -119,12 +124,36 @@
   }
 }
 
+// Each of the nodes decides by itself which ones are the first.
+TEST_CASE("the nodes of a large fleet agree on those that may call a server in each window") {
+  std::vector<NodeName> names;
+  for (int i = 0; i < 33; ++i) names.push_back(fmt::format("node-{}", i));
+  ManualClock clock;
+  std::vector<BackendTable> tables;
+  for (const NodeName& name : names) {
+    tables.emplace_back(BackendTableOptions{.local_node = name}, Hash64(name));
+    tables.back().SetPolicies(std::make_shared<const RouteTable>(RoutingDocument{}), 33);
+    tables.back().SetNodeNames(names);
+    tables.back().Put(ForwardFixture::Entry(0, "a"), clock.Now());
+    Backend& server = *tables.back().Find("s0a");
+    tables.back().OnRateStated(server, 1, clock.Now());
+    server.rate_limit.OnSent(clock.Now());
+  }
+  clock.Advance(seconds(5));
+  auto allowed = std::count_if(tables.begin(), tables.end(), [&](const BackendTable& table) {
+    return table.Find("s0a")->rate_limit.Allows(clock.Now());
+  });
+  CHECK(allowed >= 5);  // Half of what is allowed in a window, 1.5 x 4 + 5.
+  CHECK(allowed <= 11);
+}
+
 TEST_CASE("every node of a large fleet gets a turn at a server with a low rate") {
   Random random(7);
   for (int i = 0; i < 50; ++i) {
     ManualClock clock;
     BackendRateLimit limit(random.NextDouble());
     limit.SetNodes(118);
+    limit.SetPosition(i + 20);
     limit.OnStated(4.5, clock.Now());
     int calls = 0;
     for (TimePoint end = clock.Now() + seconds(120); clock.Now() < end; clock.Advance(kStep)) {
@@ -144,6 +173,7 @@
       ManualClock clock;
       BackendRateLimit limit(0.3);
       limit.SetNodes(nodes);
+      limit.SetPosition(nodes - 1);
       limit.OnStated(rate, clock.Now());
       for (int i = 0; i < 100; ++i) {
         TimePoint at = limit.AllowedAt(clock.Now());
@@ -159,6 +189,15 @@
   }
 }
 
+TEST_CASE("an absurdly high rate is no limit") {
+  for (double rate : {1e9, 1e308, std::numeric_limits<double>::infinity()}) {
+    CAPTURE(rate);
+    Fleet fleet(4, 4, rate);
+    fleet.Saturate(seconds(1));
+    CHECK(fleet.calls() == 400);
+  }
+}
+
 TEST_CASE("a response to a call from before the last statement does not end the limit") {
   ManualClock clock;
   BackendRateLimit limit;
@@ -174,11 +213,11 @@
 
 // One query needs a call to each shard, and both servers of shard 1 have a limit that is used up.
 struct LimitedShard : ForwardFixture {
-  LimitedShard() : ForwardFixture(4) {
+  explicit LimitedShard(double rate = 20) : ForwardFixture(4) {
     for (const char* id : {"s1a", "s1b"}) {
       BackendRateLimit& limit = table.Find(id)->rate_limit;
       limit.SetNodes(4);
-      limit.OnStated(8, clock.Now());
+      limit.OnStated(rate, clock.Now());
       limit.OnSent(clock.Now());
     }
   }
@@ -205,6 +244,14 @@
   CHECK(w.sent.size() == 4);
 }
 
+// A call of this node is allowed only after seconds, but the caller may reach another node.
+TEST_CASE("a refusal for a low rate limit does not send the caller away for long") {
+  LimitedShard w(0.5);
+  w.Begin(w.Query(4, 4));
+  REQUIRE(w.answer);
+  CHECK(w.answer->retry_after <= milliseconds(200));
+}
+
 TEST_CASE("a hedge does not use the last call that a rate limit allows") {
   ForwardFixture w(1);
   BackendRateLimit& limit = w.table.Find("s0b")->rate_limit;
--- a/tests/lease_schedule_test.cc
+++ b/tests/lease_schedule_test.cc
@@ -60,9 +60,11 @@
   nodes.RetainOnly({"c", "d", "e", "f"}, clock.Now());
   clock.Advance(seconds(10));
   CHECK(nodes.Count(clock.Now()) == 6);
+  CHECK(nodes.Counted(clock.Now()).size() == 6);
   nodes.Add("a");
   clock.Advance(NodeCount::kRemovedNodeRetention);
   CHECK(nodes.Count(clock.Now()) == 5);
+  CHECK(nodes.Counted(clock.Now()) == std::vector<NodeName>{"a", "c", "d", "e", "f"});
 }
 
 TEST_CASE("a single node assumes the smallest deployment, as others may not be listed yet") {
