--- a/benchmark/damaskmodel.cc
+++ b/benchmark/damaskmodel.cc
@@ -23,7 +23,7 @@
 
 usage: damaskmodel [--day=NAME] [--a=POLICY] [--b=POLICY] [OPTIONS]
 
-  --day=NAME       quiet, slow, dark, cut, crowd or lonely_cut; default quiet
+  --day=NAME       quiet, slow, dark, cut, crowd, limited or lonely_cut; default quiet
   --a=POLICY       KEY=VALUE,... with the keys copy_after (fraction of the objective),
   --b=POLICY       extra_ratio, zone_cost_us, limit (on or off); default: as in the product
   --seeds=N        days simulated with each policy, 1 to 1000, default 20
@@ -54,9 +54,10 @@
   fmt::print(
       "{}  credit {:.4f} +-{:.4f}  asked {}  in time {}  in time again {}  late {}  refused {}  "
       "failed {}  "
-      "partial {}  calls {}  copies {}\n",
+      "partial {}  calls {}  copies {}  over limit {}\n",
       name, credit.mean, credit.margin, result.queries, result.in_time, result.in_time_on_retry,
-      result.late, result.refused, result.failed, result.partial, result.calls, result.hedges);
+      result.late, result.refused, result.failed, result.partial, result.calls, result.hedges,
+      result.over_rate_limit);
 }
 
 void WriteEstimate(JsonWriter& writer, const char* key, const Estimate& estimate) {
@@ -83,6 +84,7 @@
   WriteInteger(writer, "partial", static_cast<std::int64_t>(result.partial));
   WriteInteger(writer, "calls", static_cast<std::int64_t>(result.calls));
   WriteInteger(writer, "copies", static_cast<std::int64_t>(result.hedges));
+  WriteInteger(writer, "over_rate_limit", static_cast<std::int64_t>(result.over_rate_limit));
   writer.Key("credit_by_second");
   writer.StartArray();
   for (std::size_t i = 0; i < result.total_value_by_second.size(); ++i) {
--- a/benchmark/model/forward_model.cc
+++ b/benchmark/model/forward_model.cc
@@ -41,6 +41,8 @@
 
 std::string ServiceOf(int shard) { return fmt::format("s{}", shard); }
 
+NodeName NodeNameOf(std::size_t node) { return fmt::format("node-{}", node); }
+
 }  // namespace
 
 struct ForwardModel::Node {
@@ -61,6 +63,7 @@
   struct OpenCall {
     std::uint64_t id = 0;
     std::shared_ptr<Backend> backend;
+    TimePoint sent;
   };
 
   std::size_t kind = 0;
@@ -122,14 +125,18 @@
 }
 
 void ForwardModel::MakeNodes() {
+  std::vector<NodeName> names;
+  for (std::size_t i = 0; i < day_.node_zones.size(); ++i) names.push_back(NodeNameOf(i));
   for (const ZoneName& zone : day_.node_zones) {
     BackendTableOptions options;
+    options.local_node = NodeNameOf(nodes_.size());
     options.local_zone = zone;
     if (policy_.zone_cost) options.zone_cost = *policy_.zone_cost;
     auto& node = *nodes_.emplace_back(std::make_unique<Node>(zone, options, random_.Next()));
     node.budget_options = day_.budget;
     if (policy_.extra_ratio) node.budget_options.ratio = *policy_.extra_ratio;
-    node.table.SetPolicies(routes_, static_cast<int>(day_.node_zones.size()));
+    node.table.SetPolicies(routes_, static_cast<int>(names.size()));
+    node.table.SetNodeNames(names);
     for (int shard = 0; shard < day_.shards; ++shard) {
       for (const ZoneName& server_zone : day_.server_zones) {
         BackendEntry entry;
@@ -162,17 +169,26 @@
   } else {
     for (auto& [name, server] : servers_) {
       if (random_.NextDouble() >= fault.server_fraction) continue;
-      bool slow = fault.kind == FaultKind::kSlow;
-      events_.ScheduleAt(begin, [&server = *server, slow, factor = fault.factor] {
-        slow ? server.SetSlowness(factor) : server.SetUnresponsive(true);
-      });
-      events_.ScheduleAt(end, [&server = *server, slow] {
-        slow ? server.SetSlowness(1) : server.SetUnresponsive(false);
-      });
+      ScheduleServerFault(fault, *server);
     }
   }
 }
 
+void ForwardModel::ScheduleServerFault(const ModelFault& fault, ModelServer& server) {
+  auto set = [&server, kind = fault.kind](bool begins, double factor) {
+    if (kind == FaultKind::kSlow) {
+      server.SetSlowness(begins ? factor : 1);
+    } else if (kind == FaultKind::kRateLimit) {
+      server.SetRateLimit(begins ? factor : 0);
+    } else {
+      server.SetUnresponsive(begins);
+    }
+  };
+  TimePoint begin = start_ + fault.start;
+  events_.ScheduleAt(begin, [set, factor = fault.factor] { set(true, factor); });
+  events_.ScheduleAt(begin + fault.duration, [set, factor = fault.factor] { set(false, factor); });
+}
+
 ModelResult ForwardModel::Run() {
   for (std::size_t kind = 0; kind < day_.classes.size(); ++kind) ScheduleNext(kind);
   Duration longest_wait{};  // Time after which every caller has stopped waiting.
@@ -180,6 +196,7 @@
     longest_wait = std::max<Duration>(longest_wait, kind.caller_timeout);
   }
   events_.RunUntil(start_ + day_.length + 2 * longest_wait);
+  for (const auto& [name, server] : servers_) result_.over_rate_limit += server->over_rate_limit();
   return result_;
 }
 
@@ -275,7 +292,7 @@
   Node& node = *query->node;
   const BackendEntry& entry = send.backend->entry;
   CallKey key{query, send.call, next_call_++};
-  query->calls[send.call] = {key.id, send.backend};
+  query->calls[send.call] = {key.id, send.backend, events_.Now()};
   Duration delay = NetworkDelay(node.zone, entry.zone);
   Duration work = SampleWork(day_.classes[query->kind]);
   int& idle = node.idle[entry.id];
@@ -321,10 +338,21 @@
   if (!backend || !IsReachable(backend->entry.zone, key.query->node->zone)) return;
   int& idle = key.query->node->idle[backend->entry.id];
   idle = std::min(idle + 1, backend->max_idle_connections);
+  ReadRateLimit(key, *backend);
   bool shed = end == ModelServer::End::kShed;
   EndCall(key.query, key.call, shed ? CallEnd::kNotRun : CallEnd::kAnswered);
 }
 
+// Responses are taken to state the limit of the moment at which they arrive.
+void ForwardModel::ReadRateLimit(const CallKey& key, Backend& backend) {
+  const std::optional<double>& rate = servers_.at(backend.entry.id)->rate_limit();
+  if (rate) {
+    key.query->node->table.OnRateStated(backend, *rate, events_.Now());
+  } else {
+    backend.rate_limit.OnNotStated(key.query->calls.at(key.call).sent);
+  }
+}
+
 void ForwardModel::EndCall(const std::shared_ptr<Query>& query, std::uint32_t call, CallEnd end) {
   query->calls.erase(call);
   CallResult result;
--- a/benchmark/model/forward_model.h
+++ b/benchmark/model/forward_model.h
@@ -50,6 +50,7 @@
   void MakeNodes();
   void ScheduleFaults();
   void ScheduleFault(const ModelFault& fault);
+  void ScheduleServerFault(const ModelFault& fault, ModelServer& server);
   void ScheduleNext(std::size_t kind);
   void StartQuery(std::size_t kind);
   void OnArrival(const std::shared_ptr<Query>& query);
@@ -60,6 +61,7 @@
   void OnConnectFailed(const CallKey& key);
   void Deliver(const CallKey& key, Duration work);
   void OnReply(const CallKey& key, ModelServer::End end);
+  void ReadRateLimit(const CallKey& key, Backend& backend);
   void EndCall(const std::shared_ptr<Query>& query, std::uint32_t call, CallEnd end);
   void Cancel(const std::shared_ptr<Query>& query, std::uint32_t call);
   void OnAnswer(const std::shared_ptr<Query>& query, const ForwardAnswer& answer);
--- a/benchmark/model/model_day.h
+++ b/benchmark/model/model_day.h
@@ -29,6 +29,7 @@
   kSlow,          ///< Calls take `factor` times as long on a fraction of the servers.
   kUnresponsive,  ///< A fraction of the servers stops responding.
   kPartition,     ///< `zone` is isolated; callers still reach its nodes for two seconds.
+  kRateLimit,     ///< A fraction of the servers states `factor` times the rate that they get.
   kLoadSpike,     ///< `factor` times as many queries arrive.
 };
 
--- a/benchmark/model/model_result.cc
+++ b/benchmark/model/model_result.cc
@@ -22,6 +22,7 @@
   partial += other.partial;
   calls += other.calls;
   hedges += other.hedges;
+  over_rate_limit += other.over_rate_limit;
   total_value += other.total_value;
   earned_value += other.earned_value;
   AddElementwise(total_value_by_second, other.total_value_by_second);
--- a/benchmark/model/model_result.h
+++ b/benchmark/model/model_result.h
@@ -17,8 +17,9 @@
   std::uint64_t partial = 0;  ///< Answers without the parts of some shards.
   std::uint64_t calls = 0;
   std::uint64_t hedges = 0;
-  double total_value = 0;   ///< Sum of the values of all queries.
-  double earned_value = 0;  ///< Values weighted by timeliness and squared shard coverage.
+  std::uint64_t over_rate_limit = 0;  ///< Calls beyond what their servers' rate limits allow.
+  double total_value = 0;             ///< Sum of the values of all queries.
+  double earned_value = 0;            ///< Values weighted by timeliness and squared shard coverage.
 
   /// Indexed by the second in which the query was first sent.
   std::vector<double> total_value_by_second;
--- a/benchmark/model/model_server.cc
+++ b/benchmark/model/model_server.cc
@@ -3,16 +3,53 @@
 #include <algorithm>
 #include <utility>
 
+#include "damaskroute/forward/backend_rate_limit.h"
+
 namespace damaskroute::model {
 
+namespace {
+
+constexpr std::chrono::seconds kWindow = BackendRateLimit::kWindow;
+
+// Lowest rate that a server states.
+constexpr double kMinRateLimit = 1;
+
+// Time after which a server expects all nodes to keep to its rate limit.
+constexpr std::chrono::milliseconds kRateLimitGrace{500};
+
+}  // namespace
+
 void ModelServer::SetUnresponsive(bool unresponsive) {
   unresponsive_ = unresponsive;
   running_.clear();
   waiting_.clear();
 }
 
+void ModelServer::SetRateLimit(double factor) {
+  rate_limit_.reset();
+  if (factor <= 0) return;
+  auto calls = static_cast<double>(arrivals_.size());
+  rate_limit_ = std::max(factor * calls / static_cast<double>(kWindow.count()), kMinRateLimit);
+  judged_from_ = events_.Now() + kRateLimitGrace;
+  arrivals_.clear();
+}
+
+// Counts calls as `BackendRateLimit` describes it.
+void ModelServer::RecordArrival() {
+  TimePoint now = events_.Now();
+  if (rate_limit_ && now < judged_from_) return;
+  while (!arrivals_.empty() && arrivals_.front() + kWindow <= now) arrivals_.pop_front();
+  arrivals_.push_back(now);
+  if (!rate_limit_) return;
+  double allowed =
+      *rate_limit_ * BackendRateLimit::kOvershoot * static_cast<double>(kWindow.count()) +
+      BackendRateLimit::kSlack;
+  if (static_cast<double>(arrivals_.size()) > allowed) ++over_rate_limit_;
+}
+
 void ModelServer::Submit(std::uint64_t call, Duration work, Done done) {
   if (unresponsive_) return;
+  RecordArrival();
   if (static_cast<int>(waiting_.size()) >= day_.queue_limit) return done(End::kShed);
   waiting_.push_back({call, work, std::move(done)});
   StartNext();
--- a/benchmark/model/model_server.h
+++ b/benchmark/model/model_server.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 
 #include "benchmark/model/event_queue.h"
 #include "benchmark/model/model_day.h"
@@ -29,6 +30,15 @@
   void SetUnresponsive(bool unresponsive);
   bool is_unresponsive() const { return unresponsive_; }
 
+  /// Begins to state a rate limit of `factor` times the present rate of calls; 0 ends the limit.
+  void SetRateLimit(double factor);
+
+  /// Calls per second from all nodes that the server states; nothing without a limit.
+  const std::optional<double>& rate_limit() const { return rate_limit_; }
+
+  /// Number of calls beyond what the rate limits allowed, a grace time after their begin.
+  std::uint64_t over_rate_limit() const { return over_rate_limit_; }
+
   /// Queues a call that takes `work` to process. Calls `done` at most once.
   void Submit(std::uint64_t call, Duration work, Done done);
 
@@ -42,6 +52,7 @@
     Done done;
   };
 
+  void RecordArrival();
   void StartNext();
   void Finish(std::uint64_t call);
   TimePoint FinishTime(Duration work) const;
@@ -51,6 +62,10 @@
   const TimePoint phase_;
   double slowness_ = 1;
   bool unresponsive_ = false;
+  std::optional<double> rate_limit_;
+  TimePoint judged_from_;           // The nodes have been told of the limit.
+  std::deque<TimePoint> arrivals_;  // Within the last window, ascending.
+  std::uint64_t over_rate_limit_ = 0;
   std::map<std::uint64_t, Done> running_;
   std::deque<Job> waiting_;
 };
--- a/benchmark/model/named_days.cc
+++ b/benchmark/model/named_days.cc
@@ -62,6 +62,8 @@
     day.faults = {{FaultKind::kSlow, kFaultStart, kFaultDuration, 8, 0.15, {}}};
   } else if (name == "dark") {
     day.faults = {{FaultKind::kUnresponsive, kFaultStart, kFaultDuration, 1, 0.15, {}}};
+  } else if (name == "limited") {
+    day.faults = {{FaultKind::kRateLimit, kFaultStart, kFaultDuration, 0.5, 0.7, {}}};
   } else if (name == "cut") {
     day.faults = {{FaultKind::kPartition, kFaultStart, kFaultDuration, 1, 0, "b"}};
   } else if (name == "crowd") {
--- a/benchmark/model/named_days.h
+++ b/benchmark/model/named_days.h
@@ -9,7 +9,7 @@
 namespace damaskroute::model {
 
 /// Names of all days, separated by spaces.
-inline constexpr char kDayNames[] = "quiet slow dark cut crowd lonely_cut";
+inline constexpr char kDayNames[] = "quiet slow dark cut crowd limited lonely_cut";
 
 /// Returns a day of the users' deployment with 4 nodes and 20 shards of two servers. `lonely_cut`
 /// uses the deployment with 33 nodes (32 in the model) and 90 shards of three servers, where a node
--- a/tests/forward_model_test.cc
+++ b/tests/forward_model_test.cc
@@ -46,7 +46,7 @@
 }
 
 TEST_CASE("each query ends exactly once on every day") {
-  for (const char* name : {"quiet", "slow", "dark", "cut", "crowd"}) {
+  for (const char* name : {"quiet", "slow", "dark", "cut", "crowd", "limited"}) {
     CAPTURE(name);
     ModelResult result = RunModel(Day(name));
     CHECK(result.queries ==
@@ -63,6 +63,13 @@
   CHECK(result.credit() >= 0.98);
 }
 
+TEST_CASE("servers that state a rate limit get no more calls than it allows") {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CAPTURE(seed);
+    CHECK(RunModel(Day("limited"), seed).over_rate_limit == 0);
+  }
+}
+
 // Guards against hedged calls that go to a server which pauses as well, or that are sent too late.
 // A part cannot arrive in time if both servers pause within the objective of the same query.
 TEST_CASE("answers lack parts no more often than both servers of a shard pause") {
