Give calls to a cold server to some nodes if there are too many for one each

The part of each node of a cold server's limit was rounded down, to 0 where there are more nodes than calls; no node called such a server until it was warm. Change: the first nodes in the server's order get one call more (NodeShare, as for rate limits).

--- a/include/damaskroute/forward/backend_rate_limit.h
+++ b/include/damaskroute/forward/backend_rate_limit.h
@@ -68,14 +68,14 @@
   bool IsReportDue(TimePoint now);
 
  private:
-  double MaxCallsInWindow() const;     // Of all nodes.
-  std::size_t CallsPerWindow() const;  // This node's share.
+  double MaxCallsInWindow() const;  // Of all nodes.
+  int CallsPerWindow() const;       // This node's share.
   double TokensPerSecond() const;
   double MaxTokens() const;
   double TokensAt(TimePoint now) const;
   TimePoint NextTokenAt(TimePoint now) const;
-  std::size_t FirstNodes() const;
-  TimePoint NextInWindowAt(std::size_t max_calls, TimePoint now) const;
+  int FirstNodes() const;
+  TimePoint NextInWindowAt(int max_calls, TimePoint now) const;
   TimePoint NextTurnAt(TimePoint now) const;
   void SettleTokens(TimePoint now);
 
--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -153,7 +153,7 @@
   double CostOf(const Backend& backend, const CallTimes& times, TimePoint now);
   void ApplyPolicy(Backend& backend) const;
   int PositionFor(const Backend& backend) const;
-  double NodeColdRate(const ServicePolicy& policy) const;
+  double NodeColdRate(const Backend& backend, const ServicePolicy& policy) const;
 
   const BackendTableOptions options_;
   const std::uint64_t seed_;
--- a/src/forward/backend_rate_limit.cc
+++ b/src/forward/backend_rate_limit.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "damaskroute/forward/node_share.h"
+
 namespace damaskroute {
 namespace {
 
@@ -35,7 +37,7 @@
 constexpr double kFirstNodesFraction = 0.5;
 
 // Rates above this are no limit in practice.
-constexpr double kMaxRate = 1e9;
+constexpr double kMaxRate = 1e6;
 
 // Greatest mean of a random number of independent events that rarely exceeds `max`: `max` is three
 // standard deviations above it.
@@ -56,12 +58,9 @@
   return *rate_ * kOvershoot * Seconds(kWindow).count() + kSlack;
 }
 
-// Divides whole calls; the first nodes get one more than the others.
-std::size_t BackendRateLimit::CallsPerWindow() const {
-  auto nodes = static_cast<std::size_t>(nodes_);
-  auto calls = static_cast<std::size_t>(kUsedFraction * MaxCallsInWindow());
-  if (calls < nodes) calls = FirstNodes();
-  return calls / nodes + (static_cast<std::size_t>(position_) < calls % nodes ? 1 : 0);
+int BackendRateLimit::CallsPerWindow() const {
+  auto calls = static_cast<int>(kUsedFraction * MaxCallsInWindow());
+  return NodeShare(calls < nodes_ ? FirstNodes() : calls, nodes_, position_);
 }
 
 double BackendRateLimit::TokensPerSecond() const {
@@ -113,19 +112,20 @@
 
 TimePoint BackendRateLimit::AllowedAt(TimePoint now) const {
   if (!rate_) return now;
-  std::size_t calls = CallsPerWindow();
+  int calls = CallsPerWindow();
   if (calls == 0) return NextTurnAt(now);
   TimePoint in_window_at = NextInWindowAt(calls, now);
   return calls == 1 ? in_window_at : std::max(in_window_at, NextTokenAt(now));
 }
 
-TimePoint BackendRateLimit::NextInWindowAt(std::size_t max_calls, TimePoint now) const {
-  if (recent_.size() < max_calls) return now;
-  return std::max(now, recent_[recent_.size() - max_calls] + kSendWindow);
+TimePoint BackendRateLimit::NextInWindowAt(int max_calls, TimePoint now) const {
+  auto count = static_cast<std::ptrdiff_t>(recent_.size());
+  if (count < max_calls) return now;
+  return std::max(now, recent_[static_cast<std::size_t>(count - max_calls)] + kSendWindow);
 }
 
-std::size_t BackendRateLimit::FirstNodes() const {
-  return static_cast<std::size_t>(kFirstNodesFraction * MaxCallsInWindow());
+int BackendRateLimit::FirstNodes() const {
+  return static_cast<int>(kFirstNodesFraction * MaxCallsInWindow());
 }
 
 bool BackendRateLimit::AllowsHedge(TimePoint now) const {
@@ -143,7 +143,7 @@
 TimePoint BackendRateLimit::NextTurnAt(TimePoint now) const {
   constexpr Seconds kTurn = kWindow;
   double calls = MeanBelow((1 - kFirstNodesFraction) * MaxCallsInWindow());
-  Seconds interval = 2 * kTurn * (static_cast<double>(nodes_) - FirstNodes()) / calls;
+  Seconds interval = 2 * kTurn * (nodes_ - FirstNodes()) / calls;
   double turns = Seconds(now.time_since_epoch()) / interval + phase_;
   Seconds into_turn = (turns - std::floor(turns)) * interval;
   bool used = last_sent_ >= now - ToDuration(into_turn);
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "damaskroute/core/hash.h"
+#include "damaskroute/forward/node_share.h"
 
 namespace damaskroute {
 namespace {
@@ -25,6 +26,9 @@
 // reaches another node may find that node's share unused.
 constexpr std::chrono::milliseconds kMaxShareWait{200};
 
+// Limits of cold servers above this, in calls per second, have no effect.
+constexpr double kMaxColdRate = 1e6;
+
 // Relative random spread of the cost, so that nodes with the same view do not all choose the same
 // server. Smaller than the cost of another zone.
 constexpr double kCostSpread = 0.05;
@@ -115,9 +119,7 @@
 void BackendTable::SetNodeNames(std::vector<NodeName> names) {
   if (names == node_names_) return;
   node_names_ = std::move(names);
-  for (auto& [id, backend] : by_id_) {
-    if (backend->rate_limit.rate()) backend->rate_limit.SetPosition(PositionFor(*backend));
-  }
+  for (auto& [id, backend] : by_id_) ApplyPolicy(*backend);
 }
 
 // Number of nodes that precede this one in the order of the nodes for the server.
@@ -135,17 +137,20 @@
   return begins;
 }
 
-double BackendTable::NodeColdRate(const ServicePolicy& policy) const {
+double BackendTable::NodeColdRate(const Backend& backend, const ServicePolicy& policy) const {
   if (policy.cold_rate <= 0) return std::numeric_limits<double>::infinity();
   double all = policy.cold_rate * options_.cold_overshoot + options_.cold_slack;
-  return std::floor(all / nodes_);
+  // The position takes time to compute and only matters for cold servers.
+  int position = backend.entry.warmup_left.count() > 0 ? PositionFor(backend) : nodes_;
+  return NodeShare(static_cast<int>(std::min(all, kMaxColdRate)), nodes_, position);
 }
 
 void BackendTable::ApplyPolicy(Backend& backend) const {
   backend.rate_limit.SetNodes(nodes_);
+  if (backend.rate_limit.rate()) backend.rate_limit.SetPosition(PositionFor(backend));
   if (!routes_) return;
   const ServicePolicy& policy = routes_->Policy(backend.entry.service);
-  backend.cold.SetRate(NodeColdRate(policy));
+  backend.cold.SetRate(NodeColdRate(backend, policy));
   int connections = policy.max_connections;
   int share = std::max(1, static_cast<int>(connections * kConnectionFraction / nodes_));
   backend.max_idle_connections = share;
--- a/tests/backend_table_test.cc
+++ b/tests/backend_table_test.cc
@@ -196,6 +196,30 @@
   CHECK(sent == 2);
 }
 
+// The share of a node is less than one call. Without a call to any node, a service whose servers
+// all start at once would have no server for as long as they are cold.
+TEST_CASE("a cold server gets calls from some nodes of a large fleet, and no more than its limit") {
+  std::vector<NodeName> names;
+  for (int i = 0; i < 33; ++i) names.push_back(fmt::format("node-{}", i));
+  ManualClock clock;
+  RoutingDocument document;
+  document.services["s0"] = {.max_connections = 100, .cold_rate = 2};
+  auto routes = std::make_shared<const RouteTable>(document);
+  BackendEntry cold = ForwardFixture::Entry(0, "a");
+  cold.warmup_left = seconds(3);
+  int allowed = 0;
+  for (const NodeName& name : names) {
+    BackendTable table({.local_node = name}, 1);
+    table.Put(cold, clock.Now());
+    table.SetPolicies(routes, static_cast<int>(names.size()));
+    table.SetNodeNames(names);
+    for (int i = 0; i < 5 && table.Find("s0a")->cold.Allows(clock.Now()); ++i, ++allowed) {
+      table.Find("s0a")->cold.OnSent(clock.Now());
+    }
+  }
+  CHECK(allowed == 8);  // 2/s x 1.5 + 5.
+}
+
 // Guards against repeated calls to a slow server that sheds them: three quarters of the shed calls
 // counted as extra calls, and each cost the query a part.
 TEST_CASE(
