--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -8,7 +8,9 @@
 dir=$(mktemp -d)
 run_seed() {
   mkdir -p "$2"
+  local callers=$(($4 > 8 ? $4 : 6))
   if build/release/damask_soak --folder="$2/$1" --seed="$1" --seconds="$3" --nodes="$4" \
+    --callers="$callers" \
     >"$2/$1.out" 2>&1; then
     rm -rf "${2:?}/$1"
   else
