--- a/include/damaskroute/forward/backend_rate_limit.h
+++ b/include/damaskroute/forward/backend_rate_limit.h
@@ -21,11 +21,13 @@
 /// turns of different nodes hardly overlap, and may send one call in each turn.
 class BackendRateLimit {
  public:
+  // Set by the rules of the deployment; its settings do not contain them.
   static constexpr std::chrono::seconds kWindow{4};
-  static constexpr std::chrono::seconds kReportInterval{20};
   static constexpr double kOvershoot = 1.5;
   static constexpr double kSlack = 5;
 
+  static constexpr std::chrono::seconds kReportInterval{20};
+
   /// `phase`: position of this node's turns in their interval, in [0, 1); random, so that the turns
   /// of the nodes are spread.
   explicit BackendRateLimit(double phase = 0) : phase_(phase) {}
