--- a/tests/backend_client_test.cc
+++ b/tests/backend_client_test.cc
@@ -125,6 +125,16 @@
   CHECK(result.body == "[12]");
 }
 
+TEST_CASE("a response that breaks off still states its server's rate limit") {
+  BackendClientOptions options;
+  options.rate_limit_header = "Server-Limit";
+  Fixture f(AnswerAndClose("HTTP/1.1 200 OK\r\nServer-Limit: 2.5\r\nContent-Length: 9\r\n\r\n[12]"),
+            4, options);
+  ExchangeResult result = f.StartAndWait();
+  CHECK(result.end == ExchangeEnd::kConnectionLost);
+  CHECK(result.rate_limit == 2.5);
+}
+
 // Guards against accepting a response to another request because of a duplicate header, and against
 // partially parsed malformed numbers.
 TEST_CASE("uses the first of duplicate headers and the default for malformed values") {
--- a/tests/backend_rate_limit_test.cc
+++ b/tests/backend_rate_limit_test.cc
@@ -71,33 +71,37 @@
 constexpr int kFleetSizes[] = {4, 24, 33, 118, 1000};
 constexpr double kRates[] = {0, 0.5, 2.1, 4.5, 27.1, 400};
 
-TEST_CASE("nodes under full load together keep to the rate that a server states") {
+// Calls `check` with each fleet size and rate.
+template <typename Check>
+void ForEachFleet(Check check) {
   for (int nodes : kFleetSizes) {
     for (double rate : kRates) {
       CAPTURE(nodes);
       CAPTURE(rate);
-      Fleet fleet(nodes, nodes, rate);
-      fleet.Saturate(seconds(60));
-      CHECK(fleet.most_in_window() <= fleet.allowed_in_window());
-      CHECK(fleet.calls() > 0);
+      check(nodes, rate);
     }
   }
 }
 
+TEST_CASE("nodes under full load together keep to the rate that a server states") {
+  ForEachFleet([](int nodes, double rate) {
+    Fleet fleet(nodes, nodes, rate);
+    fleet.Saturate(seconds(60));
+    CHECK(fleet.most_in_window() <= fleet.allowed_in_window());
+    CHECK(fleet.calls() > 0);
+  });
+}
+
 // Each node has saved up calls, and turns that it did not use.
 TEST_CASE("nodes that load reaches all at once after a quiet time keep to the rate") {
-  for (int nodes : kFleetSizes) {
-    for (double rate : kRates) {
-      CAPTURE(nodes);
-      CAPTURE(rate);
-      Fleet fleet(nodes, nodes, rate);
-      for (int i = 0; i < 10; ++i) {
-        fleet.Idle(seconds(31));
-        fleet.Saturate(seconds(9));
-      }
-      CHECK(fleet.most_in_window() <= fleet.allowed_in_window());
+  ForEachFleet([](int nodes, double rate) {
+    Fleet fleet(nodes, nodes, rate);
+    for (int i = 0; i < 10; ++i) {
+      fleet.Idle(seconds(31));
+      fleet.Saturate(seconds(9));
     }
-  }
+    CHECK(fleet.most_in_window() <= fleet.allowed_in_window());
+  });
 }
 
 TEST_CASE("a node that has just joined and is not counted yet does not exceed the rate") {
@@ -112,16 +116,12 @@
 // Shares that are rounded down, and nodes that wait for a turn, must not leave most of the rate
 // unused.
 TEST_CASE("nodes under full load use at least two thirds of the rate of a server") {
-  for (int nodes : kFleetSizes) {
-    for (double rate : kRates) {
-      if (rate == 0) continue;
-      CAPTURE(nodes);
-      CAPTURE(rate);
-      Fleet fleet(nodes, nodes, rate);
-      fleet.Saturate(seconds(60));
-      CHECK(static_cast<double>(fleet.calls()) >= rate * 60 * 2 / 3);
-    }
-  }
+  ForEachFleet([](int nodes, double rate) {
+    if (rate == 0) return;
+    Fleet fleet(nodes, nodes, rate);
+    fleet.Saturate(seconds(60));
+    CHECK(static_cast<double>(fleet.calls()) >= rate * 60 * 2 / 3);
+  });
 }
 
 // Each of the nodes decides by itself which ones are the first.
@@ -224,64 +224,64 @@
 };
 
 TEST_CASE("a shard whose servers' rates are used up is left out at once") {
-  LimitedShard w;
-  w.Begin(w.Query(4, 3));
-  CHECK(w.run->left_out() == std::vector<ServiceName>{"s1"});
-  CHECK(w.sent.size() == 3);
+  LimitedShard fixture;
+  fixture.Begin(fixture.Query(4, 3));
+  CHECK(fixture.run->left_out() == std::vector<ServiceName>{"s1"});
+  CHECK(fixture.sent.size() == 3);
 }
 
 TEST_CASE("a query that needs a server whose rate is used up is refused until the next call") {
-  LimitedShard w;
-  w.Begin(w.Query(4, 4));
-  REQUIRE(w.answer);
-  CHECK(w.answer->kind == AnswerKind::kRefused);
-  CHECK(w.sent.empty());
-  TimePoint accepts = w.clock.Now() + w.answer->retry_after;
-  w.clock.Advance(w.answer->retry_after);
-  CHECK(w.table.AcceptsAgainAt("s1", accepts) == TimePoint::max());
-  w.answer.reset();
-  w.Begin(w.Query(4, 4));
-  CHECK(w.sent.size() == 4);
+  LimitedShard fixture;
+  fixture.Begin(fixture.Query(4, 4));
+  REQUIRE(fixture.answer);
+  CHECK(fixture.answer->kind == AnswerKind::kRefused);
+  CHECK(fixture.sent.empty());
+  TimePoint accepts = fixture.clock.Now() + fixture.answer->retry_after;
+  fixture.clock.Advance(fixture.answer->retry_after);
+  CHECK(fixture.table.AcceptsAgainAt("s1", accepts) == TimePoint::max());
+  fixture.answer.reset();
+  fixture.Begin(fixture.Query(4, 4));
+  CHECK(fixture.sent.size() == 4);
 }
 
 // A call of this node is allowed only after seconds, but the caller may reach another node.
 TEST_CASE("a refusal for a low rate limit does not send the caller away for long") {
-  LimitedShard w(0.5);
-  w.Begin(w.Query(4, 4));
-  REQUIRE(w.answer);
-  CHECK(w.answer->retry_after <= milliseconds(200));
+  LimitedShard fixture(0.5);
+  fixture.Begin(fixture.Query(4, 4));
+  REQUIRE(fixture.answer);
+  CHECK(fixture.answer->retry_after <= milliseconds(200));
 }
 
 TEST_CASE("a hedge does not use the last call that a rate limit allows") {
-  ForwardFixture w(1);
-  BackendRateLimit& limit = w.table.Find("s0b")->rate_limit;
+  ForwardFixture fixture(1);
+  BackendRateLimit& limit = fixture.table.Find("s0b")->rate_limit;
   limit.SetNodes(4);
-  limit.OnStated(8, w.clock.Now());
-  w.Begin(w.Query(1, 1));
-  REQUIRE(w.IsOpen("s0a"));
-  w.Advance(milliseconds(60));
-  CHECK_FALSE(w.IsOpen("s0b"));
-  CHECK(limit.Allows(w.clock.Now()));
+  limit.OnStated(8, fixture.clock.Now());
+  fixture.Begin(fixture.Query(1, 1));
+  REQUIRE(fixture.IsOpen("s0a"));
+  fixture.Advance(milliseconds(60));
+  CHECK_FALSE(fixture.IsOpen("s0b"));
+  CHECK(limit.Allows(fixture.clock.Now()));
 }
 
 TEST_CASE("a hedge uses a server with a rate limit that has calls to spare") {
-  ForwardFixture w(1);
-  BackendRateLimit& limit = w.table.Find("s0b")->rate_limit;
+  ForwardFixture fixture(1);
+  BackendRateLimit& limit = fixture.table.Find("s0b")->rate_limit;
   limit.SetNodes(4);
-  limit.OnStated(100, w.clock.Now());
-  w.clock.Advance(seconds(1));
-  w.Begin(w.Query(1, 1));
-  REQUIRE(w.IsOpen("s0a"));
-  w.Advance(milliseconds(60));
-  CHECK(w.IsOpen("s0b"));
+  limit.OnStated(100, fixture.clock.Now());
+  fixture.clock.Advance(seconds(1));
+  fixture.Begin(fixture.Query(1, 1));
+  REQUIRE(fixture.IsOpen("s0a"));
+  fixture.Advance(milliseconds(60));
+  CHECK(fixture.IsOpen("s0b"));
 }
 
 TEST_CASE("calls prefer a server without a rate limit while it is not busy") {
-  ForwardFixture w(1);
-  BackendRateLimit& limit = w.table.Find("s0a")->rate_limit;
-  limit.OnStated(100, w.clock.Now());
-  w.Begin(w.Query(1, 1));
-  CHECK(w.IsOpen("s0b"));
+  ForwardFixture fixture(1);
+  BackendRateLimit& limit = fixture.table.Find("s0a")->rate_limit;
+  limit.OnStated(100, fixture.clock.Now());
+  fixture.Begin(fixture.Query(1, 1));
+  CHECK(fixture.IsOpen("s0b"));
 }
 
 }  // namespace
