Log the era of the store and what is read from followed nodes

The header Store-Era is now read and logged: "era of the store changed", the era in "store read", and node, requested revision and reached revision in "changes read from a followed node". Nothing acts on it yet.

--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,17 +30,21 @@
 ///
 /// `RenderRead`, `RenderReadDirectives` and `RenderWatch` return a complete request.
 /// `RenderReadDirectives` requests the keys written by the operator, for which `IsDirective` is
-/// true. `ParseRead` and `ParseWatch` parse a response; OutOfRange means that the store no longer
+/// true. `ParseEra` returns the era of the store that a response states, if any: the number of
+/// times that the store was restored from an older copy, which ends the order of its revisions.
+/// `ParseRead` and `ParseWatch` parse a response; OutOfRange means that the store no longer
 /// has the changes, any other error is a failed call.
 template <typename T>
 concept WatchedStoreCodec = requires(const T& codec, const Endpoint& store,
                                      const std::string& after_key, std::uint64_t revision,
                                      std::chrono::milliseconds wait, int status,
-                                     const std::string& body) {
+                                     const std::string& body,
+                                     const std::vector<HeaderField>& headers) {
   { codec.RenderRead(store, after_key) } -> std::same_as<std::string>;
   { codec.RenderReadDirectives(store) } -> std::same_as<std::string>;
   { codec.IsDirective(after_key) } -> std::same_as<bool>;
   { codec.RenderWatch(store, revision, wait) } -> std::same_as<std::string>;
+  { codec.ParseEra(headers) } -> std::same_as<std::optional<std::uint64_t>>;
   { codec.ParseRead(status, body) } -> std::same_as<absl::StatusOr<StorePage>>;
   { codec.ParseWatch(status, body) } -> std::same_as<absl::StatusOr<StorePage>>;
 };
@@ -117,6 +122,7 @@
 
   static BackendClientOptions ClientOptions(const FeedOptions& options) {
     BackendClientOptions client;
+    client.keep_headers = true;
     client.connect_timeout = options.watch_slack;
     // An unresponsive connection is detected within this time even while a watch is pending.
     client.unresponsive_timeout = options.watch_wait + options.watch_slack;
@@ -162,13 +168,15 @@
     request.bytes = fmt::format("GET /changes?after={}&wait={} HTTP/1.1\r\nHost: {}\r\n\r\n",
                                 step.after_revision, step.wait.count(), FormatEndpoint(relay));
     request.time_left = step.timeout;
-    client->Start(std::move(request), [this, relay, sent = Now()](const ExchangeResult& result) {
-      OnRelayChanges(relay, sent, result);
+    client->Start(std::move(request), [this, relay, after = step.after_revision,
+                                       sent = Now()](const ExchangeResult& result) {
+      OnRelayChanges(relay, after, sent, result);
       Step();
     });
   }
 
-  void OnRelayChanges(const Endpoint& relay, TimePoint sent, const ExchangeResult& result) {
+  void OnRelayChanges(const Endpoint& relay, std::uint64_t after_revision, TimePoint sent,
+                      const ExchangeResult& result) {
     TimePoint now = Now();
     constexpr int kOk = 200;
     constexpr int kGone = 410;
@@ -192,6 +200,12 @@
           .Field("as_of", relayed->page.as_of);
       hooks_.on_reachability_changed(true);
     }
+    if (!relayed->page.items.empty()) {
+      LogLine(LogLevel::kInfo, "changes read from a followed node")
+          .Field("node", FormatEndpoint(relay))
+          .Field("after", after_revision)
+          .Field("as_of", relayed->page.as_of);
+    }
     DeliverChanges(relayed->page, after_outage, "follow");
     hooks_.on_changes(relayed->page);
   }
@@ -215,6 +229,7 @@
     if (!page.items.empty()) {
       LogLine(LogLevel::kInfo, "store read")
           .Field("call", call)
+          .Field("era", era_)
           .Field("items", page.items.size())
           .Field("as_of", page.as_of)
           .Field("more", page.has_more ? "yes" : "no")
@@ -254,6 +269,7 @@
     bool watch = kind == FeedStepKind::kWatch;
     TimePoint now = Now();
     bool after_outage = schedule_.is_recovering(now);
+    LogEra(codec_.ParseEra(result.headers));
     absl::StatusOr<StorePage> page = absl::UnavailableError("no answer");
     if (result.end == ExchangeEnd::kAnswered) {
       page = watch ? codec_.ParseWatch(result.status, result.body)
@@ -273,6 +289,14 @@
     OnPage(*page, after_outage, now);
   }
 
+  void LogEra(std::optional<std::uint64_t> era) {
+    if (!era || *era == era_) return;
+    LogLine(LogLevel::kWarning, "era of the store changed")
+        .Field("era", *era)
+        .Field("before", era_);
+    era_ = *era;
+  }
+
   void OnChanges(StorePage& page, bool after_outage, TimePoint now) {
     BatchSize batch{page.items.size(), 0};
     for (const StoreItem& item : page.items) batch.bytes += item.key.size() + item.value.size();
@@ -331,6 +355,7 @@
   std::vector<Endpoint> relays_;
   std::map<Endpoint, std::unique_ptr<BackendClient>> relay_clients_;
   Duration confirmed_at_ = TimeSinceBoot();  // Time of the confirmation, since boot.
+  std::uint64_t era_ = 0;                    // Era of the store in its last response.
   std::uint64_t directives_as_of_ = 0;       // Revision at which the directives were read.
 };
 
