Keep the revisions of a restored store apart by its era

What callers saw: after the store came back from an older copy, some nodes never took over a route that was added later.

Cause: nodes compare revisions across the restore, although the store gives them out again. A follower that had read the restored store as of 313 took revision 314 from a reader that had not noticed the restore, and was never sent the new change 314. The same cause in two more places: a watch continues from a revision that was passed again before the node asked, and directives are dropped as older than a read of the directives before the restore.

Change: FeedSchedule keeps the era. A response of a newer era makes the node read everything again, a response of an older one is ignored. The relay's log and its pages carry the era, a follower states its own, and the relay serves no other. Why it works: revisions are only ever compared within an era.

--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -64,8 +64,8 @@
                [this](const StorePage& page) {
                  if (relay_) relay_->OnChanges(page);
                },
-               [this](std::uint64_t revision) {
-                 if (relay_) relay_->OnAllRead(revision);
+               [this](std::uint64_t revision, std::uint64_t era) {
+                 if (relay_) relay_->OnAllRead(revision, era);
                }}),
         node_key_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
                   RenderNodeRecord({settings.zone, settings.changes}), settings.node_lease,
--- a/include/damaskroute/relay/change_log.h
+++ b/include/damaskroute/relay/change_log.h
@@ -19,20 +19,24 @@
   /// thousand backend servers.
   static constexpr std::size_t kMaxBytes = std::size_t{512} << 10;
 
-  /// Resets the log after a complete read as of `revision`; earlier changes are unknown.
-  void Restart(std::uint64_t revision);
+  /// Resets the log after a complete read as of `revision` in an era of the store; earlier changes
+  /// are unknown.
+  void Restart(std::uint64_t revision, std::uint64_t era);
 
   /// Appends changes in order, up to revision `as_of`. `after_outage`: removed entries may only
   /// have expired while the store was unavailable.
   void Append(const std::vector<StoreItem>& items, std::uint64_t as_of, bool after_outage);
 
-  /// Changes after `revision` and the revision that they lead to; nullopt if some of them are
-  /// unknown.
+  /// Changes after `revision` of the log's era and the revision that they lead to; nullopt if some
+  /// of them are unknown.
   std::optional<StorePage> After(std::uint64_t revision) const;
 
   /// Latest revision that the log covers; 0 before the first `Restart`.
   std::uint64_t as_of() const { return as_of_; }
 
+  /// Era of the store to which all changes in the log belong.
+  std::uint64_t era() const { return era_; }
+
  private:
   struct Entry {
     StoreItem item;
@@ -43,6 +47,7 @@
   std::size_t bytes_ = 0;
   std::uint64_t start_ = 0;  // Changes up to this revision are unknown.
   std::uint64_t as_of_ = 0;
+  std::uint64_t era_ = 0;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/relay/change_relay.h
+++ b/include/damaskroute/relay/change_relay.h
@@ -16,9 +16,9 @@
 namespace damaskroute {
 
 /// Serves the store's changes to the followers of this node, which read the changes through it
-/// instead of from the store. `GET /changes?after=REVISION&wait=MILLISECONDS` responds as soon as
-/// there are changes, else at the end of the wait, with a `RelayedPage`; 410 if the changes after
-/// that revision are unknown. Used on its event loop only.
+/// instead of from the store. `GET /changes?era=ERA&after=REVISION&wait=MILLISECONDS` responds as
+/// soon as there are changes, else at the end of the wait, with a `RelayedPage`; 410 if the changes
+/// after that revision are unknown or the log is of another era. Used on its event loop only.
 class ChangeRelay {
  public:
   /// `age` returns the time since the store last confirmed this node's data.
@@ -32,7 +32,7 @@
   void Stop();
 
   /// See `ChangeLog`.
-  void OnAllRead(std::uint64_t revision);
+  void OnAllRead(std::uint64_t revision, std::uint64_t era);
   void OnChanges(const StorePage& page);
 
  private:
--- a/include/damaskroute/store/feed_schedule.h
+++ b/include/damaskroute/store/feed_schedule.h
@@ -23,6 +23,10 @@
 /// be reached. Calls to the store are priced, so in a large zone the node follows another node (a
 /// relay) instead, as long as that node is as up to date as a watch of the store would be.
 ///
+/// Revisions are ordered only within an era of the store. When the store was restored from an older
+/// copy, which begins a new era, the node reads all items again, and follows only nodes that have
+/// done so as well.
+///
 /// Changes arrive in pages in the order of their revisions. A node that is many changes behind
 /// fetches page after page without pauses and reads the operator directives (configuration and zone
 /// evacuation) after each page, so these never wait behind thousands of server entries.
@@ -30,6 +34,13 @@
  public:
   FeedSchedule(const FeedOptions& options, std::uint64_t seed) : options_(options), random_(seed) {}
 
+  /// How the era of a response relates to the known one.
+  enum class EraOrder : std::uint8_t {
+    kCurrent,
+    kNew,       ///< The store was restored. All items have to be read again.
+    kOutdated,  ///< The response is from before a restore; it must be ignored.
+  };
+
   /// Returns the next step. To be called after each event and at the end of a pause.
   FeedStep Next(TimePoint now) const;
 
@@ -50,6 +61,13 @@
   /// The store no longer has the changes that follow the known revision.
   void OnHistoryLost(TimePoint now);
 
+  /// The store stated its era in a response. To be called before the response is handled; if the
+  /// era is not current, instead.
+  EraOrder OnEra(std::uint64_t era, TimePoint now);
+
+  /// Number of restores of the store, as it states it; 0 before its first response.
+  std::uint64_t era() const { return era_; }
+
   /// Sets the number of nodes that may be followed instead of the store; 0 to follow the store.
   void SetRelays(std::size_t relay_count);
 
@@ -59,7 +77,8 @@
   /// A followed node did not respond, or its data is too old: the next one is followed.
   void OnRelayFailure(TimePoint now);
 
-  /// A followed node no longer has the changes that follow the known revision.
+  /// A followed node no longer has the changes that follow the known revision, or they are of
+  /// another era.
   void OnRelayHistoryLost() { direct_once_ = true; }
 
   /// Whether the last watch returned a large batch, so that more changes may be waiting.
@@ -75,7 +94,7 @@
   bool in_outage() const { return outage_; }
 
   /// Whether entries that are missing now may have expired during an outage that is in progress or
-  /// has just ended.
+  /// has just ended, or may be missing only in the copy from which the store was restored.
   bool is_recovering(TimePoint now) const { return outage_ || now < recovering_until_; }
 
  private:
@@ -88,6 +107,7 @@
   Random random_;
   bool reading_ = true;
   std::string after_key_;
+  std::uint64_t era_ = 0;
   std::uint64_t first_as_of_ = 0;
   std::uint64_t revision_ = 0;
   TimePoint retry_at_;     // After a failure.
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -62,8 +62,8 @@
   std::function<void(bool reached)> on_reachability_changed;
   /// Changes up to revision `page.as_of` were received. Called after `on_items`.
   std::function<void(const StorePage& page)> on_changes;
-  /// All items were read as of `revision`. Called after `on_full_read`.
-  std::function<void(std::uint64_t revision)> on_resync;
+  /// All items were read as of `revision` of an era. Called after `on_full_read`.
+  std::function<void(std::uint64_t revision, std::uint64_t era)> on_resync;
 };
 
 /// Follows a store on an event loop: executes the steps of `FeedSchedule`. The changes that it
@@ -165,8 +165,9 @@
       client = std::make_unique<BackendClient>(loop_, relay, /*max_connections=*/1, options);
     }
     ExchangeRequest request;
-    request.bytes = fmt::format("GET /changes?after={}&wait={} HTTP/1.1\r\nHost: {}\r\n\r\n",
-                                step.after_revision, step.wait.count(), FormatEndpoint(relay));
+    request.bytes =
+        fmt::format("GET /changes?era={}&after={}&wait={} HTTP/1.1\r\nHost: {}\r\n\r\n",
+                    schedule_.era(), step.after_revision, step.wait.count(), FormatEndpoint(relay));
     request.time_left = step.timeout;
     client->Start(std::move(request), [this, relay, after = step.after_revision,
                                        sent = Now()](const ExchangeResult& result) {
@@ -190,6 +191,7 @@
           .Field("error", ErrorText(relayed.status()));
       return schedule_.OnRelayFailure(now);
     }
+    if (relayed->page.era != schedule_.era()) return schedule_.OnRelayHistoryLost();
     bool after_outage = relayed->page.after_outage || schedule_.is_recovering(now);
     Duration age = AgeOnArrival(*relayed, sent, now);
     confirmed_at_ = std::max(confirmed_at_, TimeSinceBoot() - age);
@@ -229,7 +231,7 @@
     if (!page.items.empty()) {
       LogLine(LogLevel::kInfo, "store read")
           .Field("call", call)
-          .Field("era", era_)
+          .Field("era", schedule_.era())
           .Field("items", page.items.size())
           .Field("as_of", page.as_of)
           .Field("more", page.has_more ? "yes" : "no")
@@ -269,7 +271,15 @@
     bool watch = kind == FeedStepKind::kWatch;
     TimePoint now = Now();
     bool after_outage = schedule_.is_recovering(now);
-    LogEra(codec_.ParseEra(result.headers));
+    switch (OnEra(codec_.ParseEra(result.headers), now)) {
+      case FeedSchedule::EraOrder::kCurrent:
+        break;
+      case FeedSchedule::EraOrder::kNew:
+        return OnRestored();
+      case FeedSchedule::EraOrder::kOutdated:
+        return OnFailure(absl::AbortedError("the response is from before the store was restored"),
+                         kind, wait, sent, now);
+    }
     absl::StatusOr<StorePage> page = absl::UnavailableError("no answer");
     if (result.end == ExchangeEnd::kAnswered) {
       page = watch ? codec_.ParseWatch(result.status, result.body)
@@ -289,12 +299,15 @@
     OnPage(*page, after_outage, now);
   }
 
-  void LogEra(std::optional<std::uint64_t> era) {
-    if (!era || *era == era_) return;
-    LogLine(LogLevel::kWarning, "era of the store changed")
-        .Field("era", *era)
-        .Field("before", era_);
-    era_ = *era;
+  // A response without an era is taken to be of the current one.
+  FeedSchedule::EraOrder OnEra(std::optional<std::uint64_t> era, TimePoint now) {
+    return era ? schedule_.OnEra(*era, now) : FeedSchedule::EraOrder::kCurrent;
+  }
+
+  void OnRestored() {
+    LogLine(LogLevel::kWarning, "store restored from an older copy, reading all of it")
+        .Field("era", schedule_.era());
+    directives_as_of_ = 0;
   }
 
   void OnChanges(StorePage& page, bool after_outage, TimePoint now) {
@@ -314,7 +327,7 @@
     Deliver(page, after_outage, CallName(FeedStepKind::kRead));
     if (page.has_more) return;
     hooks_.on_full_read(keys_, after_outage);
-    hooks_.on_resync(schedule_.revision());
+    hooks_.on_resync(schedule_.revision(), schedule_.era());
   }
 
   void OnDirectives(StorePage& page, bool after_outage, TimePoint now) {
@@ -355,7 +368,6 @@
   std::vector<Endpoint> relays_;
   std::map<Endpoint, std::unique_ptr<BackendClient>> relay_clients_;
   Duration confirmed_at_ = TimeSinceBoot();  // Time of the confirmation, since boot.
-  std::uint64_t era_ = 0;                    // Era of the store in its last response.
   std::uint64_t directives_as_of_ = 0;       // Revision at which the directives were read.
 };
 
--- a/include/damaskroute/store/store_page.h
+++ b/include/damaskroute/store/store_page.h
@@ -14,6 +14,7 @@
   std::vector<StoreItem> items;
   bool has_more = false;      ///< For a read: further pages follow the last key.
   std::uint64_t as_of = 0;    ///< Revision of the store.
+  std::uint64_t era = 0;      ///< Era of the store, in which its revisions are ordered.
   bool after_outage = false;  ///< Removed items may merely have expired during an outage.
 };
 
--- a/src/relay/change_log.cc
+++ b/src/relay/change_log.cc
@@ -11,7 +11,8 @@
 
 }  // namespace
 
-void ChangeLog::Restart(std::uint64_t revision) {
+void ChangeLog::Restart(std::uint64_t revision, std::uint64_t era) {
+  era_ = era;
   entries_.clear();
   bytes_ = 0;
   start_ = as_of_ = revision;
@@ -36,6 +37,7 @@
   if (as_of_ == 0 || revision < start_) return std::nullopt;
   StorePage page;
   page.as_of = as_of_;
+  page.era = era_;
   for (const Entry& entry : entries_) {
     if (entry.item.revision <= revision) continue;
     page.items.push_back(entry.item);
--- a/src/relay/change_relay.cc
+++ b/src/relay/change_relay.cc
@@ -53,15 +53,22 @@
 
 /// The log and the requests that wait for changes.
 struct ChangeRelay::State {
-  struct Waiting {
+  // What a follower knows of the store.
+  struct Position {
+    std::uint64_t era = 0;
     std::uint64_t after = 0;
+  };
+
+  struct Waiting {
+    Position position;
     TimePoint since;
     HttpResponder respond;
     asio::steady_timer timer;
   };
 
   void Handle(const HttpRequest& request, HttpResponder respond);
-  void Respond(std::uint64_t after, TimePoint since, const HttpResponder& respond) const;
+  void Respond(const Position& position, TimePoint since, const HttpResponder& respond) const;
+  std::optional<StorePage> Find(const Position& position) const;
 
   // Removes all waiting requests and runs `answer` on each.
   template <typename Answer>
@@ -80,28 +87,36 @@
 };
 
 void ChangeRelay::State::Handle(const HttpRequest& request, HttpResponder respond) {
+  auto era = NumericParameter(request.target, "era");
   auto after = NumericParameter(request.target, "after");
   auto wait = NumericParameter(request.target, "wait");
-  if (!request.target.starts_with("/changes?") || !after || !wait) return respond(Failure(404));
-  auto page = log.After(*after);
+  if (!request.target.starts_with("/changes?") || !era || !after || !wait) {
+    return respond(Failure(404));
+  }
+  Position position{*era, *after};
+  auto page = Find(position);
   TimePoint since = SteadyClock().Now();
-  if (!page || !page->items.empty() || *wait == 0) return Respond(*after, since, respond);
+  if (!page || !page->items.empty() || *wait == 0) return Respond(position, since, respond);
   auto call = std::make_shared<Waiting>(
-      Waiting{*after, since, std::move(respond), asio::steady_timer(loop)});
+      Waiting{position, since, std::move(respond), asio::steady_timer(loop)});
   waiting.insert(call);
   auto longest = static_cast<std::uint64_t>(kMaxWait.count());
   call->timer.expires_after(milliseconds(std::min(*wait, longest)));
   call->timer.async_wait([weak = self, call](const boost::system::error_code&) {
     auto state = weak.lock();
     if (state && state->waiting.erase(call) > 0) {
-      state->Respond(call->after, call->since, call->respond);
+      state->Respond(call->position, call->since, call->respond);
     }
   });
 }
 
-void ChangeRelay::State::Respond(std::uint64_t after, TimePoint since,
+std::optional<StorePage> ChangeRelay::State::Find(const Position& position) const {
+  return position.era == log.era() ? log.After(position.after) : std::nullopt;
+}
+
+void ChangeRelay::State::Respond(const Position& position, TimePoint since,
                                  const HttpResponder& respond) const {
-  auto page = log.After(after);
+  auto page = Find(position);
   if (!page) return respond(Failure(410));
   HttpResponse response;
   response.content_type = "application/octet-stream";
@@ -131,8 +146,8 @@
   server_->BeginDrain();
 }
 
-void ChangeRelay::OnAllRead(std::uint64_t revision) {
-  state_->log.Restart(revision);
+void ChangeRelay::OnAllRead(std::uint64_t revision, std::uint64_t era) {
+  state_->log.Restart(revision, era);
   AnswerAll();
 }
 
@@ -143,7 +158,7 @@
 
 void ChangeRelay::AnswerAll() {
   state_->RemoveAll(
-      [this](const auto& call) { state_->Respond(call.after, call.since, call.respond); });
+      [this](const auto& call) { state_->Respond(call.position, call.since, call.respond); });
 }
 
 }  // namespace damaskroute
--- a/src/relay/relayed_page.cc
+++ b/src/relay/relayed_page.cc
@@ -17,13 +17,14 @@
 namespace {
 
 // First byte of each page; pages of another version are rejected.
-constexpr std::uint8_t kFormat = 1;
+constexpr std::uint8_t kFormat = 2;
 
 template <typename Archive>
 void Transfer(Archive& archive, std::uint8_t& format, RelayedPage& relayed) {
   std::int64_t age = relayed.age.count();
   std::int64_t held = relayed.held.count();
-  archive(format, age, held, relayed.page.as_of, relayed.page.after_outage, relayed.page.items);
+  archive(format, age, held, relayed.page.era, relayed.page.as_of, relayed.page.after_outage,
+          relayed.page.items);
   relayed.age = std::chrono::microseconds(age);
   relayed.held = std::chrono::microseconds(held);
 }
--- a/src/store/feed_schedule.cc
+++ b/src/store/feed_schedule.cc
@@ -118,6 +118,19 @@
   after_key_.clear();
 }
 
+FeedSchedule::EraOrder FeedSchedule::OnEra(std::uint64_t era, TimePoint now) {
+  if (era == era_) return EraOrder::kCurrent;
+  if (era < era_) return EraOrder::kOutdated;
+  bool first = era_ == 0;
+  era_ = era;
+  if (first) return EraOrder::kCurrent;
+  OnHistoryLost(now);
+  revision_ = 0;
+  direct_once_ = batching_ = false;
+  recovering_until_ = now + options_.recovery_window;
+  return EraOrder::kNew;
+}
+
 void FeedSchedule::OnFailure(Duration overdue, TimePoint now) {
   ++failures_;
   if (failures_ >= kOutageFailures || overdue >= kOutageOverdue) outage_ = true;
--- a/tests/feed_schedule_test.cc
+++ b/tests/feed_schedule_test.cc
@@ -317,5 +317,47 @@
   CHECK(f.schedule.is_recovering(f.clock.Now()));
 }
 
+using EraOrder = FeedSchedule::EraOrder;
+
+TEST_CASE("all items are read again in a new era, from the first page on") {
+  Fixture f;
+  CHECK(f.schedule.OnEra(4, f.clock.Now()) == EraOrder::kCurrent);
+  f.ReadAll(100);
+  CHECK(f.schedule.OnEra(4, f.clock.Now()) == EraOrder::kCurrent);
+  CHECK(f.Next().kind == FeedStepKind::kWatch);
+  CHECK(f.schedule.OnEra(5, f.clock.Now()) == EraOrder::kNew);
+  CHECK(f.schedule.is_recovering(f.clock.Now()));
+  CHECK(f.Next().kind == FeedStepKind::kRead);
+  f.schedule.OnPage("key-500", true, 90, f.clock.Now());
+  CHECK(f.schedule.OnEra(6, f.clock.Now()) == EraOrder::kNew);  // Restored between two pages.
+  CHECK(f.Next().after_key.empty());
+  f.ReadAll(80);
+  CHECK(f.Next().after_revision == 80);
+}
+
+TEST_CASE("a response from before a restore changes nothing") {
+  Fixture f;
+  CHECK(f.schedule.OnEra(5, f.clock.Now()) == EraOrder::kCurrent);
+  f.ReadAll(80);
+  CHECK(f.schedule.OnEra(4, f.clock.Now()) == EraOrder::kOutdated);
+  CHECK(f.schedule.era() == 5);
+  CHECK(f.Next().after_revision == 80);
+}
+
+TEST_CASE("a follower reads the store itself when its era and that of the followed node differ") {
+  Fixture f;
+  f.schedule.SetRelays(2);
+  f.ReadAll(7);
+  CHECK(f.Next().kind == FeedStepKind::kFollow);
+  f.schedule.OnRelayHistoryLost();
+  CHECK(f.Next().kind == FeedStepKind::kWatch);
+  CHECK(f.schedule.OnEra(2, f.clock.Now()) == EraOrder::kCurrent);
+  CHECK(f.schedule.OnEra(3, f.clock.Now()) == EraOrder::kNew);
+  CHECK(f.Next().kind == FeedStepKind::kRead);
+  f.ReadAll(5);
+  CHECK(f.Next().kind == FeedStepKind::kFollow);
+  CHECK(f.Next().after_revision == 5);
+}
+
 }  // namespace
 }  // namespace damaskroute
--- a/tests/relay_codec_test.cc
+++ b/tests/relay_codec_test.cc
@@ -11,6 +11,7 @@
   relayed.age = std::chrono::microseconds(1234);
   relayed.held = std::chrono::microseconds(99);
   relayed.page.as_of = 77;
+  relayed.page.era = 3;
   relayed.page.after_outage = true;
   relayed.page.items = {{"servers/i-1", std::string("\0\xff{", 3), 76, false},
                         {"servers/i-2", "", 77, true}};
@@ -23,6 +24,7 @@
   CHECK(copy->age == Sample().age);
   CHECK(copy->held == Sample().held);
   CHECK(copy->page.as_of == 77);
+  CHECK(copy->page.era == 3);
   CHECK(copy->page.after_outage);
   REQUIRE(copy->page.items.size() == 2);
   CHECK(copy->page.items[0].value == Sample().page.items[0].value);
--- a/tests/store_restore_test.cc
+++ b/tests/store_restore_test.cc
@@ -14,7 +14,8 @@
 const std::string kClosedZone = std::string(platform::kEvacuatePrefix) + "b";
 
 std::set<ZoneName> ClosedZones(PlatformFixture& w) {
-  return w.ReadForwardingState([](const ForwardingState& s) { return s.backends().closed_zones(); });
+  return w.ReadForwardingState(
+      [](const ForwardingState& s) { return s.backends().closed_zones(); });
 }
 
 // Writes `count` changes that no node cares about.
--- a/tests/support/relay_reader.h
+++ b/tests/support/relay_reader.h
@@ -20,7 +20,7 @@
     loop.Run([&] {
       relay = std::make_unique<ChangeRelay>(loop.io(), endpoint, std::move(age));
       (void)relay->Start();
-      relay->OnAllRead(1);
+      relay->OnAllRead(1, /*era=*/1);
     });
     world.store.Write(platform::kNodePrefix + name, RenderNodeRecord({"a", endpoint}));
   }
@@ -28,7 +28,7 @@
     loop.Run([this] { relay.reset(); });
   }
   void Announce(const StoreItem& item) {
-    loop.Run([&] { relay->OnChanges({{item}, false, item.revision, false}); });
+    loop.Run([&] { relay->OnChanges({{item}, false, item.revision, 1, false}); });
   }
 
   standins::LoopThread& loop;
