Do not use a server that left, when a restored store lists it again

Cause: the directory forgets a removed server, so the entry in the copy looked new.

Change: the last incarnation and sequence of a removed server are remembered for a minute. An entry of the copy that is not newer is used only if it is still there after six seconds, by which time the store has removed the entries of servers that send no heartbeats.

--- a/include/damaskroute/node/forwarding_state.h
+++ b/include/damaskroute/node/forwarding_state.h
@@ -41,6 +41,9 @@
   void EndBatch();
   static constexpr std::size_t kMinSummarizedBatch = 20;
 
+  /// Handles a restore of the store from an older copy, which is read completely afterwards.
+  void OnStoreRestored() { directory_.OnStoreRestored(); }
+
   /// Handles an entry of a backend server in the store.
   void OnBackend(const BackendEntry& entry);
 
--- a/include/damaskroute/routing/directory_change.h
+++ b/include/damaskroute/routing/directory_change.h
@@ -12,6 +12,7 @@
   kUpdated,   ///< The same incarnation with other data.
   kReplaced,  ///< Another incarnation or address; the old one's statistics are invalid.
   kRemoved,   ///< The server no longer exists.
+  kDelayed,   ///< The entry of a removed server, perhaps from an older copy of the store.
   kRetained,  ///< The entry is missing, perhaps only because of an outage of the store.
 };
 
--- a/src/node/forwarding_state.cc
+++ b/src/node/forwarding_state.cc
@@ -66,8 +66,14 @@
 }
 
 void ForwardingState::OnBackend(const BackendEntry& entry) {
-  DirectoryChange change = directory_.OnEntry(entry);
+  DirectoryChange change = directory_.OnEntry(entry, Now());
   if (change == DirectoryChange::kNone) return;
+  if (change == DirectoryChange::kDelayed) {
+    LogLine(LogLevel::kInfo, "entry of a removed backend server not used yet")
+        .Field("backend", entry.id)
+        .Field("sequence", entry.sequence);
+    return ScheduleExpiry();
+  }
   if (change == DirectoryChange::kAdded) ++entry_counts_.added;
   if (change == DirectoryChange::kUpdated) ++entry_counts_.updated;
   if (change == DirectoryChange::kReplaced) ++entry_counts_.replaced;
@@ -182,6 +188,7 @@
     for (const BackendName& id : directory_.Expire(Now())) {
       RemoveBackend(id, "entry did not come back");
     }
+    for (const BackendEntry& entry : directory_.TakeReturned(Now())) OnBackend(entry);
     ScheduleExpiry();
   });
 }
