Keep the operator's zone directives in force while a restored store lacks them

In scratch trials at a node, before this change, a zone that had been closed was used again as soon as the node had read a copy without the directive, and a directive that had been withdrawn was in force again.

Cause: a complete read replaced the set of closed zones, whatever the node had learnt since the copy.

A write or removal after the restore is applied at once.

--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -124,7 +124,6 @@
       }
     }
     forwarding_state.EndBatch();
-    forward_server_.SetClosedZones(closed_zones_);
     ApplyNodes();
     if (!items.empty()) UpdateRelays();
     feed_.SetEager(forwarding_state.ExpectsReturningServers(Now()));
@@ -168,7 +167,7 @@
     } else if (auto* entry = std::get_if<BackendEntry>(&*store_entry)) {
       forward_server_.service().forwarding_state().OnBackend(*entry);
     } else if (auto* closed = std::get_if<ClosedZone>(&*store_entry)) {
-      closed_zones_.insert(closed->zone);
+      forward_server_.service().forwarding_state().OnZoneClosed(closed->zone, item.revision);
     } else if (auto* node = std::get_if<LiveNode>(&*store_entry)) {
       nodes_.Add(node->node);
       node_records_.insert_or_assign(node->node, node->record);
@@ -179,7 +178,9 @@
     if (key.kind == StoreEntryKind::kBackend) {
       forward_server_.service().forwarding_state().OnBackendRemoved(key.name, after_outage);
     }
-    if (key.kind == StoreEntryKind::kClosedZone) closed_zones_.erase(key.name);
+    if (key.kind == StoreEntryKind::kClosedZone) {
+      forward_server_.service().forwarding_state().OnZoneOpened(key.name);
+    }
     if (key.kind == StoreEntryKind::kNode) {
       nodes_.Remove(key.name, Now());
       node_records_.erase(key.name);
@@ -192,12 +193,7 @@
       StoreEntryKey key = platform_.ParseKey(text);
       if (key.kind == StoreEntryKind::kClosedZone) zones.insert(key.name);
     }
-    ReplaceClosedZones(std::move(zones));
-  }
-
-  void ReplaceClosedZones(std::set<ZoneName> zones) {
-    closed_zones_ = std::move(zones);
-    forward_server_.SetClosedZones(closed_zones_);
+    forward_server_.service().forwarding_state().OnAllClosedZones(zones);
   }
 
   void OnAllRead(const std::vector<std::string>& keys, bool after_outage) {
@@ -211,7 +207,7 @@
       if (key.kind == StoreEntryKind::kNode) nodes.insert(key.name);
     }
     forward_server_.service().forwarding_state().OnAllBackends(backends, after_outage);
-    ReplaceClosedZones(std::move(zones));
+    forward_server_.service().forwarding_state().OnAllClosedZones(zones);
     nodes_.RetainOnly(nodes, Now());
     std::erase_if(node_records_, [&](const auto& entry) { return !nodes.contains(entry.first); });
     ApplyNodes();
@@ -221,7 +217,6 @@
   const Platform platform_;
   const Reload reload_;
   ForwardServer forward_server_;
-  std::set<ZoneName> closed_zones_;
   NodeCount nodes_;
   const NodeName node_;
   const ZoneName zone_;
--- a/include/damaskroute/node/forward_server.h
+++ b/include/damaskroute/node/forward_server.h
@@ -35,7 +35,6 @@
   void Apply(const ForwardNodeSettings& settings);
 
   void InstallRoutes(RoutingDocument document);
-  void SetClosedZones(const std::set<ZoneName>& zones);
 
   /// Sets the number of nodes that share the limits of the deployment.
   void SetNodes(int nodes);
--- a/include/damaskroute/node/forwarding_state.h
+++ b/include/damaskroute/node/forwarding_state.h
@@ -18,6 +18,7 @@
 #include "damaskroute/node/backend_pool.h"
 #include "damaskroute/node/reachability_prober.h"
 #include "damaskroute/routing/backend_directory.h"
+#include "damaskroute/routing/closed_zones.h"
 #include "damaskroute/routing/route_table.h"
 
 namespace damaskroute {
@@ -42,7 +43,7 @@
   static constexpr std::size_t kMinSummarizedBatch = 20;
 
   /// Handles a restore of the store from an older copy, which is read completely afterwards.
-  void OnStoreRestored() { directory_.OnStoreRestored(); }
+  void OnStoreRestored();
 
   /// Handles an entry of a backend server in the store.
   void OnBackend(const BackendEntry& entry);
@@ -67,8 +68,10 @@
   void OnRateLimit(const std::shared_ptr<Backend>& called, std::optional<double> rate_limit,
                    TimePoint sent);
 
-  /// Sets the zones to which no new requests are sent.
-  void SetClosedZones(std::set<ZoneName> zones);
+  /// Handles directives that close zones, to which no new requests are sent; see `ClosedZones`.
+  void OnZoneClosed(const ZoneName& zone, std::uint64_t revision);
+  void OnZoneOpened(const ZoneName& zone);
+  void OnAllClosedZones(const std::set<ZoneName>& present);
 
   /// Logs the set of unreachable zones if it has changed since the last call.
   void LogUnreachableZones(TimePoint now);
@@ -104,6 +107,7 @@
 
   void RemoveBackend(const BackendName& id, const char* reason);
   void ScheduleExpiry();
+  void ApplyClosedZones();
 
   std::shared_ptr<const RouteTable> routes_;
   TimePoint routes_since_;
@@ -113,6 +117,8 @@
   BackendPool pool_;
   ReachabilityProber prober_;
   asio::steady_timer expiry_timer_;
+  ClosedZones closed_zones_;
+  asio::steady_timer zones_timer_;
   std::set<ZoneName> logged_unreachable_zones_;
   LogLevel entry_level_ = LogLevel::kInfo;  // Level of messages about single entries.
   EntryCounts entry_counts_;                // Changes since `BeginBatch`.
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -149,10 +149,6 @@
   if (!was_ready && IsReady()) LogLine(LogLevel::kInfo, "node ready");
 }
 
-void ForwardServer::SetClosedZones(const std::set<ZoneName>& zones) {
-  service_.forwarding_state().SetClosedZones(zones);
-}
-
 void ForwardServer::SetNodes(int nodes) {
   nodes_ = nodes;
   ExtraBudgetOptions budget;
--- a/src/node/forwarding_state.cc
+++ b/src/node/forwarding_state.cc
@@ -31,7 +31,8 @@
     : backends_(options, seed),
       pool_(loop, client_options),
       prober_(loop, pool_, backends_),
-      expiry_timer_(loop) {}
+      expiry_timer_(loop),
+      zones_timer_(loop) {}
 
 bool ForwardingState::InstallRoutes(RoutingDocument document) {
   if (routes_ && document.version <= routes_version()) return false;
@@ -193,7 +194,35 @@
   });
 }
 
-void ForwardingState::SetClosedZones(std::set<ZoneName> zones) {
+void ForwardingState::OnStoreRestored() {
+  directory_.OnStoreRestored();
+  closed_zones_.OnStoreRestored();
+}
+
+void ForwardingState::OnZoneClosed(const ZoneName& zone, std::uint64_t revision) {
+  closed_zones_.OnClosed(zone, revision, Now());
+  ApplyClosedZones();
+}
+
+void ForwardingState::OnZoneOpened(const ZoneName& zone) {
+  closed_zones_.OnOpened(zone);
+  ApplyClosedZones();
+}
+
+void ForwardingState::OnAllClosedZones(const std::set<ZoneName>& present) {
+  closed_zones_.OnAllRead(present, Now());
+  ApplyClosedZones();
+}
+
+void ForwardingState::ApplyClosedZones() {
+  TimePoint now = Now();
+  if (TimePoint next = closed_zones_.next_change(now); next != TimePoint::max()) {
+    zones_timer_.expires_at(next);
+    zones_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) ApplyClosedZones();
+    });
+  }
+  auto zones = closed_zones_.Closed(now);
   if (zones == backends_.closed_zones()) return;
   LogLine(LogLevel::kInfo, "zones closed").Field("zones", JoinNames(zones));
   backends_.SetClosedZones(std::move(zones));
--- a/tests/forwarding_state_test.cc
+++ b/tests/forwarding_state_test.cc
@@ -63,9 +63,9 @@
   Fixture f;
   f.Put("one", "shard", "a");
   f.Put("two", "shard", "b");
-  f.forwarding_state.SetClosedZones({"b"});
+  f.forwarding_state.OnZoneClosed("b", /*revision=*/1);
   CHECK(f.AwaitsServers());
-  f.forwarding_state.SetClosedZones({});
+  f.forwarding_state.OnZoneOpened("b");
   CHECK_FALSE(f.AwaitsServers());
   auto now = SteadyClock().Now();
   auto server = f.forwarding_state.backends().Find("one");
