Write a node's key again after the store was restored

A node whose key was written after the copy stayed unknown to the others until its next renewal failed, up to 10 s later, and if the store had given its lease id to another node, which renewed it, for as long as both ran. Limits for all nodes are divided by the number of known nodes, so fewer known nodes exceed them.

Cause: a lease was taken to live as long as renewals under its id succeed, also across a restore.

Change: the leased key keeps the era, from its own responses and from those of the feed. In a new era it opens a new lease within a second, at a random time, and writes the key under it.

Evidence: "a node writes its key again after a restore" failed before (Has(key) false for 20 s, the stand-in gives all leases one id) and passes now, for two restores in a row.

--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -67,7 +67,10 @@
                [this](std::uint64_t revision, std::uint64_t era) {
                  if (relay_) relay_->OnAllRead(revision, era);
                },
-               [this] { forward_server_.service().forwarding_state().OnStoreRestored(); }}),
+               [this](std::uint64_t era) {
+                 forward_server_.service().forwarding_state().OnStoreRestored();
+                 node_key_.OnStoreEra(era);
+               }}),
         node_key_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
                   RenderNodeRecord({settings.zone, settings.changes}), settings.node_lease,
                   Hash64(settings.node, /*seed=*/1)) {
--- a/include/damaskroute/store/lease_schedule.h
+++ b/include/damaskroute/store/lease_schedule.h
@@ -28,6 +28,11 @@
   /// The store no longer has the lease.
   void OnEnded();
 
+  /// The store was restored from an older copy, which may lack the key and the lease, or hold
+  /// another lease under the same id: opens a new one soon, not at the same time as the other
+  /// nodes.
+  void OnStoreRestored(TimePoint now);
+
   /// A call failed or got no response.
   void OnFailure(TimePoint now);
 
--- a/include/damaskroute/store/leased_key.h
+++ b/include/damaskroute/store/leased_key.h
@@ -2,8 +2,11 @@
 #define DAMASKROUTE_STORE_LEASED_KEY_H_
 
 #include <concepts>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
@@ -17,15 +20,16 @@
 
 namespace damaskroute {
 
-/// Wire format of a store with leases. The parse functions return NotFound if the lease has ended,
-/// and any other error for a failed call.
+/// Wire format of a store with leases; `ParseEra` as in `WatchedStoreCodec`. The parse functions
+/// return NotFound if the lease has ended, and any other error for a failed call.
 template <typename T>
 concept LeaseCodec = requires(const T& codec, const Endpoint& store, std::uint64_t lease,
                               std::chrono::milliseconds ttl, const NodeName& node, int status,
-                              const std::string& body) {
+                              const std::string& body, const std::vector<HeaderField>& headers) {
   { codec.RenderOpenLease(store, ttl) } -> std::same_as<std::string>;
   { codec.RenderWriteNode(store, node, body, lease) } -> std::same_as<std::string>;
   { codec.RenderRenew(store, lease) } -> std::same_as<std::string>;
+  { codec.ParseEra(headers) } -> std::same_as<std::optional<std::uint64_t>>;
   { codec.ParseLease(status, body) } -> std::same_as<absl::StatusOr<Lease>>;
   { codec.ParseAck(status) } -> std::same_as<absl::Status>;
 };
@@ -49,6 +53,13 @@
 
   void Start() { Step(); }
 
+  /// The store stated its era, in a response to any call. In a new era the key is written again.
+  void OnStoreEra(std::uint64_t era) {
+    if (!UpdateEra(era) || calling_) return;
+    timer_.cancel();
+    Step();
+  }
+
  private:
   // Not urgent, so a slow store gets the time to respond.
   static constexpr std::chrono::milliseconds kCallTimeout{2000};
@@ -67,7 +78,9 @@
     ExchangeRequest request;
     request.bytes = Render(step);
     request.time_left = kCallTimeout;
+    calling_ = true;
     client_.Start(std::move(request), [this, kind = step.kind](const ExchangeResult& result) {
+      calling_ = false;
       absl::Status status = OnLeaseResponse(kind, result);
       if (absl::IsNotFound(status)) {
         schedule_.OnEnded();
@@ -90,6 +103,10 @@
 
   absl::Status OnLeaseResponse(LeaseStepKind kind, const ExchangeResult& result) {
     if (result.end != ExchangeEnd::kAnswered) return absl::UnavailableError("no answer");
+    auto era = codec_.ParseEra(result.headers).value_or(era_);
+    // A lease id of another era may be that of another node's lease.
+    bool restored = UpdateEra(era) && kind != LeaseStepKind::kOpen;
+    if (restored || era < era_) return absl::AbortedError("the store was restored meanwhile");
     if (kind != LeaseStepKind::kOpen) {
       absl::Status status = codec_.ParseAck(result.status);
       if (status.ok()) schedule_.OnRenewed(Now());
@@ -100,6 +117,17 @@
     return lease.status();
   }
 
+  // Returns whether the store was restored since the last call.
+  bool UpdateEra(std::uint64_t era) {
+    if (era <= era_) return false;
+    bool restored = era_ != 0;
+    era_ = era;
+    if (!restored) return false;
+    LogLine(LogLevel::kInfo, "node's key is written again").Field("era", era);
+    schedule_.OnStoreRestored(Now());
+    return true;
+  }
+
   BackendClient& client_;
   const Endpoint store_;
   const Codec codec_;
@@ -108,6 +136,8 @@
   const std::chrono::milliseconds ttl_;
   LeaseSchedule schedule_;
   asio::steady_timer timer_;
+  std::uint64_t era_ = 0;
+  bool calling_ = false;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -64,8 +64,8 @@
   std::function<void(const StorePage& page)> on_changes;
   /// All items were read as of `revision` of an era. Called after `on_full_read`.
   std::function<void(std::uint64_t revision, std::uint64_t era)> on_resync;
-  /// The store was restored from an older copy. All items are read afterwards.
-  std::function<void()> on_restored;
+  /// The store was restored from an older copy, which began an era. All items are read afterwards.
+  std::function<void(std::uint64_t era)> on_restored;
 };
 
 /// Follows a store on an event loop: executes the steps of `FeedSchedule`. The changes that it
@@ -310,7 +310,7 @@
     LogLine(LogLevel::kWarning, "store restored from an older copy, reading all of it")
         .Field("era", schedule_.era());
     directives_as_of_ = 0;
-    hooks_.on_restored();
+    hooks_.on_restored(schedule_.era());
   }
 
   void OnChanges(StorePage& page, bool after_outage, TimePoint now) {
--- a/src/store/lease_schedule.cc
+++ b/src/store/lease_schedule.cc
@@ -12,6 +12,9 @@
 constexpr std::chrono::milliseconds kInitialBackoff{500};
 constexpr std::chrono::milliseconds kMaxBackoff{4000};
 
+// Nodes write their keys again within this time after a restore.
+constexpr std::chrono::milliseconds kRestoreSpread{1000};
+
 }  // namespace
 
 LeaseStep LeaseSchedule::Next(TimePoint now) const {
@@ -44,6 +47,11 @@
   written_ = false;
 }
 
+void LeaseSchedule::OnStoreRestored(TimePoint now) {
+  OnEnded();
+  pause_until_ = now + Jittered(kRestoreSpread, random_);
+}
+
 void LeaseSchedule::OnFailure(TimePoint now) {
   pause_until_ =
       now + Jittered(ExponentialBackoff(kInitialBackoff, failures_++, kMaxBackoff), random_);
--- a/tests/lease_schedule_test.cc
+++ b/tests/lease_schedule_test.cc
@@ -36,6 +36,20 @@
   CHECK_FALSE(schedule.is_written());
 }
 
+TEST_CASE(
+    "a new lease is opened soon after a restore of the store, although the old one seems valid") {
+  LeaseSchedule schedule(seconds(30), 1);
+  ManualClock clock;
+  schedule.OnOpened(77, seconds(30));
+  schedule.OnRenewed(clock.Now());
+  schedule.OnStoreRestored(clock.Now());
+  LeaseStep pause = schedule.Next(clock.Now());
+  CHECK(pause.kind == LeaseStepKind::kPause);
+  CHECK(pause.until - clock.Now() <= seconds(2));
+  clock.Advance(pause.until - clock.Now());
+  CHECK(schedule.Next(clock.Now()).kind == LeaseStepKind::kOpen);
+}
+
 TEST_CASE("a failing store is called less and less often, but within seconds") {
   LeaseSchedule schedule(seconds(30), 1);
   ManualClock clock;
--- a/tests/store_restore_test.cc
+++ b/tests/store_restore_test.cc
@@ -78,5 +78,20 @@
   CHECK(PlatformFixture::Await([&] { return ClosedZones(w) == std::set<ZoneName>{"b"}; }));
 }
 
+// Guards against limits that are divided by too few nodes, since the keys that the nodes wrote
+// after the copy are gone, and the ids of their leases are given out again.
+TEST_CASE("a node writes its key again after a restore") {
+  PlatformFixture w;
+  w.AddServer("i-1", "desk");
+  w.store.TakeCopy();
+  REQUIRE(w.StartServing(1));
+  const std::string key = platform::kNodePrefix + std::string("node-1");
+  REQUIRE(PlatformFixture::Await([&] { return w.store.Has(key); }));
+  for (int i = 0; i < 2; ++i) {
+    RestoreUnseen(w, [] {});
+    CHECK(PlatformFixture::Await([&] { return w.store.Has(key); }));
+  }
+}
+
 }  // namespace
 }  // namespace damaskroute
