Pass requests to another node when too few backend servers are reached

Cause: a node had no other way to a server than its own links. It knew within 0.3 s that it could not serve, and stayed ready, since the store and the callers reached it.

Change: nodes publish a port for requests of other nodes. A request for which a node reaches too few servers goes to another node (PeerSelector, pure) and its answer comes back unchanged. The other node serves it on the same route only, counted by a fingerprint of the route, within the time and the attempts that are left, and does not pass it on. A node that cannot serve it either says so, and up to three nodes are tried as long as nothing was sent or run. A request that may have run is passed on only if it is idempotent, with a retry of the budget of each service that may have run it. The end of the caller's connection ends the calls at both nodes.

--- a/include/damaskroute/forward/forward_run.h
+++ b/include/damaskroute/forward/forward_run.h
@@ -56,6 +56,14 @@
   /// Shards that were left out from the start because none of their servers was usable.
   const std::vector<ServiceName>& left_out() const { return left_out_; }
 
+  /// After a failure: the number of backend servers per service that may still run the request;
+  /// 0 if it may have run and is not idempotent.
+  int attempts_left() const;
+
+  /// After a failure: takes one extra call from the budget of each service that may have run the
+  /// request, so that another node may repeat it. False if a budget is used up.
+  bool TakeRepeat(TimePoint now);
+
  private:
   enum class PartState : std::uint8_t { kOpen, kDone, kFailed };
   struct Part {
--- /dev/null
+++ b/include/damaskroute/forward/peer_selector.h
@@ -0,0 +1,81 @@
+#ifndef DAMASKROUTE_FORWARD_PEER_SELECTOR_H_
+#define DAMASKROUTE_FORWARD_PEER_SELECTOR_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "damaskroute/core/endpoint.h"
+#include "damaskroute/core/ids.h"
+#include "damaskroute/core/random.h"
+#include "damaskroute/core/time.h"
+
+namespace damaskroute {
+
+/// Another node, which accepts requests of nodes that cannot serve them.
+struct Peer {
+  NodeName name;
+  ZoneName zone;
+  Endpoint endpoint;
+
+  friend bool operator==(const Peer&, const Peer&) = default;
+};
+
+/// How an attempt to have a request served by a peer ended.
+enum class PeerOutcome : std::uint8_t {
+  kServed,       ///< The peer answered the request, with a success or not.
+  kNotServable,  ///< The peer cannot serve requests on this route either. Nothing was run.
+  kNotReached,   ///< No connection. Nothing was sent.
+  kLost,         ///< No answer; the request may have run.
+  kCancelled,    ///< The caller left.
+};
+
+/// Chooses the peer for a request that this node cannot serve: at random, so that the peers share
+/// the load, and of two the one with fewer requests in progress, so that one that hangs gets few. A
+/// peer that failed is not chosen for a second. Peers of zones that already failed the same request
+/// come last, as partitions mostly concern whole zones.
+class PeerSelector {
+ public:
+  /// Limit of the peers that are tried for one request.
+  static constexpr std::size_t kMaxPeersPerRequest = 3;
+
+  /// How long a peer is not chosen after it was not reached or lost a request, or for requests on
+  /// the same route after it could not serve one.
+  static constexpr std::chrono::milliseconds kAvoidTime{1000};
+
+  explicit PeerSelector(std::uint64_t seed) : random_(seed) {}
+
+  void SetPeers(std::vector<Peer> peers);
+  const std::vector<Peer>& peers() const { return peers_; }
+
+  /// Returns a peer for a request on `route` that is not among those in `tried`; nullopt if there
+  /// is none or enough were tried.
+  std::optional<Peer> Choose(const std::string& route, const std::vector<Peer>& tried,
+                             TimePoint now);
+
+  /// A request was passed to the peer; `OnEnded` follows.
+  void OnSent(const Peer& peer) { ++states_[peer.name].in_progress; }
+  void OnEnded(const Peer& peer, PeerOutcome outcome, const std::string& route, TimePoint now);
+
+ private:
+  struct State {
+    int in_progress = 0;
+    TimePoint avoided_until;
+    std::map<std::string, TimePoint> route_avoided_until;
+  };
+
+  int InProgress(const Peer& peer) const;
+  bool IsAvoided(const Peer& peer, const std::string& route, TimePoint now) const;
+
+  Random random_;
+  std::vector<Peer> peers_;
+  std::map<NodeName, State> states_;
+};
+
+}  // namespace damaskroute
+
+#endif  // DAMASKROUTE_FORWARD_PEER_SELECTOR_H_
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -72,8 +72,8 @@
                  node_key_.OnStoreEra(era);
                }}),
         node_key_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
-                  RenderNodeRecord({settings.zone, settings.changes}), settings.node_lease,
-                  Hash64(settings.node, /*seed=*/1)) {
+                  RenderNodeRecord({settings.zone, settings.changes, settings.peers}),
+                  settings.node_lease, Hash64(settings.node, /*seed=*/1)) {
     forward_server_.SetStoreView({.probe = [this](auto done) { feed_.Probe(std::move(done)); },
                                   .age = [this] { return feed_.age(); },
                                   .followed = [this] { return Followed(); }});
@@ -138,7 +138,18 @@
     forward_server_.service().forwarding_state().SetNodeNames(nodes_.Counted(now));
   }
 
+  void UpdatePeers() {
+    std::vector<Peer> peers;
+    for (const auto& [name, record] : node_records_) {
+      if (name != node_ && record.peer_endpoint) {
+        peers.push_back({name, record.zone, *record.peer_endpoint});
+      }
+    }
+    forward_server_.SetPeers(std::move(peers));
+  }
+
   void UpdateRelays() {
+    UpdatePeers();
     auto relays = ChooseRelays(node_, zone_, node_records_);
     if (relays == feed_.relays()) return;
     feed_.SetRelays(std::move(relays));
--- a/include/damaskroute/node/forward_node_settings.h
+++ b/include/damaskroute/node/forward_node_settings.h
@@ -20,6 +20,7 @@
   std::optional<Endpoint> metrics;
   Endpoint store;
   std::optional<Endpoint> changes;  ///< Port for nodes that follow the store through this one.
+  std::optional<Endpoint> peers;    ///< Port for requests that other nodes cannot serve.
   std::chrono::milliseconds node_lease{30'000};  ///< Lease time of the node's key in the store.
 
   // Time limits and budgets of the deployment.
--- a/include/damaskroute/node/forward_server.h
+++ b/include/damaskroute/node/forward_server.h
@@ -5,6 +5,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "damaskroute/core/asio.h"
@@ -36,6 +38,9 @@
 
   void InstallRoutes(RoutingDocument document);
 
+  /// Sets the nodes to which requests are passed that this one cannot serve.
+  void SetPeers(std::vector<Peer> peers) { service_.SetPeers(std::move(peers)); }
+
   /// Sets the number of nodes that share the limits of the deployment.
   void SetNodes(int nodes);
 
@@ -64,12 +69,15 @@
   void StopAccepting();
   void AwaitActiveRequests();
   void FinishStop();
+  void HandlePeer(HttpRequest request, HttpResponder respond);
+  std::size_t ActiveRequests() const;
   void HandleCaller(HttpRequest request, HttpResponder respond);
 
   ForwardNodeSettings settings_;
   ForwardService service_;
   HttpServer callers_;
   HttpServer ready_;
+  std::unique_ptr<HttpServer> peers_;
   std::unique_ptr<HttpServer> metrics_;
   asio::steady_timer window_timer_;  // Fires at the end of the first budget window.
   TimePoint started_;
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -13,6 +14,7 @@
 #include "damaskroute/forward/caller_network_delay.h"
 #include "damaskroute/forward/extra_budget.h"
 #include "damaskroute/forward/forward_run.h"
+#include "damaskroute/forward/peer_selector.h"
 #include "damaskroute/forward/timer_delay.h"
 #include "damaskroute/http/http_server.h"
 #include "damaskroute/node/caller_request.h"
@@ -37,6 +39,17 @@
   /// Serves one request. `respond` is called once, also if the caller disconnects.
   void Handle(HttpRequest request, HttpResponder respond);
 
+  /// Serves a request that another node could not serve. It is not passed on again: if this node
+  /// cannot serve it either, the response says so in `kNotServableHeader`.
+  void HandleFromPeer(HttpRequest request, HttpResponder respond);
+
+  /// Refuses a request of another node because this node ends; the other node tries a third one.
+  void RefuseFromPeer(HttpRequest request, const HttpResponder& respond);
+
+  /// Sets the nodes to which requests are passed that this node cannot serve, as it reaches too few
+  /// backend servers.
+  void SetPeers(std::vector<Peer> peers);
+
   /// Refuses a request with status 503 without running it.
   void Refuse(HttpRequest request, const char* reason, const HttpResponder& respond);
 
@@ -77,6 +90,18 @@
     TimePoint sent;
   };
 
+  enum class Origin : std::uint8_t { kCaller, kPeer };
+
+  void Serve(CallerRequest request, std::shared_ptr<CallerPresence> presence, const Route& route,
+             Origin origin, int max_attempts, HttpResponder respond);
+  bool MayPassToPeer(Exchange& exchange, const ForwardAnswer& answer, TimePoint now);
+  bool LacksServers(const ForwardSpec& spec) const;
+  bool PassToPeer(const std::shared_ptr<Exchange>& exchange);
+  void OnPeerAnswer(const std::shared_ptr<Exchange>& exchange, const Peer& peer,
+                    ExchangeResult result);
+  void CancelPeerCall(Exchange& exchange);
+  void RefuseToPeer(const CallerRequest& request, const char* reason, const HttpResponder& respond);
+  void Complete(const std::shared_ptr<Exchange>& exchange, HttpResponse response);
   ForwardSpec MakeSpec(const Route& route, const ForwardTimes& times);
   Duration ReservedTime(const Route& route, const CallerRequest& request) const;
   void Execute(const std::shared_ptr<Exchange>& exchange, std::vector<ForwardAction> actions);
@@ -108,6 +133,9 @@
   std::set<std::shared_ptr<Exchange>> active_;
   ForwardMetrics metrics_;
   std::function<void()> on_unreachable_;
+  bool aborted_ = false;
+  PeerSelector peer_selector_;
+  std::map<Endpoint, std::shared_ptr<BackendClient>> peer_clients_;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/relay/node_record.h
+++ b/include/damaskroute/relay/node_record.h
@@ -16,6 +16,8 @@
   ZoneName zone;
   /// Where other nodes can follow the changes that this node reads from the store.
   std::optional<Endpoint> relay_endpoint;
+  /// Where other nodes can send requests that they cannot serve themselves.
+  std::optional<Endpoint> peer_endpoint;
 
   friend bool operator==(const NodeRecord&, const NodeRecord&) = default;
 };
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -406,4 +406,20 @@
   actions.push_back(WakeAt{next});
 }
 
+int ForwardRun::attempts_left() const {
+  if (may_have_run_ && !spec_.idempotent) return 0;
+  int used = 0;
+  for (const Part& part : parts_) used = std::max(used, part.attempts);
+  return spec_.max_attempts - used;
+}
+
+bool ForwardRun::TakeRepeat(TimePoint now) {
+  for (std::size_t i = 0; i < parts_.size(); ++i) {
+    if (parts_[i].attempts == 0) continue;
+    ExtraBudget& budget = context_.budgets[spec_.services[i]];
+    if (!budget.TryTake(context_.budget_options, ExtraKind::kRetry, now)) return false;
+  }
+  return true;
+}
+
 }  // namespace damaskroute
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -58,6 +58,21 @@
   return options;
 }
 
+// A request of another node has this many bytes of headers more than the caller's.
+constexpr std::size_t kPeerHeaderBytes = 256;
+
+// Nodes close idle connections to each other earlier than the server does, so that no request meets
+// the end of its connection.
+constexpr char kPeerKeepAlive[] = "timeout=20";
+
+HttpServerOptions PeerOptions(const Endpoint& listen) {
+  HttpServerOptions options;
+  options.listen = listen;
+  options.pass_headers = true;
+  options.watch_callers = true;
+  return options;
+}
+
 HttpServerOptions InternalServerOptions(const Endpoint& listen) {
   HttpServerOptions options;
   options.listen = listen;
@@ -102,6 +117,13 @@
       window_timer_(loop),
       stop_timer_(loop) {
   service_.SetOnUnreachable([this] { CheckReachability(); });
+  if (settings.peers) {
+    peers_ = std::make_unique<HttpServer>(std::vector<asio::io_context*>{&loop},
+                                          PeerOptions(*settings.peers),
+                                          [this](HttpRequest request, HttpResponder respond) {
+                                            HandlePeer(std::move(request), std::move(respond));
+                                          });
+  }
   if (settings.metrics) {
     metrics_ = std::make_unique<HttpServer>(
         std::vector<asio::io_context*>{&loop}, InternalServerOptions(*settings.metrics),
@@ -114,6 +136,9 @@
 absl::Status ForwardServer::Start() {
   if (absl::Status status = callers_.Start(); !status.ok()) return status;
   if (absl::Status status = ready_.Start(); !status.ok()) return status;
+  if (peers_) {
+    if (absl::Status status = peers_->Start(); !status.ok()) return status;
+  }
   if (metrics_) {
     if (absl::Status status = metrics_->Start(); !status.ok()) return status;
   }
@@ -146,6 +171,12 @@
   bool was_ready = IsReady();
   if (!service_.forwarding_state().InstallRoutes(std::move(document))) return;
   callers_.SetClientLimits(limits);
+  if (peers_) {
+    ClientLimits peer_limits;
+    peer_limits.max_header_bytes = limits.max_header_bytes + kPeerHeaderBytes;
+    peer_limits.max_body_bytes = limits.max_body_bytes;
+    peers_->SetClientLimits(peer_limits);
+  }
   if (!was_ready && IsReady()) LogLine(LogLevel::kInfo, "node ready");
 }
 
@@ -260,12 +291,14 @@
   stop_at_ = SteadyClock().Now() + settings_.grace - kKillMargin;
   LogLine(LogLevel::kInfo, "node stopping").Field("active", service_.active());
   callers_.CloseAfterResponses(true);
+  if (peers_) peers_->CloseAfterResponses(true);
   stop_timer_.expires_after(std::min(kBalancerRemovalDelay, settings_.grace / 2));
   stop_timer_.async_wait([this](const boost::system::error_code&) { StopAccepting(); });
 }
 
 void ForwardServer::StopAccepting() {
   callers_.BeginDrain();
+  if (peers_) peers_->BeginDrain();
   AwaitActiveRequests();
 }
 
@@ -282,10 +315,23 @@
   service_.Handle(std::move(request), std::move(respond));
 }
 
+void ForwardServer::HandlePeer(HttpRequest request, HttpResponder respond) {
+  auto respond_and_keep = [respond = std::move(respond)](HttpResponse response) {
+    response.headers.push_back({"Keep-Alive", kPeerKeepAlive});
+    respond(std::move(response));
+  };
+  if (refusing_) return service_.RefuseFromPeer(std::move(request), respond_and_keep);
+  service_.HandleFromPeer(std::move(request), std::move(respond_and_keep));
+}
+
+std::size_t ForwardServer::ActiveRequests() const {
+  return callers_.active_requests() + (peers_ ? peers_->active_requests() : 0);
+}
+
 void ForwardServer::AwaitActiveRequests() {
   bool expired = SteadyClock().Now() >= stop_at_;
   if (expired) service_.AbortAll();
-  if (callers_.active_requests() == 0 || expired) return FinishStop();
+  if (ActiveRequests() == 0 || expired) return FinishStop();
   stop_timer_.expires_after(kActiveRequestPollInterval);
   stop_timer_.async_wait([this](const boost::system::error_code&) { AwaitActiveRequests(); });
 }
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -7,7 +7,9 @@
 
 #include "damaskroute/log/log_line.h"
 #include "damaskroute/node/forward_call.h"
+#include "damaskroute/node/peer_request.h"
 #include "fmt/format.h"
+#include "forward_exchange.h"
 
 namespace damaskroute {
 namespace {
@@ -71,33 +73,14 @@
 
 }  // namespace
 
-/// One caller's request with its connections.
-struct ForwardService::Exchange {
-  Exchange(asio::io_context& loop, ForwardSpec spec, ForwardContext context)
-      : run(std::move(spec), context), timer(loop) {}
-
-  CallerRequest request;
-  HttpResponder respond;
-  std::shared_ptr<CallerPresence> presence;
-  std::shared_ptr<const RouteTable> routes;  // Keeps `route` alive.
-  TimePoint routes_since;                    // When these routes were activated.
-  const Route* route = nullptr;
-  ForwardRun run;
-  AdmissionTicket ticket;
-  std::unordered_map<std::uint32_t, CallInProgress> calls;
-  asio::steady_timer timer;
-  std::vector<std::pair<BackendName, Duration>> cancelled;  // With call ages, for the log.
-  std::string failures;  // Failed calls and their reasons, for the log.
-};
-
 ForwardService::ForwardService(asio::io_context& loop, ForwardServiceOptions options,
                                ForwardProtocol protocol)
     : loop_(loop),
       options_(std::move(options)),
       protocol_(std::move(protocol)),
       random_(options_.seed),
-      forwarding_state_(loop, options_.backends, ClientOptions(options_, protocol_),
-                        options_.seed) {}
+      forwarding_state_(loop, options_.backends, ClientOptions(options_, protocol_), options_.seed),
+      peer_selector_(options_.seed) {}
 
 ForwardService::~ForwardService() = default;
 
@@ -110,19 +93,35 @@
   }
   const Route* route = routes->Find(request.host, request.target);
   if (route == nullptr) return RefuseWith(request, 404, "no route matches", respond, {});
+  Serve(std::move(request), std::move(presence), *route, Origin::kCaller, route->max_attempts,
+        std::move(respond));
+}
+
+void ForwardService::Serve(CallerRequest request, std::shared_ptr<CallerPresence> presence,
+                           const Route& route, Origin origin, int max_attempts,
+                           HttpResponder respond) {
   TimePoint deadline =
-      request.received + std::min(request.caller_timeout.value_or(route->timeout), route->timeout);
+      request.received + std::min(request.caller_timeout.value_or(route.timeout), route.timeout);
+  ForwardSpec spec = MakeSpec(route, {request.received, deadline, ReservedTime(route, request)});
+  spec.max_attempts = std::min(spec.max_attempts, max_attempts);
   auto exchange = std::make_shared<Exchange>(
-      loop_, MakeSpec(*route, {request.received, deadline, ReservedTime(*route, request)}),
+      loop_, std::move(spec),
       ForwardContext{forwarding_state_.backends(), budgets_, budget_options_,
-                     latencies_.try_emplace(route->name, route->objective).first->second});
+                     latencies_.try_emplace(route.name, route.objective).first->second});
   exchange->request = std::move(request);
   exchange->respond = std::move(respond);
   exchange->presence = std::move(presence);
-  exchange->routes = routes;
+  exchange->routes = forwarding_state_.routes();
   exchange->routes_since = forwarding_state_.routes_since();
-  exchange->route = route;
-  if (!AdmitQuery(*exchange)) {
+  exchange->route = &route;
+  exchange->from_peer = origin == Origin::kPeer;
+  bool lacks_servers = LacksServers(exchange->run.spec());
+  if (lacks_servers && exchange->from_peer) {
+    return RefuseToPeer(exchange->request, "too few backend servers are reached",
+                        exchange->respond);
+  }
+  bool at_peer = lacks_servers && PassToPeer(exchange);
+  if (!at_peer && !AdmitQuery(*exchange)) {
     return RefuseWith(exchange->request, 503, "too many queries", exchange->respond,
                       RandomRetryAfter(deadline - exchange->request.received));
   }
@@ -132,7 +131,7 @@
       if (auto locked = weak.lock()) OnCallerGone(locked);
     };
   }
-  Execute(exchange, exchange->run.Start(Now()));
+  if (!at_peer) Execute(exchange, exchange->run.Start(Now()));
 }
 
 Duration ForwardService::ReservedTime(const Route& route, const CallerRequest& request) const {
@@ -281,6 +280,7 @@
 void ForwardService::Respond(const std::shared_ptr<Exchange>& exchange, ForwardAnswer answer) {
   exchange->timer.cancel();
   exchange->ticket.Release(exchange->run, Now());
+  if (MayPassToPeer(*exchange, answer, Now()) && PassToPeer(exchange)) return;
   const char* outcome = OutcomeName(answer);
   std::string cancelled_calls = CancelledCalls(*exchange);
   Duration latency = Now() - exchange->request.received;
@@ -306,31 +306,51 @@
       .Field("left_out", LeftOutServices(exchange->run))
       .Field("routes_version", exchange->routes->document().version)
       .Field("routes_age_us", Microseconds(Now() - exchange->routes_since));
+  bool refused = answer.kind == AnswerKind::kRefused;
+  HttpResponse response = MakeForwardResponse(exchange->request, std::move(answer),
+                                              exchange->route->top_records, protocol_);
+  bool not_servable = refused && LacksServers(exchange->run.spec());
+  if (not_servable && exchange->from_peer) response.headers.push_back({kNotServableHeader, "1"});
+  Complete(exchange, std::move(response));
+}
+
+void ForwardService::Complete(const std::shared_ptr<Exchange>& exchange, HttpResponse response) {
   if (exchange->presence) exchange->presence->on_disconnect = nullptr;
-  exchange->respond(MakeForwardResponse(exchange->request, std::move(answer),
-                                        exchange->route->top_records, protocol_));
+  exchange->respond(std::move(response));
   active_.erase(exchange);
 }
 
 void ForwardService::OnCallerGone(const std::shared_ptr<Exchange>& exchange) {
-  if (exchange->run.finished()) return;
+  bool at_peer = exchange->peer_client != nullptr;
+  if (exchange->run.finished() && !at_peer) return;
   exchange->timer.cancel();
   Count(*exchange, "abandoned");
   LogLine(LogLevel::kInfo, "caller left")
       .Field("request", exchange->request.id)
       .Field("route", exchange->route->name)
       .Field("waited_us", Microseconds(Now() - exchange->request.received));
-  Execute(exchange, exchange->run.Abandon(Now()));
-  exchange->ticket.Release(exchange->run, Now());
+  if (at_peer) {
+    CancelPeerCall(*exchange);
+  } else {
+    Execute(exchange, exchange->run.Abandon(Now()));
+    exchange->ticket.Release(exchange->run, Now());
+  }
   active_.erase(exchange);
   // Sending this response makes the server close the connection.
   exchange->respond(MakeForwardRefusal(exchange->request, 504, "the caller left", {}, protocol_));
 }
 
 void ForwardService::AbortAll() {
+  aborted_ = true;
   auto active = active_;
   for (const auto& exchange : active) {
-    Execute(exchange, exchange->run.Abort("the node ends", Now()));
+    if (exchange->peer_client) {
+      CancelPeerCall(*exchange);
+      Complete(exchange,
+               MakeForwardRefusal(exchange->request, 502, "the node ends", {}, protocol_));
+    } else {
+      Execute(exchange, exchange->run.Abort("the node ends", Now()));
+    }
   }
 }
 
--- /dev/null
+++ b/src/node/forward_service_peers.cc
@@ -0,0 +1,176 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "damaskroute/log/log_line.h"
+#include "damaskroute/node/forward_call.h"
+#include "damaskroute/node/forward_service.h"
+#include "damaskroute/node/peer_request.h"
+#include "forward_exchange.h"
+
+// Requests that this node cannot serve, as it reaches too few backend servers, and those of other
+// nodes.
+
+namespace damaskroute {
+namespace {
+
+// Limit of the requests of this node at one peer.
+constexpr int kMaxConnectionsPerPeer = 256;
+
+TimePoint Now() { return SteadyClock().Now(); }
+
+PeerOutcome OutcomeOf(const ExchangeResult& result) {
+  switch (result.end) {
+    case ExchangeEnd::kAnswered:
+      return FindHeader(result.headers, kNotServableHeader) == nullptr ? PeerOutcome::kServed
+                                                                       : PeerOutcome::kNotServable;
+    case ExchangeEnd::kConnectFailed:
+      return PeerOutcome::kNotReached;
+    case ExchangeEnd::kCancelled:
+      return PeerOutcome::kCancelled;
+    case ExchangeEnd::kConnectionLost:
+    case ExchangeEnd::kTimedOut:
+    case ExchangeEnd::kBadAnswer:
+      break;
+  }
+  return PeerOutcome::kLost;
+}
+
+}  // namespace
+
+void ForwardService::SetPeers(std::vector<Peer> peers) {
+  if (peers == peer_selector_.peers()) return;
+  std::erase_if(peer_clients_, [&](const auto& entry) {
+    return std::none_of(peers.begin(), peers.end(),
+                        [&](const Peer& peer) { return peer.endpoint == entry.first; });
+  });
+  peer_selector_.SetPeers(std::move(peers));
+}
+
+void ForwardService::HandleFromPeer(HttpRequest http_request, HttpResponder respond) {
+  auto presence = http_request.presence;
+  CallerRequest request = ReadCallerRequest(std::move(http_request), protocol_);
+  auto info = TakePeerRequestInfo(request);
+  const auto& routes = forwarding_state_.routes();
+  const Route* route = routes ? routes->Find(request.host, request.target) : nullptr;
+  if (!info || route == nullptr || RouteFingerprint(*route) != info->route) {
+    return RefuseToPeer(request, "the route differs here", respond);
+  }
+  Serve(std::move(request), std::move(presence), *route, Origin::kPeer, info->attempts,
+        std::move(respond));
+}
+
+void ForwardService::RefuseFromPeer(HttpRequest request, const HttpResponder& respond) {
+  RefuseToPeer(ReadCallerRequest(std::move(request), protocol_), "the node ends", respond);
+}
+
+void ForwardService::RefuseToPeer(const CallerRequest& request, const char* reason,
+                                  const HttpResponder& respond) {
+  ++metrics_.answers["not_servable"];
+  LogLine(LogLevel::kInfo, "request of another node refused")
+      .Field("request", request.id)
+      .Field("reason", reason)
+      .Field("routes_version", forwarding_state_.routes_version());
+  HttpResponse response =
+      MakeForwardRefusal(request, 503, reason, options_.refusal_retry, protocol_);
+  response.headers.push_back({kNotServableHeader, "1"});
+  respond(std::move(response));
+}
+
+bool ForwardService::LacksServers(const ForwardSpec& spec) const {
+  TimePoint now = Now();
+  auto reached = std::count_if(spec.services.begin(), spec.services.end(), [&](const auto& name) {
+    return forwarding_state_.backends().IsReachable(name, now);
+  });
+  return reached < static_cast<std::ptrdiff_t>(spec.min_parts);
+}
+
+bool ForwardService::MayPassToPeer(Exchange& exchange, const ForwardAnswer& answer, TimePoint now) {
+  if (aborted_ || exchange.from_peer || !LacksServers(exchange.run.spec())) return false;
+  if (answer.kind == AnswerKind::kRefused) return true;
+  return answer.kind == AnswerKind::kFailed && exchange.run.attempts_left() > 0 &&
+         peer_selector_.Choose(exchange.route->name, exchange.peers, now).has_value() &&
+         exchange.run.TakeRepeat(now);
+}
+
+// Returns false if there is no peer to try.
+bool ForwardService::PassToPeer(const std::shared_ptr<Exchange>& exchange) {
+  TimePoint now = Now();
+  TimePoint deadline = exchange->run.spec().deadline;
+  const std::string& route = exchange->route->name;
+  auto peer = peer_selector_.Choose(route, exchange->peers, now);
+  if (!peer || now >= deadline) return false;
+  auto& client = peer_clients_[peer->endpoint];
+  if (!client) {
+    BackendClientOptions options;
+    options.keep_headers = true;
+    options.connect_timeout = options_.connect_timeout;
+    options.unresponsive_timeout = options_.unresponsive_timeout;
+    client = std::make_shared<BackendClient>(loop_, peer->endpoint, kMaxConnectionsPerPeer,
+                                             std::move(options));
+  }
+  auto spent = now - exchange->request.received +
+               CallerNetworkDelay(exchange->request.connection, exchange->route->objective);
+  PeerRequestInfo info{RouteFingerprint(*exchange->route), exchange->run.attempts_left(),
+                       std::chrono::duration_cast<std::chrono::microseconds>(spent)};
+  exchange->peers.push_back(*peer);
+  exchange->peer_client = client;
+  peer_selector_.OnSent(*peer);
+  exchange->peer_call = client->Start(
+      MakePeerRequest(exchange->request, info, deadline, now, protocol_),
+      [this, exchange, peer = *peer](ExchangeResult result) {
+        peer_selector_.OnEnded(peer, OutcomeOf(result), exchange->route->name, Now());
+        if (!exchange->peer_client) return;  // The caller left, or the node ends.
+        // Defers the client's destruction until this callback, which the client runs, has returned.
+        asio::post(loop_, [client = std::exchange(exchange->peer_client, nullptr)] {});
+        OnPeerAnswer(exchange, peer, std::move(result));
+      });
+  return true;
+}
+
+void ForwardService::OnPeerAnswer(const std::shared_ptr<Exchange>& exchange, const Peer& peer,
+                                  ExchangeResult result) {
+  PeerOutcome outcome = OutcomeOf(result);
+  bool not_run = outcome == PeerOutcome::kNotServable || outcome == PeerOutcome::kNotReached;
+  if (not_run && PassToPeer(exchange)) return;
+  const CallerRequest& request = exchange->request;
+  const char* name = "at_peer";
+  HttpResponse response;
+  if (outcome == PeerOutcome::kServed) {
+    response.status = result.status;
+    response.content_type.clear();
+    std::erase_if(result.headers,
+                  [](const HeaderField& field) { return IsConnectionHeader(field.name); });
+    response.headers = std::move(result.headers);
+    response.body = std::move(result.body);
+  } else if (not_run) {
+    name = "refused";
+    response = MakeForwardRefusal(request, 503, "no node reaches enough backend servers",
+                                  RandomRetryAfter(exchange->run.spec().deadline - request.received),
+                                  protocol_);
+  } else {
+    bool timed_out = result.end == ExchangeEnd::kTimedOut;
+    name = timed_out ? "timed_out" : "failed";
+    response = MakeForwardRefusal(request, timed_out ? 504 : 502, "another node did not answer", {},
+                                  protocol_);
+  }
+  Duration latency = Now() - request.received;
+  metrics_.request_latency.Record(latency);
+  ++metrics_.answers[name];
+  LogLine(LogLevel::kInfo, "request answered by another node")
+      .Field("request", request.id)
+      .Field("route", exchange->route->name)
+      .Field("outcome", name)
+      .Field("status", response.status)
+      .Field("peer", peer.name)
+      .Field("tried", exchange->peers.size())
+      .Field("latency_us", std::chrono::duration_cast<std::chrono::microseconds>(latency).count());
+  Complete(exchange, std::move(response));
+}
+
+void ForwardService::CancelPeerCall(Exchange& exchange) {
+  auto client = std::exchange(exchange.peer_client, nullptr);
+  client->Cancel(exchange.peer_call);
+}
+
+}  // namespace damaskroute
--- a/src/relay/node_record.cc
+++ b/src/relay/node_record.cc
@@ -2,6 +2,8 @@
 
 #include <rapidjson/document.h>
 
+#include <utility>
+
 #include "damaskroute/core/json_member.h"
 #include "damaskroute/core/json_writer.h"
 
@@ -13,6 +15,7 @@
   writer.StartObject();
   WriteText(writer, "zone", record.zone);
   if (record.relay_endpoint) WriteText(writer, "changes", FormatEndpoint(*record.relay_endpoint));
+  if (record.peer_endpoint) WriteText(writer, "requests", FormatEndpoint(*record.peer_endpoint));
   writer.EndObject();
   return buffer.GetString();
 }
@@ -27,12 +30,15 @@
   if (!zone) return absl::InvalidArgumentError("the node record has no zone");
   NodeRecord record;
   record.zone = *std::move(zone);
-  if (FindJsonMember(document, "changes") == nullptr) return record;
-  auto address = FindJsonString(document, "changes");
-  if (!address) return absl::InvalidArgumentError("the address in the node record is not a string");
-  auto endpoint = ParseEndpoint(*address);
-  if (!endpoint.ok()) return endpoint.status();
-  record.relay_endpoint = *std::move(endpoint);
+  for (auto [name, field] : {std::pair("changes", &record.relay_endpoint),
+                             std::pair("requests", &record.peer_endpoint)}) {
+    if (FindJsonMember(document, name) == nullptr) continue;
+    auto address = FindJsonString(document, name);
+    if (!address) return absl::InvalidArgumentError("an address in the node record is no string");
+    auto endpoint = ParseEndpoint(*address);
+    if (!endpoint.ok()) return endpoint.status();
+    *field = *std::move(endpoint);
+  }
   return record;
 }
 
