--- a/src/node/forward_exchange.h
+++ b/src/node/forward_exchange.h
@@ -30,7 +30,7 @@
   std::vector<std::pair<BackendName, Duration>> cancelled;  // With call ages, for the log.
   std::string failures;  // Failed calls and their reasons, for the log.
   bool from_peer = false;
-  std::vector<Peer> peers;                     // To which the request was passed; the last is current.
+  std::vector<Peer> peers;  // To which the request was passed; the last is current.
   std::shared_ptr<BackendClient> peer_client;  // Null unless a peer has the request.
   std::uint64_t peer_call = 0;
 };
--- a/src/node/peer_request.cc
+++ b/src/node/peer_request.cc
@@ -19,7 +19,8 @@
 constexpr std::chrono::hours kMaxSpent{1};
 
 bool IsPeerHeader(std::string_view name) {
-  return SameHeaderName(name, kRouteHeader) || SameHeaderName(name, kAttemptsHeader) || SameHeaderName(name, kSpentHeader);
+  return SameHeaderName(name, kRouteHeader) || SameHeaderName(name, kAttemptsHeader) ||
+         SameHeaderName(name, kSpentHeader);
 }
 
 template <typename T>
@@ -49,10 +50,9 @@
                                 const ForwardProtocol& protocol) {
   ExchangeRequest call;
   call.time_left = std::chrono::duration_cast<std::chrono::microseconds>(deadline - now);
-  call.bytes =
-      fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}: {}\r\n{}: {}\r\n", request.method,
-                  request.target, request.host, kRouteHeader, info.route, kAttemptsHeader, info.attempts, kSpentHeader,
-                  info.spent.count());
+  call.bytes = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}: {}\r\n{}: {}\r\n",
+                           request.method, request.target, request.host, kRouteHeader, info.route,
+                           kAttemptsHeader, info.attempts, kSpentHeader, info.spent.count());
   auto append = [&call](std::string_view name, std::string_view value) {
     call.bytes.append(name).append(": ").append(value).append("\r\n");
   };
--- a/tests/peer_selector_test.cc
+++ b/tests/peer_selector_test.cc
@@ -17,7 +17,8 @@
   explicit Fixture(int zones, int per_zone) {
     std::vector<Peer> peers;
     for (int i = 0; i < zones * per_zone; ++i) {
-      peers.push_back({fmt::format("node-{}", i), fmt::format("zone-{}", i / per_zone),
+      peers.push_back({fmt::format("node-{}", i),
+                       fmt::format("zone-{}", i / per_zone),
                        {"10.0.0.1", static_cast<std::uint16_t>(1000 + i)}});
     }
     selector.SetPeers(std::move(peers));
