Ignore the response to a renewal that was sent before the store was restored

Found on reading: if the feed noticed the restore while a write or renewal of the node's key was in flight, its response was taken to be of the new lease, and the key was written again only after a third of the lease time. The era at which a call was sent now decides.

--- a/include/damaskroute/store/leased_key.h
+++ b/include/damaskroute/store/leased_key.h
@@ -79,9 +79,10 @@
     request.bytes = Render(step);
     request.time_left = kCallTimeout;
     calling_ = true;
-    client_.Start(std::move(request), [this, kind = step.kind](const ExchangeResult& result) {
+    client_.Start(std::move(request), [this, kind = step.kind,
+                                       sent_era = era_](const ExchangeResult& result) {
       calling_ = false;
-      absl::Status status = OnLeaseResponse(kind, result);
+      absl::Status status = OnLeaseResponse(kind, sent_era, result);
       if (absl::IsNotFound(status)) {
         schedule_.OnEnded();
         LogLine(LogLevel::kInfo, "lease of the node's key ended");
@@ -101,12 +102,14 @@
     return codec_.RenderRenew(store_, step.lease);
   }
 
-  absl::Status OnLeaseResponse(LeaseStepKind kind, const ExchangeResult& result) {
+  absl::Status OnLeaseResponse(LeaseStepKind kind, std::uint64_t sent_era,
+                               const ExchangeResult& result) {
     if (result.end != ExchangeEnd::kAnswered) return absl::UnavailableError("no answer");
     auto era = codec_.ParseEra(result.headers).value_or(era_);
+    UpdateEra(era);
     // A lease id of another era may be that of another node's lease.
-    bool restored = UpdateEra(era) && kind != LeaseStepKind::kOpen;
-    if (restored || era < era_) return absl::AbortedError("the store was restored meanwhile");
+    bool other_lease = kind != LeaseStepKind::kOpen && sent_era != era_;
+    if (other_lease || era < era_) return absl::AbortedError("the store was restored meanwhile");
     if (kind != LeaseStepKind::kOpen) {
       absl::Status status = codec_.ParseAck(result.status);
       if (status.ok()) schedule_.OnRenewed(Now());
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -2,8 +2,8 @@
 
 #include "tests/support/platform_fixture.h"
 
-// Guards against requests that arrive late in the grace period of a planned stop, are passed on, and
-// are cut off without an answer at its end.
+// Guards against requests that arrive late in the grace period of a planned stop, are passed on,
+// and are cut off without an answer at its end.
 
 namespace damaskroute {
 namespace {
--- a/tests/truncated_head_test.cc
+++ b/tests/truncated_head_test.cc
@@ -40,8 +40,9 @@
     CAPTURE(rest);
     PlatformFixture w;
     PrefixServer server(w.loop, kHead + rest);
-    w.store.Write(platform::kServerPrefix + std::string("i-1"),
-                  PlatformFixture::Server::EntryAt(server.server.endpoint(), "desk", "a", 1, "ready"));
+    w.store.Write(
+        platform::kServerPrefix + std::string("i-1"),
+        PlatformFixture::Server::EntryAt(server.server.endpoint(), "desk", "a", 1, "ready"));
     REQUIRE(w.StartServing(1));
     while (server.left > 0) {
       CAPTURE(server.left.load());
