--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -68,7 +68,7 @@
                  if (relay_) relay_->OnAllRead(revision, era);
                },
                [this](std::uint64_t era) {
-                 forward_server_.service().forwarding_state().OnStoreRestored();
+                 state().OnStoreRestored();
                  node_key_.OnStoreEra(era);
                }}),
         node_key_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
@@ -115,8 +115,10 @@
  private:
   static TimePoint Now() { return SteadyClock().Now(); }
 
+  ForwardingState& state() { return forward_server_.service().forwarding_state(); }
+
   void OnItems(const std::vector<StoreItem>& items, bool after_outage) {
-    ForwardingState& forwarding_state = forward_server_.service().forwarding_state();
+    ForwardingState& forwarding_state = state();
     forwarding_state.BeginBatch(items.size());
     for (const StoreItem& item : items) {
       StoreEntryKey key = platform_.ParseKey(item.key);
@@ -128,14 +130,19 @@
     }
     forwarding_state.EndBatch();
     ApplyNodes();
-    if (!items.empty()) UpdateRelays();
+    if (!items.empty()) OnNodesChanged();
     feed_.SetEager(forwarding_state.ExpectsReturningServers(Now()));
   }
 
   void ApplyNodes() {
     TimePoint now = Now();
     forward_server_.SetNodes(nodes_.Count(now));
-    forward_server_.service().forwarding_state().SetNodeNames(nodes_.Counted(now));
+    state().SetNodeNames(nodes_.Counted(now));
+  }
+
+  void OnNodesChanged() {
+    UpdatePeers();
+    UpdateRelays();
   }
 
   void UpdatePeers() {
@@ -149,7 +156,6 @@
   }
 
   void UpdateRelays() {
-    UpdatePeers();
     auto relays = ChooseRelays(node_, zone_, node_records_);
     if (relays == feed_.relays()) return;
     feed_.SetRelays(std::move(relays));
@@ -172,16 +178,16 @@
           .Field("error", ErrorText(store_entry.status()));
       // An entry that cannot be decoded counts as removed.
       if (key.kind == StoreEntryKind::kBackend) {
-        forward_server_.service().forwarding_state().OnBackendRemoved(key.name, after_outage);
+        state().OnBackendRemoved(key.name, after_outage);
       }
       return;
     }
     if (auto* document = std::get_if<RoutingDocument>(&*store_entry)) {
       forward_server_.InstallRoutes(std::move(*document));
     } else if (auto* entry = std::get_if<BackendEntry>(&*store_entry)) {
-      forward_server_.service().forwarding_state().OnBackend(*entry);
+      state().OnBackend(*entry);
     } else if (auto* closed = std::get_if<ClosedZone>(&*store_entry)) {
-      forward_server_.service().forwarding_state().OnZoneClosed(closed->zone, item.revision);
+      state().OnZoneClosed(closed->zone, item.revision);
     } else if (auto* node = std::get_if<LiveNode>(&*store_entry)) {
       nodes_.Add(node->node);
       node_records_.insert_or_assign(node->node, node->record);
@@ -190,10 +196,10 @@
 
   void OnRemoved(const StoreEntryKey& key, bool after_outage) {
     if (key.kind == StoreEntryKind::kBackend) {
-      forward_server_.service().forwarding_state().OnBackendRemoved(key.name, after_outage);
+      state().OnBackendRemoved(key.name, after_outage);
     }
     if (key.kind == StoreEntryKind::kClosedZone) {
-      forward_server_.service().forwarding_state().OnZoneOpened(key.name);
+      state().OnZoneOpened(key.name);
     }
     if (key.kind == StoreEntryKind::kNode) {
       nodes_.Remove(key.name, Now());
@@ -207,7 +213,7 @@
       StoreEntryKey key = platform_.ParseKey(text);
       if (key.kind == StoreEntryKind::kClosedZone) zones.insert(key.name);
     }
-    forward_server_.service().forwarding_state().OnAllClosedZones(zones);
+    state().OnAllClosedZones(zones);
   }
 
   void OnAllRead(const std::vector<std::string>& keys, bool after_outage) {
@@ -220,12 +226,12 @@
       if (key.kind == StoreEntryKind::kClosedZone) zones.insert(key.name);
       if (key.kind == StoreEntryKind::kNode) nodes.insert(key.name);
     }
-    forward_server_.service().forwarding_state().OnAllBackends(backends, after_outage);
-    forward_server_.service().forwarding_state().OnAllClosedZones(zones);
+    state().OnAllBackends(backends, after_outage);
+    state().OnAllClosedZones(zones);
     nodes_.RetainOnly(nodes, Now());
     std::erase_if(node_records_, [&](const auto& entry) { return !nodes.contains(entry.first); });
     ApplyNodes();
-    UpdateRelays();
+    OnNodesChanged();
   }
 
   const Platform platform_;
