--- a/tests/peer_selector_test.cc
+++ b/tests/peer_selector_test.cc
@@ -16,6 +16,7 @@
 
   explicit Fixture(int zones, int per_zone) {
     std::vector<Peer> peers;
+    peers.reserve(static_cast<std::size_t>(zones) * static_cast<std::size_t>(per_zone));
     for (int i = 0; i < zones * per_zone; ++i) {
       peers.push_back({fmt::format("node-{}", i),
                        fmt::format("zone-{}", i / per_zone),
@@ -94,6 +95,7 @@
   for (int nodes : {33, 118}) {
     CAPTURE(nodes);
     std::vector<Peer> peers;
+    peers.reserve(static_cast<std::size_t>(nodes));
     for (int i = 0; i < nodes; ++i) {
       peers.push_back({fmt::format("node-{}", i), fmt::format("zone-{}", i % 3), {}});
     }
