--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -19,7 +19,9 @@
   REQUIRE(w.StartServing(1));
   // Connections that were open before the stop, as callers keep using them.
   std::vector<std::unique_ptr<HttpTestClient>> clients;
-  for (int i = 0; i < 60; ++i) {
+  constexpr std::size_t kClients = 60;
+  clients.reserve(kClients);
+  for (std::size_t i = 0; i < kClients; ++i) {
     clients.push_back(std::make_unique<HttpTestClient>(w.settings.callers));
   }
   std::vector<std::future<HttpTestClient::Response>> answers;
