Failing test: a request that crashes its servers is sent to servers again and again

What callers see: each repeat of one request takes down one to six more servers, and with them the requests that these were serving. The test repeats a request at one node after the other and allows three repeats that reach servers once the nodes have had 4 s (contact bound) to learn of three crashes.

--- /dev/null
+++ b/tests/support/platform_fleet.h
@@ -0,0 +1,155 @@
+#ifndef TESTS_SUPPORT_PLATFORM_FLEET_H_
+#define TESTS_SUPPORT_PLATFORM_FLEET_H_
+
+#include <algorithm>
+#include <future>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/support/platform_fixture.h"
+
+namespace damaskroute {
+
+/// Several nodes that share stand-ins for the store and the servers of the users' platform, with the
+/// routes of `PlatformFixture`: 8 servers of `desk` and 4 of each shard, in two zones. Requests whose
+/// target contains `kCrashMarker` crash the servers that run them.
+class PlatformFleet {
+ public:
+  static constexpr char kCrashMarker[] = "deadly";
+  static constexpr int kDeskServers = 8;
+  static constexpr int kServersPerShard = 4;
+
+  explicit PlatformFleet(int node_count) {
+    store.Write(platform::kConfigKey, PlatformFixture::Config(1));
+    for (int i = 0; i < kDeskServers; ++i) AddServer("desk", i);
+    for (const char* shard : {"s0", "s1", "s2"}) {
+      for (int i = 0; i < kServersPerShard; ++i) AddServer(shard, i);
+    }
+    for (int i = 0; i < node_count; ++i) AddNode();
+  }
+
+  ~PlatformFleet() {
+    while (!nodes.empty()) StopNode(nodes.size() - 1);
+  }
+
+  /// Starts another node and waits until it serves. False if it does not.
+  bool AddNode() {
+    auto node = std::make_unique<RunningNode>();
+    ForwardNodeSettings& settings = node->settings;
+    settings.node = fmt::format("node-{}", next_node_++);
+    settings.zone = next_node_ % 2 == 0 ? "a" : "b";
+    settings.callers = standins::NonEphemeralEndpoint();
+    settings.ready = standins::NonEphemeralEndpoint();
+    settings.metrics = standins::NonEphemeralEndpoint();
+    settings.peers = standins::NonEphemeralEndpoint();
+    settings.ready_path = platform::kReadyPath;
+    settings.store = store.endpoint();
+    settings.budget_slack = 1000;
+    settings.drain_bound = std::chrono::milliseconds(750);  // New servers are known sooner.
+    auto reload = [settings] { return absl::StatusOr<ForwardNodeSettings>(settings); };
+    node->node = std::make_unique<ForwardNode<platform::Platform>>(node->loop, settings,
+                                                                   platform::Platform(), reload);
+    if (!node->node->Start().ok()) return false;
+    node->thread = std::thread([&loop = node->loop] { loop.run(); });
+    nodes.push_back(std::move(node));
+    Endpoint ready = nodes.back()->settings.ready;
+    return PlatformFixture::Await([ready] {
+      return HttpTestClient(ready).Call("GET", platform::kReadyPath).status == 200;
+    });
+  }
+
+  /// Ends a node at once, as SIGKILL does.
+  void StopNode(std::size_t index) {
+    RunningNode& node = *nodes[index];
+    node.loop.stop();
+    node.thread.join();
+    nodes.erase(nodes.begin() + static_cast<std::ptrdiff_t>(index));
+  }
+
+  /// Waits until the node knows the current incarnations of all servers and no others.
+  bool AwaitServers(std::size_t index) {
+    RunningNode& node = *nodes[index % nodes.size()];
+    return PlatformFixture::Await([&] {
+      std::promise<bool> found;
+      asio::post(node.loop, [&] {
+        const auto& known = node.node->forward_server().service().forwarding_state().backends();
+        found.set_value(known.size() == servers.size() &&
+                        std::all_of(servers.begin(), servers.end(), [&](const Server& server) {
+                          return known.all().contains(server.standin->id());
+                        }));
+      });
+      return found.get_future().get();
+    });
+  }
+
+  /// Sends a request to the node. `caller` identifies the caller.
+  HttpTestClient::Response Call(std::size_t node, const std::string& method,
+                                const std::string& target, const std::string& body = "",
+                                const std::string& caller = "caller-1") {
+    HttpTestClient client(nodes[node % nodes.size()]->settings.callers);
+    std::string text = fmt::format(
+        "{} {} HTTP/1.1\r\nHost: desk.example\r\n{}: id-{}\r\n{}: 1500\r\nAuthorization: {}\r\n",
+        method, target, platform::kRequestIdHeader, next_request_++, platform::kDeadlineHeader,
+        caller);
+    if (!body.empty()) text += fmt::format("Content-Length: {}\r\n", body.size());
+    client.SendRaw(text + "\r\n" + body);
+    return client.Receive();
+  }
+
+  /// Number of runs that crashed a server.
+  std::size_t crashes() const { return crashes_; }
+
+  /// Restarts the servers that have crashed, as new incarnations with other ids.
+  void RestartCrashed() {
+    for (auto& server : servers) {
+      if (!server.standin->crashed()) continue;
+      ++crashes_;
+      store.Remove(platform::kServerPrefix + server.standin->id());
+      server.standin->Restart(fmt::format("{}-{}", server.id, ++server.restarts));
+      store.Write(platform::kServerPrefix + server.standin->id(),
+                  server.standin->Entry(server.service, server.zone));
+    }
+  }
+
+  struct Server {
+    std::string id;
+    std::string service;
+    std::string zone;
+    std::unique_ptr<platform::ServerStandin> standin;
+    int restarts = 0;
+  };
+
+  struct RunningNode {
+    ForwardNodeSettings settings;
+    asio::io_context loop{1};
+    std::unique_ptr<ForwardNode<platform::Platform>> node;
+    std::thread thread;
+  };
+
+  standins::LoopThread loop;
+  platform::StoreStandin store{loop};
+  std::vector<Server> servers;
+  std::vector<std::unique_ptr<RunningNode>> nodes;
+
+ private:
+  void AddServer(const std::string& service, int number) {
+    Server server{fmt::format("i-{}-{}", service, number), service, number % 2 == 0 ? "a" : "b",
+                  nullptr};
+    server.standin = std::make_unique<platform::ServerStandin>(loop, server.id);
+    server.standin->SetEcho();
+    server.standin->SetCrashMarker(kCrashMarker);
+    store.Write(platform::kServerPrefix + server.id,
+                server.standin->Entry(service, server.zone));
+    servers.push_back(std::move(server));
+  }
+
+  std::size_t crashes_ = 0;
+  int next_node_ = 0;
+  int next_request_ = 0;
+};
+
+}  // namespace damaskroute
+
+#endif  // TESTS_SUPPORT_PLATFORM_FLEET_H_
