State a fingerprint in the log line of each forwarded request

The repeats of a request have ids of their own, so the logs of several nodes could not show that one request crashed all the servers.

--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -8,6 +8,7 @@
 #include "damaskroute/log/log_line.h"
 #include "damaskroute/node/forward_call.h"
 #include "damaskroute/node/peer_request.h"
+#include "damaskroute/node/request_fingerprint.h"
 #include "fmt/format.h"
 #include "forward_exchange.h"
 
@@ -108,6 +109,7 @@
       loop_, std::move(spec),
       ForwardContext{forwarding_state_.backends(), budgets_, budget_options_,
                      latencies_.try_emplace(route.name, route.objective).first->second});
+  exchange->fingerprint = RequestFingerprint(request);
   exchange->request = std::move(request);
   exchange->respond = std::move(respond);
   exchange->presence = std::move(presence);
@@ -289,6 +291,7 @@
   const ForwardCounts& counts = exchange->run.counts();
   LogLine(LogLevel::kInfo, "request answered")
       .Field("request", exchange->request.id)
+      .Field("fingerprint", fmt::format("{:016x}", exchange->fingerprint))
       .Field("route", exchange->route->name)
       .Field("outcome", outcome)
       .Field("reason", answer.reason)
--- a/src/node/forward_service_peers.cc
+++ b/src/node/forward_service_peers.cc
@@ -6,6 +6,7 @@
 #include "damaskroute/node/forward_call.h"
 #include "damaskroute/node/forward_service.h"
 #include "damaskroute/node/peer_request.h"
+#include "fmt/format.h"
 #include "forward_exchange.h"
 
 // Requests that this node cannot serve, as it reaches too few backend servers, and those of other
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -12,9 +12,9 @@
 
 namespace damaskroute {
 
-/// Several nodes that share stand-ins for the store and the servers of the users' platform, with the
-/// routes of `PlatformFixture`: 8 servers of `desk` and 4 of each shard, in two zones. Requests whose
-/// target contains `kCrashMarker` crash the servers that run them.
+/// Several nodes that share stand-ins for the store and the servers of the users' platform, with
+/// the routes of `PlatformFixture`: 8 servers of `desk` and 4 of each shard, in two zones. Requests
+/// whose target contains `kCrashMarker` crash the servers that run them.
 class PlatformFleet {
  public:
   static constexpr char kCrashMarker[] = "deadly";
@@ -55,9 +55,8 @@
     node->thread = std::thread([&loop = node->loop] { loop.run(); });
     nodes.push_back(std::move(node));
     Endpoint ready = nodes.back()->settings.ready;
-    return PlatformFixture::Await([ready] {
-      return HttpTestClient(ready).Call("GET", platform::kReadyPath).status == 200;
-    });
+    return PlatformFixture::Await(
+        [ready] { return HttpTestClient(ready).Call("GET", platform::kReadyPath).status == 200; });
   }
 
   /// Ends a node at once, as SIGKILL does.
@@ -140,8 +139,7 @@
     server.standin = std::make_unique<platform::ServerStandin>(loop, server.id);
     server.standin->SetEcho();
     server.standin->SetCrashMarker(kCrashMarker);
-    store.Write(platform::kServerPrefix + server.id,
-                server.standin->Entry(service, server.zone));
+    store.Write(platform::kServerPrefix + server.id, server.standin->Entry(service, server.zone));
     servers.push_back(std::move(server));
   }
 
