--- a/include/damaskroute/crashguard/crash_guard.h
+++ b/include/damaskroute/crashguard/crash_guard.h
@@ -6,24 +6,39 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
 #include "damaskroute/core/ids.h"
 #include "damaskroute/core/time.h"
 #include "damaskroute/crashguard/crash_mode.h"
+#include "damaskroute/crashguard/crash_record.h"
 
 namespace damaskroute {
 
-/// Settings of `CrashGuard`.
+/// Settings of `CrashGuard`. The defaults are those of queries over replicated shards.
 struct CrashGuardSettings {
-  /// How long after the last crash a request stays suspect or blocked, and new requests of its
-  /// service run as canaries.
+  /// How long after its last crash a request stays suspect or blocked, and new requests of its
+  /// service run as canaries. A request that was blocked runs as a canary for as long again.
   std::chrono::minutes suspicion_period{10};
-  /// Maximum number of tracked suspect requests, about 64 bytes each.
+  /// Maximum number of tracked suspect requests, about 100 bytes each.
   std::size_t max_suspects = 10'000;
   /// Slots in the table of successful requests, 8 bytes each.
   std::size_t known_good_slots = 1 << 16;
+  /// Number of crashes from which a request runs as a canary.
+  std::size_t crashes_to_suspect = 1;
+  /// Number of crashes that block a request.
+  std::size_t crashes_to_block = 2;
+  /// The same for a request that has succeeded on this node before. With one fewer for each, and
+  /// connections that break without a crash in one of five calls, every frequent request would be
+  /// blocked within minutes.
+  std::size_t crashes_to_block_known_good = 4;
+  /// Whether only successive losses count for blocking; see `CrashRecord::CountSuccessiveLosses`.
+  bool only_successive_losses_block = false;
+  /// Whether new requests of a service run as canaries after a crash of another request.
+  bool canaries_after_crash = true;
 };
 
 /// Stops requests that crash the backend servers which run them ("query of death"). One per node;
@@ -32,6 +47,9 @@
 ///
 /// A request that may have crashed a backend server is a suspect. It runs as a canary: a single
 /// call that must succeed before the rest of the query is sent. Further crashes block the request.
+///
+/// Nodes may exchange what they know as `CrashRecord`s: `TakeChanges` and `Records` return them,
+/// and `Merge` adds those of another node.
 class CrashGuard {
  public:
   explicit CrashGuard(const CrashGuardSettings& settings);
@@ -50,11 +68,26 @@
   void OnCrash(const ServiceName& service, std::uint64_t fingerprint, const BackendName& backend,
                BootId boot_id, TimePoint now, bool after_success = false);
 
+  /// Records a loss with its times, observed by this node. Otherwise as above.
+  void OnLoss(const ServiceName& service, std::uint64_t fingerprint, const CrashLoss& loss);
+
   /// The backend server answered a call that began after its connection loss, so the loss was not a
   /// crash. The loss no longer counts, and requests that are blocked only because of it are
   /// unblocked.
   void OnRefuted(const BackendName& backend, BootId boot_id, TimePoint now);
 
+  /// An incarnation, as a `CrashLoss` states it, answered a call that began at `sent`. Refutes its
+  /// crash like `OnRefuted`, unless another process may have answered under the same name. Cheap
+  /// while no crash is within the suspicion period.
+  void OnAnswer(std::uint64_t incarnation, TimePoint sent, TimePoint now);
+
+  /// Whether the request may have crashed backend servers, so that it runs as a canary or not at
+  /// all. Unlike `Check`, begins nothing.
+  bool IsSuspect(const ServiceName& service, std::uint64_t fingerprint, TimePoint now) const;
+
+  /// How long a blocked request stays blocked; zero if it is not blocked.
+  Duration BlockedFor(const ServiceName& service, std::uint64_t fingerprint, TimePoint now) const;
+
   /// Whether the request succeeded on this node and is still in the table. Lock-free.
   bool HasSucceeded(const ServiceName& service, std::uint64_t fingerprint) const {
     return IsKnownGood(KeyOf(service, fingerprint));
@@ -63,42 +96,72 @@
   /// A backend server broke the connection during an action. Blocks the request.
   void OnActionCrash(const ServiceName& service, std::uint64_t fingerprint, TimePoint now);
 
-  /// A query ended with rows. Clears the suspicion unless the request is blocked.
+  /// A query ended with rows. Clears the suspicion, except that of an action.
   void OnSuccess(const ServiceName& service, std::uint64_t fingerprint, TimePoint now);
 
   /// A query ended without rows.
   void OnEnd(const ServiceName& service, std::uint64_t fingerprint, TimePoint now);
 
-  /// Number of suspect or blocked requests.
+  /// Number of requests with losses that may be crashes, and of actions that crashed a server.
   std::size_t suspects() const;
 
+  /// Whether any request is suspect or blocked.
+  bool HasSuspects(TimePoint now) const;
+
+  /// Number of blocked requests.
+  std::size_t blocked(TimePoint now) const;
+
+  /// Returns at most `max` records with knowledge that was added since the last call. More remain
+  /// for the next call.
+  std::vector<CrashRecord> TakeChanges(std::size_t max);
+
+  /// Returns at most `max` records that are within the suspicion period. If there are more,
+  /// successive calls return different ones.
+  std::vector<CrashRecord> Records(std::size_t max, TimePoint now);
+
+  /// Adds the knowledge of another node's record. Returns what this node knows beyond it, if
+  /// anything.
+  std::optional<CrashRecord> Merge(const CrashRecord& record, TimePoint now);
+
+  /// Whether there is knowledge for `TakeChanges`.
+  bool has_changes() const;
+
  private:
   struct Suspect {
-    TimePoint until;
-    // Hashes of backend server and boot id of the losses since the last success.
-    std::vector<std::uint64_t> crashes;
-    bool blocked = false;
-    bool action = false;  // Never unblocked: an action must not run twice.
+    CrashRecord record;
+    TimePoint action_crash;  // Epoch if no action crashed.
     bool canary_runs = false;
     TimePoint canary_since;
   };
 
   static std::uint64_t KeyOf(const ServiceName& service, std::uint64_t fingerprint);
   bool HasNoRecentCrash(TimePoint now) const {
-    return now.time_since_epoch().count() >= canaries_until_.load(std::memory_order_relaxed);
+    return now.time_since_epoch().count() >= suspicion_until_.load(std::memory_order_relaxed);
   }
   bool IsKnownGood(std::uint64_t key) const;
-  bool ReachesBlockThreshold(std::uint64_t key, const Suspect& suspect) const;
-  Suspect& GetOrAddSuspect(const ServiceName& service, std::uint64_t key, TimePoint now);
+  bool ReachesBlockThreshold(const Suspect& suspect) const;
+  TimePoint BlockedUntil(const Suspect& suspect) const;
+  bool IsBlocked(const Suspect& suspect, TimePoint now) const {
+    return now < BlockedUntil(suspect);
+  }
+  bool IsSuspect(const Suspect& suspect, TimePoint now) const;
+  TimePoint ForgottenAt(const Suspect& suspect) const;
+  Suspect& GetOrAddSuspect(std::uint64_t key, TimePoint now);
+  void OnLossAdded(const Suspect& suspect, const CrashLoss& loss);
+  void MarkSurvived(std::uint64_t incarnation);
+  void ExtendSuspicion(TimePoint until);
   void EvictSuspects(TimePoint now);
 
   const CrashGuardSettings settings_;
   // Fixed-size table indexed by hash. A request displaced by another one is treated as unknown,
   // which costs it one sequential call while its service runs canaries.
   std::vector<std::atomic<std::uint64_t>> known_good_;
-  std::atomic<Duration::rep> canaries_until_{0};
+  std::atomic<Duration::rep> suspicion_until_{0};
   mutable std::mutex mutex_;
   std::unordered_map<std::uint64_t, Suspect> suspects_;
+  std::unordered_map<std::uint64_t, TimePoint> lost_;  // Latest loss by incarnation.
+  std::set<std::uint64_t> changed_;                    // Keys for `TakeChanges`.
+  std::uint64_t next_record_ = 0;                      // Where `Records` continues.
   // Until when the new requests of a service run as canaries.
   std::unordered_map<ServiceName, TimePoint> services_;
 };
--- a/include/damaskroute/forward/call_result.h
+++ b/include/damaskroute/forward/call_result.h
@@ -30,8 +30,9 @@
   std::string body;
   BudgetedBytes budgeted_bytes;  ///< Reservation of memory for `body`.
   std::vector<HeaderField> headers;
-  const char* reason = "";  ///< For the log.
-  bool leaving = false;     ///< The server reports that it is leaving.
+  const char* reason = "";       ///< For the log.
+  bool connection_lost = false;  ///< With `kLost`: the connection broke, as in a crash.
+  bool leaving = false;          ///< The server reports that it is leaving.
   /// Backoff that the server requested (Retry-After).
   std::optional<std::chrono::milliseconds> backoff;
   /// Request rate that the server accepts from all nodes together, in requests per second.
--- a/include/damaskroute/forward/forward_run.h
+++ b/include/damaskroute/forward/forward_run.h
@@ -27,6 +27,11 @@
   /// Disables hedging. Call before `Start`.
   void DisableHedging() { spec_.hedge_after = Duration::max(); }
 
+  /// The request may crash backend servers: sends the call of one part first, and the others after
+  /// it is answered; a call that may have run is neither hedged nor retried. Has no effect on calls
+  /// that are in progress.
+  void RunAsCanary();
+
   /// Sends the first calls. Call once, before any other event.
   std::vector<ForwardAction> Start(TimePoint now);
 
@@ -70,7 +75,8 @@
     PartState state = PartState::kOpen;
     int attempts = 0;  // Calls that may have run the request.
     int open_calls = 0;
-    bool overloaded = false;                // Shed, or took more than half the time to `answer_by`.
+    bool held = false;        // Not sent before a server has survived a call of another part.
+    bool overloaded = false;  // Shed, or took more than half the time to `answer_by`.
     TimePoint check_at = TimePoint::max();  // When to consider a hedge.
     std::vector<std::shared_ptr<Backend>> tried;
     std::optional<CallResult> result;  // Result of a done part, or the last server error.
@@ -80,6 +86,7 @@
     std::shared_ptr<Backend> backend;
     TimePoint sent;
     bool open = true;
+    bool probe = false;  // See `probes_left_`.
   };
   enum class CallKind : std::uint8_t { kFirst, kHedge, kRetry };
   using Actions = std::vector<ForwardAction>;
@@ -98,6 +105,10 @@
   void Cancel(std::uint32_t call, TimePoint now, Actions& actions);
   void CancelOpenCalls(TimePoint now, Actions& actions);
   void OnPartFailed(std::uint32_t part, CallResult result, TimePoint now, Actions& actions);
+  void Hold(std::uint32_t part);
+  void SendHeld(TimePoint now, Actions& actions);
+  bool SendHeldPart(std::uint32_t part, TimePoint now, Actions& actions);
+  bool HasOpenCall() const;
   void CheckHedge(std::uint32_t part, TimePoint now, Actions& actions);
   TimePoint LateAt(const Call& call) const;
   const Call* OldestOpenCall(std::uint32_t part) const;
@@ -115,6 +126,10 @@
   std::vector<Call> calls_;  // By call number.
   std::size_t done_ = 0;
   std::size_t failed_ = 0;
+  std::size_t held_ = 0;
+  int probes_left_ = 1;  // Calls of held parts that may be sent before a server has survived one.
+  bool server_survived_ = false;  // A server gave a complete response.
+  bool canary_ = false;
   bool may_have_run_ = false;
   bool finished_ = false;
   TimePoint wake_at_ = TimePoint::max();
--- a/include/damaskroute/forward/peer_selector.h
+++ b/include/damaskroute/forward/peer_selector.h
@@ -9,22 +9,13 @@
 #include <string>
 #include <vector>
 
-#include "damaskroute/core/endpoint.h"
 #include "damaskroute/core/ids.h"
 #include "damaskroute/core/random.h"
 #include "damaskroute/core/time.h"
+#include "damaskroute/forward/peer.h"
 
 namespace damaskroute {
 
-/// Another node, which accepts requests of nodes that cannot serve them.
-struct Peer {
-  NodeName name;
-  ZoneName zone;
-  Endpoint endpoint;
-
-  friend bool operator==(const Peer&, const Peer&) = default;
-};
-
 /// How an attempt to have a request served by a peer ended.
 enum class PeerOutcome : std::uint8_t {
   kServed,       ///< The peer answered the request, with a success or not.
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -10,6 +10,7 @@
 
 #include "damaskroute/core/asio.h"
 #include "damaskroute/core/json_writer.h"
+#include "damaskroute/crashguard/crash_guard.h"
 #include "damaskroute/forward/admission_ticket.h"
 #include "damaskroute/forward/caller_network_delay.h"
 #include "damaskroute/forward/extra_budget.h"
@@ -18,10 +19,12 @@
 #include "damaskroute/forward/timer_delay.h"
 #include "damaskroute/http/http_server.h"
 #include "damaskroute/node/caller_request.h"
+#include "damaskroute/node/crash_exchange.h"
 #include "damaskroute/node/forward_metrics.h"
 #include "damaskroute/node/forward_protocol.h"
 #include "damaskroute/node/forward_service_options.h"
 #include "damaskroute/node/forwarding_state.h"
+#include "damaskroute/node/peer_clients.h"
 #include "damaskroute/routing/route_table.h"
 #include "damaskroute/routing/weighted_split.h"
 
@@ -50,6 +53,11 @@
   /// backend servers.
   void SetPeers(std::vector<Peer> peers);
 
+  /// Handles a request of another node with `kCrashPageHeader`.
+  void HandleCrashPage(const HttpRequest& request, const HttpResponder& respond) {
+    crash_exchange_.Handle(request, respond);
+  }
+
   /// Refuses a request with status 503 without running it.
   void Refuse(HttpRequest request, const char* reason, const HttpResponder& respond);
 
@@ -80,6 +88,7 @@
 
   std::size_t active() const { return active_.size(); }
   const ForwardMetrics& metrics() const { return metrics_; }
+  const CrashGuard& crash_guard() const { return crash_guard_; }
 
  private:
   struct Exchange;
@@ -90,10 +99,23 @@
     TimePoint sent;
   };
 
-  enum class Origin : std::uint8_t { kCaller, kPeer };
+  // Who sent a request, and how it may run.
+  struct Origin {
+    bool peer = false;
+    int max_attempts = 1;
+    bool canary = false;
+  };
+
+  static const ServiceName kAnyService;
+  static CrashGuardSettings MakeCrashGuardSettings();
 
   void Serve(CallerRequest request, std::shared_ptr<CallerPresence> presence, const Route& route,
-             Origin origin, int max_attempts, HttpResponder respond);
+             const Origin& origin, HttpResponder respond);
+  bool RefuseIfBlocked(const Exchange& exchange);
+  bool BeginGuarded(Exchange& exchange, bool as_canary);
+  void OnServerSeen(Exchange& exchange, const Backend& backend, const CallResult& result,
+                    TimePoint sent, TimePoint now);
+  void ReportLosses(Exchange& exchange);
   bool MayPassToPeer(Exchange& exchange, const ForwardAnswer& answer, TimePoint now);
   bool LacksServers(const ForwardSpec& spec) const;
   bool PassToPeer(const std::shared_ptr<Exchange>& exchange, const NodeName& suggested);
@@ -137,7 +159,9 @@
   std::function<void()> on_unreachable_;
   bool aborted_ = false;
   PeerSelector peer_selector_;
-  std::map<Endpoint, std::shared_ptr<BackendClient>> peer_clients_;
+  PeerClients peer_clients_;
+  CrashGuard crash_guard_;
+  CrashExchange crash_exchange_;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/node/peer_request.h
+++ b/include/damaskroute/node/peer_request.h
@@ -23,6 +23,8 @@
   /// Time since the caller's request was complete, and the time reserved for the answer's way back
   /// to the caller.
   std::chrono::microseconds spent{};
+  /// Whether the request may crash backend servers, so that it runs as a canary.
+  bool canary = false;
 };
 
 /// In a response to another node: this node cannot serve the request either, and has not run it.
--- a/src/crashguard/crash_guard.cc
+++ b/src/crashguard/crash_guard.cc
@@ -1,7 +1,8 @@
 #include "damaskroute/crashguard/crash_guard.h"
 
 #include <algorithm>
-#include <iterator>
+#include <unordered_set>
+#include <utility>
 
 #include "damaskroute/core/hash.h"
 
@@ -12,14 +13,11 @@
 // longest deadline of a caller.
 constexpr Duration kMaxCanaryDuration = std::chrono::seconds(60);
 
-// A request that has succeeded before is blocked after this many consecutive crashes beyond the
-// first. With a limit of one, and connections that break without a crash in one of five calls,
-// every frequent request would be blocked within minutes.
-constexpr std::size_t kFurtherCrashesAfterSuccess = 3;
+// A process that has crashed does not answer again within this time.
+constexpr std::chrono::seconds kMinRestartTime{1};
 
-// Crashes recorded per request. Several times the blocking threshold, because nodes that have not
-// received each other's reports add their own crashes, and any of them can be refuted.
-constexpr std::size_t kMaxCrashes = 32;
+// After this time a node knows whether another process has taken over the name of a crashed one.
+constexpr std::chrono::seconds kMaxReplacementDelay{10};
 
 }  // namespace
 
@@ -39,9 +37,9 @@
   if (HasNoRecentCrash(now)) return CrashMode::kNormal;
   std::uint64_t key = KeyOf(service, fingerprint);
   std::lock_guard lock(mutex_);
-  if (auto it = suspects_.find(key); it != suspects_.end() && now < it->second.until) {
+  if (auto it = suspects_.find(key); it != suspects_.end() && IsSuspect(it->second, now)) {
     Suspect& suspect = it->second;
-    if (suspect.blocked) return CrashMode::kBlocked;
+    if (IsBlocked(suspect, now)) return CrashMode::kBlocked;
     if (suspect.canary_runs && now - suspect.canary_since < kMaxCanaryDuration) {
       return CrashMode::kWait;
     }
@@ -59,42 +57,116 @@
 void CrashGuard::OnCrash(const ServiceName& service, std::uint64_t fingerprint,
                          const BackendName& backend, BootId boot_id, TimePoint now,
                          bool after_success) {
+  if (after_success && IsSuspect(service, fingerprint, now)) return;
+  OnLoss(service, fingerprint, {Hash64(backend, boot_id), now, now});
+}
+
+void CrashGuard::OnLoss(const ServiceName& service, std::uint64_t fingerprint,
+                        const CrashLoss& loss) {
   std::lock_guard lock(mutex_);
   std::uint64_t key = KeyOf(service, fingerprint);
-  Suspect& suspect = GetOrAddSuspect(service, key, now);
-  std::uint64_t crash = Hash64(backend, boot_id);
-  bool counts =
-      suspect.crashes.empty() ||
-      (!after_success && suspect.crashes.size() < kMaxCrashes &&
-       std::find(suspect.crashes.begin(), suspect.crashes.end(), crash) == suspect.crashes.end());
-  if (counts) suspect.crashes.push_back(crash);
-  if (ReachesBlockThreshold(key, suspect)) suspect.blocked = true;
+  Suspect& suspect = GetOrAddSuspect(key, loss.lost);
+  bool changed = suspect.record.Add(loss);
+  OnLossAdded(suspect, loss);
+  if (changed) changed_.insert(key);
+  if (settings_.canaries_after_crash) services_[service] = loss.lost + settings_.suspicion_period;
+}
+
+void CrashGuard::OnLossAdded(const Suspect& suspect, const CrashLoss& loss) {
+  TimePoint& latest = lost_[loss.incarnation];
+  latest = std::max(latest, loss.lost);
+  ExtendSuspicion(ForgottenAt(suspect));
+}
+
+void CrashGuard::ExtendSuspicion(TimePoint until) {
+  Duration::rep count = until.time_since_epoch().count();
+  if (count > suspicion_until_.load(std::memory_order_relaxed)) {
+    suspicion_until_.store(count, std::memory_order_relaxed);
+  }
+}
+
+bool CrashGuard::ReachesBlockThreshold(const Suspect& suspect) const {
+  std::size_t crashes = settings_.only_successive_losses_block
+                            ? suspect.record.CountSuccessiveLosses()
+                            : suspect.record.CountLosses();
+  return crashes >= (IsKnownGood(suspect.record.request) ? settings_.crashes_to_block_known_good
+                                                         : settings_.crashes_to_block);
+}
+
+TimePoint CrashGuard::BlockedUntil(const Suspect& suspect) const {
+  TimePoint until;
+  if (suspect.action_crash != TimePoint()) {
+    until = suspect.action_crash + settings_.suspicion_period;
+  }
+  if (ReachesBlockThreshold(suspect)) {
+    until = std::max(until, suspect.record.LastLoss() + settings_.suspicion_period);
+  }
+  return until;
+}
+
+bool CrashGuard::IsSuspect(const Suspect& suspect, TimePoint now) const {
+  if (suspect.action_crash != TimePoint() && now < ForgottenAt(suspect)) return true;
+  if (suspect.record.CountLosses() < settings_.crashes_to_suspect) return false;
+  int periods = ReachesBlockThreshold(suspect) ? 2 : 1;
+  return now < suspect.record.LastLoss() + periods * settings_.suspicion_period;
 }
 
-bool CrashGuard::ReachesBlockThreshold(std::uint64_t key, const Suspect& suspect) const {
-  std::size_t further = IsKnownGood(key) ? kFurtherCrashesAfterSuccess : 1;
-  return suspect.crashes.size() > further;
+TimePoint CrashGuard::ForgottenAt(const Suspect& suspect) const {
+  TimePoint last = std::max(suspect.action_crash, suspect.record.answered);
+  for (const CrashLoss& loss : suspect.record.losses) last = std::max(last, loss.lost);
+  return last + 2 * settings_.suspicion_period;
+}
+
+bool CrashGuard::IsSuspect(const ServiceName& service, std::uint64_t fingerprint,
+                           TimePoint now) const {
+  if (HasNoRecentCrash(now)) return false;
+  std::lock_guard lock(mutex_);
+  auto it = suspects_.find(KeyOf(service, fingerprint));
+  return it != suspects_.end() && IsSuspect(it->second, now);
+}
+
+Duration CrashGuard::BlockedFor(const ServiceName& service, std::uint64_t fingerprint,
+                                TimePoint now) const {
+  if (HasNoRecentCrash(now)) return Duration::zero();
+  std::lock_guard lock(mutex_);
+  auto it = suspects_.find(KeyOf(service, fingerprint));
+  if (it == suspects_.end()) return Duration::zero();
+  return std::max(BlockedUntil(it->second) - now, Duration::zero());
 }
 
 void CrashGuard::OnRefuted(const BackendName& backend, BootId boot_id, TimePoint now) {
   if (HasNoRecentCrash(now)) return;
-  std::uint64_t crash = Hash64(backend, boot_id);
   std::lock_guard lock(mutex_);
-  for (auto it = suspects_.begin(); it != suspects_.end();) {
-    Suspect& suspect = it->second;
-    bool counted = std::erase(suspect.crashes, crash) > 0;
-    if (counted && !suspect.action) suspect.blocked = ReachesBlockThreshold(it->first, suspect);
-    bool cleared = counted && !suspect.action && suspect.crashes.empty();
-    it = cleared ? suspects_.erase(it) : std::next(it);
+  MarkSurvived(Hash64(backend, boot_id));
+}
+
+void CrashGuard::OnAnswer(std::uint64_t incarnation, TimePoint sent, TimePoint now) {
+  if (HasNoRecentCrash(now)) return;
+  std::lock_guard lock(mutex_);
+  auto it = lost_.find(incarnation);
+  if (it == lost_.end() || sent < it->second) return;
+  Duration since_loss = sent - it->second;
+  if (since_loss < kMinRestartTime || since_loss > kMaxReplacementDelay) MarkSurvived(incarnation);
+}
+
+void CrashGuard::MarkSurvived(std::uint64_t incarnation) {
+  if (lost_.erase(incarnation) == 0) return;
+  for (auto& [key, suspect] : suspects_) {
+    for (CrashLoss& loss : suspect.record.losses) {
+      if (loss.incarnation != incarnation || loss.survived) continue;
+      loss.survived = true;
+      changed_.insert(key);
+    }
   }
 }
 
 void CrashGuard::OnActionCrash(const ServiceName& service, std::uint64_t fingerprint,
                                TimePoint now) {
   std::lock_guard lock(mutex_);
-  Suspect& suspect = GetOrAddSuspect(service, KeyOf(service, fingerprint), now);
-  suspect.action = true;
-  suspect.blocked = true;
+  Suspect& suspect = GetOrAddSuspect(KeyOf(service, fingerprint), now);
+  suspect.action_crash = now;
+  ExtendSuspicion(ForgottenAt(suspect));
+  if (settings_.canaries_after_crash) services_[service] = now + settings_.suspicion_period;
 }
 
 void CrashGuard::OnSuccess(const ServiceName& service, std::uint64_t fingerprint, TimePoint now) {
@@ -103,9 +175,10 @@
   if (slot.load(std::memory_order_relaxed) != key) slot.store(key, std::memory_order_relaxed);
   if (HasNoRecentCrash(now)) return;
   std::lock_guard lock(mutex_);
-  if (auto it = suspects_.find(key); it != suspects_.end() && !it->second.blocked) {
-    suspects_.erase(it);
-  }
+  auto it = suspects_.find(key);
+  if (it == suspects_.end()) return;
+  it->second.canary_runs = false;
+  if (it->second.record.OnAnswered(now)) changed_.insert(key);
 }
 
 void CrashGuard::OnEnd(const ServiceName& service, std::uint64_t fingerprint, TimePoint now) {
@@ -118,40 +191,118 @@
 
 std::size_t CrashGuard::suspects() const {
   std::lock_guard lock(mutex_);
-  return suspects_.size();
+  return static_cast<std::size_t>(
+      std::count_if(suspects_.begin(), suspects_.end(), [](const auto& entry) {
+        const Suspect& suspect = entry.second;
+        return suspect.record.CountLosses() > 0 || suspect.action_crash != TimePoint();
+      }));
+}
+
+std::size_t CrashGuard::blocked(TimePoint now) const {
+  if (HasNoRecentCrash(now)) return 0;
+  std::lock_guard lock(mutex_);
+  return static_cast<std::size_t>(
+      std::count_if(suspects_.begin(), suspects_.end(),
+                    [&](const auto& entry) { return IsBlocked(entry.second, now); }));
 }
 
-CrashGuard::Suspect& CrashGuard::GetOrAddSuspect(const ServiceName& service, std::uint64_t key,
-                                                 TimePoint now) {
-  TimePoint until = now + settings_.suspicion_period;
-  services_[service] = until;
-  canaries_until_.store(until.time_since_epoch().count(), std::memory_order_relaxed);
+bool CrashGuard::HasSuspects(TimePoint now) const {
+  if (HasNoRecentCrash(now)) return false;
+  std::lock_guard lock(mutex_);
+  return std::any_of(suspects_.begin(), suspects_.end(),
+                     [&](const auto& entry) { return IsSuspect(entry.second, now); });
+}
+
+std::vector<CrashRecord> CrashGuard::TakeChanges(std::size_t max) {
+  std::lock_guard lock(mutex_);
+  std::vector<CrashRecord> records;
+  while (!changed_.empty() && records.size() < max) {
+    auto first = changed_.begin();
+    if (auto it = suspects_.find(*first); it != suspects_.end()) {
+      records.push_back(it->second.record);
+    }
+    changed_.erase(first);
+  }
+  return records;
+}
+
+std::vector<CrashRecord> CrashGuard::Records(std::size_t max, TimePoint now) {
+  if (HasNoRecentCrash(now)) return {};
+  std::lock_guard lock(mutex_);
+  std::vector<std::uint64_t> keys;
+  for (const auto& [key, suspect] : suspects_) {
+    if (IsSuspect(suspect, now) || suspect.record.CountLosses() > 0) keys.push_back(key);
+  }
+  max = std::min(max, keys.size());
+  auto middle = keys.begin() + static_cast<std::ptrdiff_t>(max);
+  // Continues behind the last key of the previous call, in a ring.
+  std::partial_sort(keys.begin(), middle, keys.end(), [this](std::uint64_t a, std::uint64_t b) {
+    return a - next_record_ < b - next_record_;
+  });
+  if (max > 0) next_record_ = keys[max - 1] + 1;
+  std::vector<CrashRecord> records;
+  records.reserve(max);
+  for (auto key = keys.begin(); key != middle; ++key) records.push_back(suspects_[*key].record);
+  return records;
+}
+
+std::optional<CrashRecord> CrashGuard::Merge(const CrashRecord& record, TimePoint now) {
+  std::lock_guard lock(mutex_);
+  auto it = suspects_.find(record.request);
+  if (it == suspects_.end()) {
+    if (record.CountLosses() == 0) return std::nullopt;
+    GetOrAddSuspect(record.request, now);
+    it = suspects_.find(record.request);
+  }
+  Suspect& suspect = it->second;
+  if (suspect.record.Merge(record)) {
+    changed_.insert(record.request);
+    for (const CrashLoss& loss : suspect.record.losses) {
+      if (suspect.record.Counts(loss)) OnLossAdded(suspect, loss);
+    }
+  }
+  if (suspect.record.KnowsMoreThan(record)) return suspect.record;
+  return std::nullopt;
+}
+
+bool CrashGuard::has_changes() const {
+  std::lock_guard lock(mutex_);
+  return !changed_.empty();
+}
+
+CrashGuard::Suspect& CrashGuard::GetOrAddSuspect(std::uint64_t key, TimePoint now) {
   auto it = suspects_.find(key);
   if (it == suspects_.end()) {
     if (suspects_.size() >= settings_.max_suspects) EvictSuspects(now);
     it = suspects_.try_emplace(key).first;
-  } else if (now >= it->second.until) {
+  } else if (now >= ForgottenAt(it->second)) {
     it->second = {};
   }
-  it->second.until = until;
+  it->second.record.request = key;
   return it->second;
 }
 
 // Removes expired suspects. If the table is still full, evicts a tenth of it, unblocked and oldest
 // suspects first. Evicting a tenth at a time keeps the amortized cost per report small.
 void CrashGuard::EvictSuspects(TimePoint now) {
-  std::erase_if(suspects_, [&](const auto& entry) { return now >= entry.second.until; });
+  std::erase_if(suspects_, [&](const auto& entry) { return now >= ForgottenAt(entry.second); });
   std::erase_if(services_, [&](const auto& entry) { return now >= entry.second; });
-  if (suspects_.size() < settings_.max_suspects) return;
-  std::vector<std::pair<std::pair<bool, TimePoint>, std::uint64_t>> order;
-  order.reserve(suspects_.size());
+  if (suspects_.size() >= settings_.max_suspects) {
+    std::vector<std::pair<std::pair<bool, TimePoint>, std::uint64_t>> order;
+    order.reserve(suspects_.size());
+    for (const auto& [key, suspect] : suspects_) {
+      order.push_back({{IsBlocked(suspect, now), ForgottenAt(suspect)}, key});
+    }
+    std::size_t surplus = std::max<std::size_t>(order.size() / 10, 1);
+    std::nth_element(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(surplus) - 1,
+                     order.end());
+    for (std::size_t i = 0; i < surplus; ++i) suspects_.erase(order[i].second);
+  }
+  std::unordered_set<std::uint64_t> tracked;
   for (const auto& [key, suspect] : suspects_) {
-    order.push_back({{suspect.blocked, suspect.until}, key});
+    for (const CrashLoss& loss : suspect.record.losses) tracked.insert(loss.incarnation);
   }
-  std::size_t surplus = std::max<std::size_t>(order.size() / 10, 1);
-  std::nth_element(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(surplus) - 1,
-                   order.end());
-  for (std::size_t i = 0; i < surplus; ++i) suspects_.erase(order[i].second);
+  std::erase_if(lost_, [&](const auto& entry) { return !tracked.contains(entry.first); });
 }
 
 }  // namespace damaskroute
--- /dev/null
+++ b/src/crashguard/crash_record.cc
@@ -0,0 +1,80 @@
+#include "damaskroute/crashguard/crash_record.h"
+
+#include <algorithm>
+
+namespace damaskroute {
+
+bool CrashRecord::Add(const CrashLoss& loss) {
+  auto known = std::find_if(losses.begin(), losses.end(), [&](const CrashLoss& other) {
+    return other.incarnation == loss.incarnation;
+  });
+  if (known != losses.end()) {
+    bool changed = loss.survived && !known->survived;
+    known->survived |= loss.survived;
+    // The times of a loss are known to the node that saw it; others add the delay of the network.
+    if (loss.lost < known->lost) {
+      known->lost = loss.lost;
+      known->sent = loss.sent;
+    }
+    return changed;
+  }
+  if (losses.size() >= kMaxLosses) {
+    if (!Counts(loss)) return false;
+    auto useless = std::find_if(losses.begin(), losses.end(),
+                                [this](const CrashLoss& other) { return !Counts(other); });
+    if (useless == losses.end()) return false;
+    losses.erase(useless);
+  }
+  losses.push_back(loss);
+  return true;
+}
+
+bool CrashRecord::Merge(const CrashRecord& other) {
+  bool changed = false;
+  for (const CrashLoss& loss : other.losses) changed |= Add(loss);
+  return OnAnswered(other.answered) || changed;
+}
+
+bool CrashRecord::OnAnswered(TimePoint at) {
+  if (at <= answered) return false;
+  std::size_t before = CountLosses();
+  answered = at;
+  return CountLosses() < before;
+}
+
+std::size_t CrashRecord::CountLosses() const {
+  return static_cast<std::size_t>(std::count_if(
+      losses.begin(), losses.end(), [this](const CrashLoss& loss) { return Counts(loss); }));
+}
+
+std::size_t CrashRecord::CountSuccessiveLosses() const {
+  std::vector<const CrashLoss*> ordered;
+  for (const CrashLoss& loss : losses) {
+    if (Counts(loss)) ordered.push_back(&loss);
+  }
+  std::sort(ordered.begin(), ordered.end(),
+            [](const CrashLoss* a, const CrashLoss* b) { return a->lost < b->lost; });
+  std::size_t count = 0;
+  TimePoint last = TimePoint::min();
+  for (const CrashLoss* loss : ordered) {
+    if (loss->sent < last) continue;
+    ++count;
+    last = loss->lost;
+  }
+  return count;
+}
+
+TimePoint CrashRecord::LastLoss() const {
+  TimePoint last = TimePoint::min();
+  for (const CrashLoss& loss : losses) {
+    if (Counts(loss)) last = std::max(last, loss.lost);
+  }
+  return last;
+}
+
+bool CrashRecord::KnowsMoreThan(const CrashRecord& other) const {
+  CrashRecord merged = other;
+  return merged.Merge(*this);
+}
+
+}  // namespace damaskroute
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -71,6 +71,10 @@
   calls_.reserve(parts_.size() + 4);
   for (std::uint32_t i = 0; i < parts_.size(); ++i) {
     if (parts_[i].state != PartState::kOpen) continue;
+    if (canary_ && HasOpenCall()) {
+      Hold(i);
+      continue;
+    }
     if (Send(i, CallKind::kFirst, std::move(choices[i]), now, actions)) continue;
     parts_[i].state = PartState::kFailed;
     ++failed_;
@@ -80,6 +84,11 @@
   return actions;
 }
 
+void ForwardRun::RunAsCanary() {
+  canary_ = true;
+  probes_left_ = 0;
+}
+
 // Leaves out the shards that cannot respond before the objective, and refuses a query that would
 // have too few of them: its calls would only take capacity from queries that can be served.
 bool ForwardRun::RefuseIfUnservable(const std::vector<BackendChoice>& choices, TimePoint now,
@@ -155,6 +164,11 @@
     may_have_run_ = true;
   } else {
     --part.attempts;
+    if (call.probe) ++probes_left_;
+  }
+  if (result.end == CallEnd::kAnswered || result.end == CallEnd::kServerError) {
+    server_survived_ = true;
+    canary_ = false;
   }
   if (part.state != PartState::kOpen) return actions;
   if (result.end == CallEnd::kNotRun || IsPastHalfOfObjective(now)) part.overloaded = true;
@@ -168,6 +182,7 @@
   } else {
     OnPartFailed(index, std::move(result), now, actions);
   }
+  SendHeld(now, actions);
   FinishIfDecided(now, actions);
   ScheduleWake(actions);
   return actions;
@@ -176,9 +191,14 @@
 void ForwardRun::OnPartFailed(std::uint32_t index, CallResult result, TimePoint now,
                               Actions& actions) {
   Part& part = parts_[index];
-  bool may_retry = spec_.idempotent || !MayHaveRun(result.end);
+  bool may_have_run = MayHaveRun(result.end);
+  bool may_crash_servers = result.connection_lost && spec_.query && !server_survived_;
   if (result.end == CallEnd::kServerError) part.result = std::move(result);
-  if (may_retry) {
+  if (may_crash_servers) {
+    if (part.open_calls == 0) Hold(index);
+    return;
+  }
+  if (!may_have_run || (spec_.idempotent && !canary_)) {
     BackendChoice choice = Choose(index, CallKind::kRetry, now);
     if (Send(index, CallKind::kRetry, std::move(choice), now, actions)) return;
   }
@@ -187,6 +207,45 @@
   ++failed_;
 }
 
+void ForwardRun::Hold(std::uint32_t index) {
+  parts_[index].held = true;
+  parts_[index].check_at = TimePoint::max();
+  ++held_;
+}
+
+// Sends the held parts once a server has survived its call. If no other call can show that, sends
+// one of them while probes are left, and gives them up otherwise.
+void ForwardRun::SendHeld(TimePoint now, Actions& actions) {
+  if (held_ == 0 || (!server_survived_ && HasOpenCall())) return;
+  for (std::uint32_t i = 0; i < parts_.size(); ++i) {
+    if (!parts_[i].held) continue;
+    bool may_send = server_survived_ || !may_have_run_ || probes_left_ > 0;
+    if (may_send && SendHeldPart(i, now, actions)) {
+      if (server_survived_) continue;
+      calls_.back().probe = true;
+      --probes_left_;
+      return;
+    }
+    parts_[i].held = false;
+    --held_;
+    parts_[i].state = PartState::kFailed;
+    ++failed_;
+  }
+}
+
+bool ForwardRun::SendHeldPart(std::uint32_t index, TimePoint now, Actions& actions) {
+  CallKind kind = parts_[index].tried.empty() ? CallKind::kFirst : CallKind::kRetry;
+  if (!Send(index, kind, Choose(index, kind, now), now, actions)) return false;
+  parts_[index].held = false;
+  --held_;
+  return true;
+}
+
+bool ForwardRun::HasOpenCall() const {
+  return std::any_of(parts_.begin(), parts_.end(),
+                     [](const Part& part) { return part.open_calls > 0; });
+}
+
 bool ForwardRun::Send(std::uint32_t index, CallKind kind, BackendChoice choice, TimePoint now,
                       Actions& actions) {
   Part& part = parts_[index];
@@ -276,13 +335,18 @@
   Part& part = parts_[index];
   part.check_at = TimePoint::max();
   const Call* call = OldestOpenCall(index);
-  if (call == nullptr || part.open_calls > 1 || part.attempts >= spec_.max_attempts) return;
+  if (canary_ || call == nullptr || part.open_calls > 1 || part.attempts >= spec_.max_attempts)
+    return;
   TimePoint late_at = LateAt(*call);
   if (now < late_at) {
     part.check_at = late_at;
     return;
   }
-  if (Send(index, CallKind::kHedge, Choose(index, CallKind::kHedge, now), now, actions)) return;
+  bool may_crash_servers = held_ > 0 && !server_survived_;
+  if (!may_crash_servers &&
+      Send(index, CallKind::kHedge, Choose(index, CallKind::kHedge, now), now, actions)) {
+    return;
+  }
   // Other servers may recover, and the budget refills.
   part.check_at = now + kHedgeCheckInterval;
 }
--- a/src/node/forward_call.cc
+++ b/src/node/forward_call.cc
@@ -48,7 +48,9 @@
     case ExchangeEnd::kAnswered:
       break;
   }
-  return FailedCall(CallEnd::kLost, "connection lost");
+  CallResult lost = FailedCall(CallEnd::kLost, "connection lost");
+  lost.connection_lost = true;
+  return lost;
 }
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
--- a/src/node/forward_exchange.h
+++ b/src/node/forward_exchange.h
@@ -31,7 +31,10 @@
   std::vector<std::pair<BackendName, Duration>> cancelled;  // With call ages, for the log.
   std::string failures;  // Failed calls and their reasons, for the log.
   bool from_peer = false;
-  std::vector<Peer> peers;  // To which the request was passed; the last is current.
+  bool canary = false;            // Runs as a canary; see `CrashGuard`.
+  bool server_survived = false;   // A server gave a complete response.
+  std::vector<CrashLoss> losses;  // Connections lost before that.
+  std::vector<Peer> peers;        // To which the request was passed; the last is current.
   std::shared_ptr<BackendClient> peer_client;  // Null unless a peer has the request.
   std::uint64_t peer_call = 0;
 };
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -61,6 +61,9 @@
 // A request of another node has this many bytes of headers more than the caller's.
 constexpr std::size_t kPeerHeaderBytes = 256;
 
+// Largest `CrashPage`, whatever the limit of callers' bodies is.
+constexpr std::size_t kMaxCrashPageBytes = std::size_t{64} << 10;
+
 // Nodes close idle connections to each other earlier than the server does, so that no request meets
 // the end of its connection.
 constexpr char kPeerKeepAlive[] = "timeout=20";
@@ -174,7 +177,7 @@
   if (peers_) {
     ClientLimits peer_limits;
     peer_limits.max_header_bytes = limits.max_header_bytes + kPeerHeaderBytes;
-    peer_limits.max_body_bytes = limits.max_body_bytes;
+    peer_limits.max_body_bytes = std::max(limits.max_body_bytes, kMaxCrashPageBytes);
     peers_->SetClientLimits(peer_limits);
   }
   if (!was_ready && IsReady()) LogLine(LogLevel::kInfo, "node ready");
@@ -246,6 +249,12 @@
   page.Family("damaskroute_forward_rate_limited_backends", "gauge",
               "Backend servers that state a rate limit.");
   page.Sample("", static_cast<double>(service_.forwarding_state().backends().CountRateLimited()));
+  page.Family("damaskroute_forward_suspect_requests", "gauge",
+              "Requests under which servers may have crashed.");
+  page.Sample("", static_cast<double>(service_.crash_guard().suspects()));
+  page.Family("damaskroute_forward_blocked_requests", "gauge",
+              "Requests that are refused because servers crashed under them.");
+  page.Sample("", static_cast<double>(service_.crash_guard().blocked(SteadyClock().Now())));
   page.Family("damaskroute_forward_routes_version", "gauge", "Version of the routes in force.");
   page.Sample("", static_cast<double>(service_.forwarding_state().routes_version()));
   page.Family("damaskroute_forward_connects_total", "counter", "Connections opened to servers.");
@@ -320,6 +329,9 @@
     response.headers.push_back({"Keep-Alive", kPeerKeepAlive});
     respond(std::move(response));
   };
+  if (FindHeader(request.headers, kCrashPageHeader) != nullptr) {
+    return service_.HandleCrashPage(request, respond_and_keep);
+  }
   if (refusing_) return service_.RefuseFromPeer(std::move(request), respond_and_keep);
   service_.HandleFromPeer(std::move(request), std::move(respond_and_keep));
 }
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -35,6 +35,14 @@
   return client;
 }
 
+BackendClientOptions PeerClientOptions(const ForwardServiceOptions& options) {
+  BackendClientOptions client;
+  client.keep_headers = true;
+  client.connect_timeout = options.connect_timeout;
+  client.unresponsive_timeout = options.unresponsive_timeout;
+  return client;
+}
+
 // Maximum number of cancelled calls in the log message of a request.
 constexpr std::size_t kMaxLoggedCalls = 8;
 
@@ -81,7 +89,10 @@
       protocol_(std::move(protocol)),
       random_(options_.seed),
       forwarding_state_(loop, options_.backends, ClientOptions(options_, protocol_), options_.seed),
-      peer_selector_(options_.seed) {}
+      peer_selector_(options_.seed),
+      peer_clients_(loop, PeerClientOptions(options_)),
+      crash_guard_(MakeCrashGuardSettings()),
+      crash_exchange_(loop, crash_guard_, peer_clients_, options_.seed) {}
 
 ForwardService::~ForwardService() = default;
 
@@ -94,17 +105,16 @@
   }
   const Route* route = routes->Find(request.host, request.target);
   if (route == nullptr) return RefuseWith(request, 404, "no route matches", respond, {});
-  Serve(std::move(request), std::move(presence), *route, Origin::kCaller, route->max_attempts,
-        std::move(respond));
+  Serve(std::move(request), std::move(presence), *route,
+        {.peer = false, .max_attempts = route->max_attempts}, std::move(respond));
 }
 
 void ForwardService::Serve(CallerRequest request, std::shared_ptr<CallerPresence> presence,
-                           const Route& route, Origin origin, int max_attempts,
-                           HttpResponder respond) {
+                           const Route& route, const Origin& origin, HttpResponder respond) {
   TimePoint deadline =
       request.received + std::min(request.caller_timeout.value_or(route.timeout), route.timeout);
   ForwardSpec spec = MakeSpec(route, {request.received, deadline, ReservedTime(route, request)});
-  spec.max_attempts = std::min(spec.max_attempts, max_attempts);
+  spec.max_attempts = std::min(spec.max_attempts, origin.max_attempts);
   auto exchange = std::make_shared<Exchange>(
       loop_, std::move(spec),
       ForwardContext{forwarding_state_.backends(), budgets_, budget_options_,
@@ -116,14 +126,17 @@
   exchange->routes = forwarding_state_.routes();
   exchange->routes_since = forwarding_state_.routes_since();
   exchange->route = &route;
-  exchange->from_peer = origin == Origin::kPeer;
+  exchange->from_peer = origin.peer;
+  if (RefuseIfBlocked(*exchange)) return;
   bool lacks_servers = LacksServers(exchange->run.spec());
   if (lacks_servers && exchange->from_peer) {
     return RefuseToPeer(exchange->request, "too few backend servers are reached", route.name,
                         exchange->respond);
   }
   bool at_peer = lacks_servers && PassToPeer(exchange, {});
+  if (!at_peer && !BeginGuarded(*exchange, origin.canary)) return;
   if (!at_peer && !AdmitQuery(*exchange)) {
+    ReportLosses(*exchange);
     return RefuseWith(exchange->request, 503, "too many queries", exchange->respond,
                       RandomRetryAfter(deadline - exchange->request.received));
   }
@@ -229,6 +242,7 @@
         exchange->calls.erase(found);
         CallResult call_result = ClassifyForwardCall(exchange->request, std::move(result),
                                                      exchange->run.spec().query, protocol_);
+        OnServerSeen(*exchange, *backend, call_result, sent, ended);
         if (call_result.leaving) forwarding_state_.OnLeaving(backend);
         if (call_result.backoff) {
           forwarding_state_.OnBackoffRequested(backend, *call_result.backoff);
@@ -282,6 +296,7 @@
 void ForwardService::Respond(const std::shared_ptr<Exchange>& exchange, ForwardAnswer answer) {
   exchange->timer.cancel();
   exchange->ticket.Release(exchange->run, Now());
+  ReportLosses(*exchange);
   if (MayPassToPeer(*exchange, answer, Now()) && PassToPeer(exchange, {})) return;
   const char* outcome = OutcomeName(answer);
   std::string cancelled_calls = CancelledCalls(*exchange);
@@ -336,6 +351,7 @@
     CancelPeerCall(*exchange);
   } else {
     Execute(exchange, exchange->run.Abandon(Now()));
+    ReportLosses(*exchange);
     exchange->ticket.Release(exchange->run, Now());
   }
   active_.erase(exchange);
--- /dev/null
+++ b/src/node/forward_service_crashes.cc
@@ -0,0 +1,109 @@
+#include <algorithm>
+#include <chrono>
+
+#include "damaskroute/core/hash.h"
+#include "damaskroute/log/log_line.h"
+#include "damaskroute/node/forward_service.h"
+#include "fmt/format.h"
+#include "forward_exchange.h"
+
+// Requests that may crash the backend servers which run them.
+
+namespace damaskroute {
+namespace {
+
+// Retry-After while the same request runs as a canary on this node.
+constexpr std::chrono::milliseconds kCanaryRetry{100};
+
+TimePoint Now() { return SteadyClock().Now(); }
+
+std::uint64_t IncarnationOf(const BackendEntry& entry) {
+  return Hash64(entry.id, static_cast<std::uint64_t>(entry.incarnation));
+}
+
+// Servers that leave end connections without a crash.
+bool MayHaveCrashed(const Backend& backend) {
+  return !backend.gone && !backend.leaving && !backend.entry.draining;
+}
+
+}  // namespace
+
+// Crashes are counted per request and not per service, as weights may send it to several.
+const ServiceName ForwardService::kAnyService;
+
+// A connection is lost far more often than a server crashes because of a request: a failed server
+// or link is not enough to restrict the requests that were running there.
+CrashGuardSettings ForwardService::MakeCrashGuardSettings() {
+  CrashGuardSettings settings;
+  settings.known_good_slots = 1;  // Not used, as both thresholds are equal.
+  settings.crashes_to_suspect = 2;
+  settings.crashes_to_block = 3;
+  settings.crashes_to_block_known_good = 3;
+  settings.only_successive_losses_block = true;
+  settings.canaries_after_crash = false;
+  return settings;
+}
+
+bool ForwardService::RefuseIfBlocked(const Exchange& exchange) {
+  using std::chrono::milliseconds;
+  Duration left = crash_guard_.BlockedFor(kAnyService, exchange.fingerprint, Now());
+  if (left == Duration::zero()) return false;
+  RefuseWith(exchange.request, 503, "backend servers crashed while they ran this request",
+             exchange.respond, std::chrono::ceil<milliseconds>(left));
+  return true;
+}
+
+// Returns false if the request was refused.
+bool ForwardService::BeginGuarded(Exchange& exchange, bool as_canary) {
+  CrashMode mode = crash_guard_.Check(kAnyService, exchange.fingerprint, Now());
+  if (mode == CrashMode::kWait) {
+    RefuseWith(exchange.request, 503, "the same request is being tried on one backend server",
+               exchange.respond, kCanaryRetry);
+    return false;
+  }
+  exchange.canary = as_canary || mode == CrashMode::kCanary;
+  if (exchange.canary) exchange.run.RunAsCanary();
+  return true;
+}
+
+void ForwardService::OnServerSeen(Exchange& exchange, const Backend& backend,
+                                  const CallResult& result, TimePoint sent, TimePoint now) {
+  std::uint64_t incarnation = IncarnationOf(backend.entry);
+  bool ran = result.end == CallEnd::kAnswered || result.end == CallEnd::kServerError;
+  if (ran || result.end == CallEnd::kNotRun) crash_guard_.OnAnswer(incarnation, sent, now);
+  if (ran && !exchange.server_survived) {
+    exchange.server_survived = true;
+    exchange.losses.clear();
+    crash_guard_.OnSuccess(kAnyService, exchange.fingerprint, now);
+  }
+  if (result.connection_lost) {
+    if (!exchange.server_survived && MayHaveCrashed(backend)) {
+      exchange.losses.push_back({incarnation, sent, now});
+    }
+    if (crash_guard_.IsSuspect(kAnyService, exchange.fingerprint, now)) exchange.run.RunAsCanary();
+  }
+  if (crash_guard_.has_changes()) crash_exchange_.Update();
+}
+
+// Losses are reported when the request ends, as an answer of another server shows that the request
+// crashes none.
+void ForwardService::ReportLosses(Exchange& exchange) {
+  TimePoint now = Now();
+  auto losses = std::exchange(exchange.losses, {});
+  for (const CrashLoss& loss : losses) {
+    crash_guard_.OnLoss(kAnyService, exchange.fingerprint, loss);
+  }
+  if (exchange.canary) crash_guard_.OnEnd(kAnyService, exchange.fingerprint, now);
+  if (losses.empty()) return;
+  bool blocked = crash_guard_.BlockedFor(kAnyService, exchange.fingerprint, now) > Duration::zero();
+  LogLine(LogLevel::kWarning, "connections lost while backend servers ran a request")
+      .Field("request", exchange.request.id)
+      .Field("fingerprint", fmt::format("{:016x}", exchange.fingerprint))
+      .Field("target", exchange.request.target)
+      .Field("lost", losses.size())
+      .Field("canary", exchange.canary ? "yes" : "no")
+      .Field("blocked", blocked ? "yes" : "no");
+  crash_exchange_.Update();
+}
+
+}  // namespace damaskroute
--- a/src/node/forward_service_peers.cc
+++ b/src/node/forward_service_peers.cc
@@ -15,9 +15,6 @@
 namespace damaskroute {
 namespace {
 
-// Limit of the requests of this node at one peer.
-constexpr int kMaxConnectionsPerPeer = 256;
-
 TimePoint Now() { return SteadyClock().Now(); }
 
 PeerOutcome OutcomeOf(const ExchangeResult& result) {
@@ -41,10 +38,8 @@
 
 void ForwardService::SetPeers(std::vector<Peer> peers) {
   if (peers == peer_selector_.peers()) return;
-  std::erase_if(peer_clients_, [&](const auto& entry) {
-    return std::none_of(peers.begin(), peers.end(),
-                        [&](const Peer& peer) { return peer.endpoint == entry.first; });
-  });
+  peer_clients_.RetainOnly(peers);
+  crash_exchange_.SetPeers(peers);
   peer_selector_.SetPeers(std::move(peers));
 }
 
@@ -57,8 +52,8 @@
   if (!info || route == nullptr || RouteFingerprint(*route) != info->route) {
     return RefuseToPeer(request, "the route differs here", {}, respond);
   }
-  Serve(std::move(request), std::move(presence), *route, Origin::kPeer, info->attempts,
-        std::move(respond));
+  Serve(std::move(request), std::move(presence), *route,
+        {.peer = true, .max_attempts = info->attempts, .canary = info->canary}, std::move(respond));
 }
 
 void ForwardService::RefuseFromPeer(HttpRequest request, const HttpResponder& respond) {
@@ -96,7 +91,8 @@
 bool ForwardService::MayPassToPeer(Exchange& exchange, const ForwardAnswer& answer, TimePoint now) {
   if (aborted_ || exchange.from_peer || !LacksServers(exchange.run.spec())) return false;
   if (answer.kind == AnswerKind::kRefused) return true;
-  return answer.kind == AnswerKind::kFailed && exchange.run.attempts_left() > 0 &&
+  return answer.kind == AnswerKind::kFailed && !exchange.canary &&
+         exchange.run.attempts_left() > 0 &&
          peer_selector_.Choose(exchange.route->name, exchange.peers, {}, now).has_value() &&
          exchange.run.TakeRepeat(now);
 }
@@ -109,19 +105,12 @@
   const std::string& route = exchange->route->name;
   auto peer = peer_selector_.Choose(route, exchange->peers, suggested, now);
   if (!peer || now >= deadline) return false;
-  auto& client = peer_clients_[peer->endpoint];
-  if (!client) {
-    BackendClientOptions options;
-    options.keep_headers = true;
-    options.connect_timeout = options_.connect_timeout;
-    options.unresponsive_timeout = options_.unresponsive_timeout;
-    client = std::make_shared<BackendClient>(loop_, peer->endpoint, kMaxConnectionsPerPeer,
-                                             std::move(options));
-  }
+  auto client = peer_clients_.ClientFor(peer->endpoint);
   auto spent = now - exchange->request.received +
                CallerNetworkDelay(exchange->request.connection, exchange->route->objective);
   PeerRequestInfo info{RouteFingerprint(*exchange->route), exchange->run.attempts_left(),
-                       std::chrono::duration_cast<std::chrono::microseconds>(spent)};
+                       std::chrono::duration_cast<std::chrono::microseconds>(spent),
+                       crash_guard_.IsSuspect(kAnyService, exchange->fingerprint, now)};
   exchange->peers.push_back(*peer);
   exchange->peer_client = client;
   peer_selector_.OnSent(*peer);
--- a/src/node/peer_request.cc
+++ b/src/node/peer_request.cc
@@ -14,13 +14,14 @@
 constexpr char kRouteHeader[] = "Damask-Peer-Route";
 constexpr char kAttemptsHeader[] = "Damask-Peer-Attempts";
 constexpr char kSpentHeader[] = "Damask-Peer-Spent-Us";
+constexpr char kCanaryHeader[] = "Damask-Peer-Canary";
 
 // Longer than the deadline of any request.
 constexpr std::chrono::hours kMaxSpent{1};
 
 bool IsPeerHeader(std::string_view name) {
   return SameHeaderName(name, kRouteHeader) || SameHeaderName(name, kAttemptsHeader) ||
-         SameHeaderName(name, kSpentHeader);
+         SameHeaderName(name, kSpentHeader) || SameHeaderName(name, kCanaryHeader);
 }
 
 template <typename T>
@@ -56,6 +57,7 @@
   auto append = [&call](std::string_view name, std::string_view value) {
     call.bytes.append(name).append(": ").append(value).append("\r\n");
   };
+  if (info.canary) append(kCanaryHeader, "1");
   if (!request.id.empty()) append(protocol.request_id, request.id);
   if (request.caller_timeout) {
     append(protocol.deadline_ms, std::to_string(request.caller_timeout->count()));
@@ -75,9 +77,10 @@
   auto route = NumberIn<std::uint64_t>(request.headers, kRouteHeader);
   auto attempts = NumberIn<int>(request.headers, kAttemptsHeader);
   auto spent = NumberIn<std::int64_t>(request.headers, kSpentHeader);
+  bool canary = FindHeader(request.headers, kCanaryHeader) != nullptr;
   std::erase_if(request.headers, [](const HeaderField& field) { return IsPeerHeader(field.name); });
   if (!route || !attempts || *attempts < 1 || !spent || *spent < 0) return std::nullopt;
-  PeerRequestInfo info{*route, *attempts, std::chrono::microseconds(*spent)};
+  PeerRequestInfo info{*route, *attempts, std::chrono::microseconds(*spent), canary};
   if (info.spent > kMaxSpent) return std::nullopt;
   request.received -= info.spent;
   return info;
--- a/src/node/request_fingerprint.cc
+++ b/src/node/request_fingerprint.cc
@@ -14,13 +14,14 @@
 
 // Content negotiation and proxies, which depend on the connection or the version of a client.
 constexpr std::array<std::string_view, 9> kIgnoredNames = {
-    "accept",        "accept-encoding", "accept-language", "baggage", "cache-control",
-    "if-none-match", "date",            "user-agent",      "via"};
+    "accept",  "accept-encoding", "accept-language",
+    "baggage", "cache-control",   "if-none-match",
+    "date",    "user-agent",      "via"};
 
 // Parts of the names of headers in which client libraries state ids of attempts, numbers of
 // retries, and traces.
 constexpr std::array<std::string_view, 9> kIgnoredParts = {
-    "trace",  "span",       "b3-",   "request-id", "correlation-id",
+    "trace",         "span",    "b3-",   "request-id", "correlation-id",
     "invocation-id", "attempt", "retry", "forwarded"};
 
 bool MayDifferBetweenAttempts(std::string_view lower_name) {
@@ -40,9 +41,8 @@
   }
   std::sort(headers.begin(), headers.end());
   std::uint64_t hash = Hash64(request.body);
-  for (std::string_view text :
-       {std::string_view(request.method), std::string_view(request.host),
-        std::string_view(request.target)}) {
+  for (std::string_view text : {std::string_view(request.method), std::string_view(request.host),
+                                std::string_view(request.target)}) {
     hash = Hash64(text, hash);
   }
   for (const std::string& header : headers) hash = Hash64(header, hash);
--- a/tests/crash_guard_test.cc
+++ b/tests/crash_guard_test.cc
@@ -212,5 +212,98 @@
   CHECK(guard.Check("s", 1, clock.Now()) == CrashMode::kCanary);
 }
 
+// Settings under which a lost connection weighs less than a server that crashed.
+CrashGuardSettings SuccessiveLosses() {
+  CrashGuardSettings settings;
+  settings.crashes_to_suspect = 2;
+  settings.crashes_to_block = 3;
+  settings.crashes_to_block_known_good = 3;
+  settings.only_successive_losses_block = true;
+  settings.canaries_after_crash = false;
+  return settings;
+}
+
+struct LossFixture {
+  // A call that takes a second is lost.
+  void Lose(std::uint64_t incarnation) {
+    TimePoint sent = clock.Now();
+    clock.Advance(std::chrono::seconds(1));
+    guard.OnLoss("", 1, {incarnation, sent, clock.Now()});
+  }
+  CrashMode Check() { return guard.Check("", 1, clock.Now()); }
+
+  ManualClock clock;
+  CrashGuard guard{SuccessiveLosses()};
+};
+
+TEST_CASE("three successive losses block a request, and others run as before") {
+  LossFixture f;
+  f.Lose(1);
+  CHECK(f.Check() == CrashMode::kNormal);
+  f.Lose(2);
+  CHECK(f.Check() == CrashMode::kCanary);
+  f.Lose(3);
+  CHECK(f.Check() == CrashMode::kBlocked);
+  CHECK(f.guard.BlockedFor("", 1, f.clock.Now()) == minutes(10));
+  CHECK(f.guard.Check("", 2, f.clock.Now()) == CrashMode::kNormal);
+}
+
+TEST_CASE("servers that are lost at the same time do not block a request") {
+  LossFixture f;
+  TimePoint sent = f.clock.Now();
+  f.clock.Advance(std::chrono::seconds(1));
+  for (std::uint64_t server = 1; server <= 9; ++server) {
+    f.guard.OnLoss("", 1, {server, sent, f.clock.Now()});
+  }
+  CHECK(f.Check() == CrashMode::kCanary);
+  f.guard.OnSuccess("", 1, f.clock.Now());
+  CHECK(f.Check() == CrashMode::kNormal);
+}
+
+// Guards against a harmless request that is refused forever, and against one that crashes two
+// servers each time that it is no longer refused.
+TEST_CASE("a blocked request is tried as a canary after the suspicion period") {
+  LossFixture f;
+  for (std::uint64_t server = 1; server <= 3; ++server) f.Lose(server);
+  f.clock.Advance(minutes(10));
+  REQUIRE(f.Check() == CrashMode::kCanary);
+  SUBCASE("it crashes another server") {
+    f.Lose(4);
+    CHECK(f.Check() == CrashMode::kBlocked);
+  }
+  SUBCASE("it is harmless") {
+    f.guard.OnSuccess("", 1, f.clock.Now());
+    CHECK(f.Check() == CrashMode::kNormal);
+  }
+  SUBCASE("it does not come") {
+    f.clock.Advance(minutes(10));
+    CHECK(f.Check() == CrashMode::kNormal);
+  }
+}
+
+TEST_CASE("an answer of the same incarnation refutes a crash, unless it may be of its successor") {
+  LossFixture f;
+  for (std::uint64_t server = 1; server <= 3; ++server) f.Lose(server);
+  REQUIRE(f.Check() == CrashMode::kBlocked);
+  SUBCASE("before the loss") {
+    f.guard.OnAnswer(3, f.clock.Now() - std::chrono::milliseconds(1), f.clock.Now());
+    CHECK(f.Check() == CrashMode::kBlocked);
+  }
+  SUBCASE("right after the loss") {
+    f.guard.OnAnswer(3, f.clock.Now(), f.clock.Now());
+    CHECK(f.Check() == CrashMode::kCanary);
+  }
+  SUBCASE("when a successor may have started under the same name") {
+    f.clock.Advance(std::chrono::seconds(2));
+    f.guard.OnAnswer(3, f.clock.Now(), f.clock.Now());
+    CHECK(f.Check() == CrashMode::kBlocked);
+  }
+  SUBCASE("when a successor would be known") {
+    f.clock.Advance(std::chrono::seconds(11));
+    f.guard.OnAnswer(3, f.clock.Now(), f.clock.Now());
+    CHECK(f.Check() == CrashMode::kCanary);
+  }
+}
+
 }  // namespace
 }  // namespace damaskroute
--- a/tests/crashing_request_test.cc
+++ b/tests/crashing_request_test.cc
@@ -1,8 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "tests/support/platform_fleet.h"
 
@@ -38,6 +40,18 @@
 
 void AwaitContact() { std::this_thread::sleep_for(ForwardNodeSettings{}.contact_bound); }
 
+// Repeats a request until it has crashed three servers, and gives the nodes time to learn of it.
+void CrashThree(PlatformFleet& fleet, const std::string& method, const std::string& target) {
+  std::size_t before = fleet.crashes();
+  for (int i = 0; i < 3 && fleet.crashes() < before + 3; ++i) {
+    REQUIRE(fleet.AwaitServers(static_cast<std::size_t>(i)));
+    fleet.Call(static_cast<std::size_t>(i), method, target, "payload");
+    fleet.RestartCrashed();
+  }
+  REQUIRE(fleet.crashes() >= before + 3);
+  AwaitContact();
+}
+
 TEST_CASE("a request that crashes its servers stops reaching them at all nodes") {
   int nodes = 0;
   SUBCASE("4 nodes") { nodes = 4; }
@@ -47,17 +61,117 @@
   for (auto [method, target] : {std::pair("GET", "/one/deadly"), std::pair("POST", "/act/deadly"),
                                 std::pair("GET", "/all/deadly")}) {
     CAPTURE(std::string(target));
-    std::size_t before = fleet.crashes();
-    Repeats first;
-    while (fleet.crashes() < before + 3 && first.reached < 3) {
-      first.reached += Repeat(fleet, 1, method, target).reached;
-    }
-    AwaitContact();
+    CrashThree(fleet, method, target);
     Repeats later = Repeat(fleet, 2 * nodes, method, target);
     CHECK(later.reached <= kAllowedRetries);
     CHECK(later.promised == 0);
   }
 }
 
+// Guards against a crash of all servers of a service by one query, which is sent to one of each
+// shard and repeated for each.
+TEST_CASE("a query that crashes its servers takes down at most two servers of a shard") {
+  PlatformFleet fleet(4);
+  REQUIRE(fleet.AwaitServers(0));
+  CHECK(fleet.Call(0, "GET", "/all/deadly").status == 502);
+  fleet.RestartCrashed();
+  CHECK(fleet.crashes() <= 4);  // One of each shard, and one that is tried again.
+}
+
+TEST_CASE("a node that starts after the crashes knows of them") {
+  PlatformFleet fleet(4);
+  CrashThree(fleet, "GET", "/one/deadly");
+  SUBCASE("a node starts") {
+    REQUIRE(fleet.AddNode());
+    fleet.StopNode(0);
+  }
+  SUBCASE("all nodes are replaced one after the other") {
+    for (int i = 0; i < 4; ++i) {
+      REQUIRE(fleet.AddNode());
+      fleet.StopNode(0);
+    }
+  }
+  AwaitContact();
+  CHECK(Repeat(fleet, 12, "GET", "/one/deadly").reached <= kAllowedRetries);
+}
+
+TEST_CASE("nodes learn of crashes while the store is away") {
+  PlatformFleet fleet(4);
+  for (std::size_t i = 0; i < 4; ++i) REQUIRE(fleet.AwaitServers(i));
+  fleet.store.SetMode(platform::StoreMode::kReset);
+  int reached = 0;
+  for (std::size_t i = 0; i < 12; ++i) {
+    std::size_t before = fleet.crashes();
+    fleet.Call(i, "POST", "/act/deadly", "payload");
+    fleet.CountCrashed();
+    if (fleet.crashes() > before) ++reached;
+    // The reports are on their way for a moment.
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  }
+  CHECK(reached <= 3 + kAllowedRetries);
+}
+
+TEST_CASE("requests other than the one that crashes servers are served") {
+  PlatformFleet fleet(4);
+  CrashThree(fleet, "GET", "/one/deadly");
+  fleet.SpareServers();
+  for (std::size_t i = 0; i < 8; ++i) {
+    REQUIRE(fleet.AwaitServers(i));
+    CHECK(fleet.Call(i, "GET", "/one/deadly", "payload").status == 503);
+    CHECK(fleet.Call(i, "GET", "/one/deadly", "other payload").status == 200);
+    CHECK(fleet.Call(i, "GET", "/one/deadly", "payload", "caller-2").status == 200);
+    CHECK(fleet.Call(i, "GET", "/one/deadly?x=1", "payload").status == 200);
+    CHECK(fleet.Call(i, "GET", "/one/other", "payload").status == 200);
+  }
+}
+
+// Guards against a request that is refused for minutes because a zone was lost under it, or because
+// links broke while its servers lived on.
+TEST_CASE("a popular request whose servers are lost again and again is served") {
+  PlatformFleet fleet(4);
+  for (std::size_t i = 0; i < 4; ++i) REQUIRE(fleet.AwaitServers(i));
+  std::atomic<bool> stop{false};
+  std::atomic<int> answered{0};
+  std::vector<std::thread> callers;
+  for (std::size_t i = 0; i < 8; ++i) {
+    callers.emplace_back([&, i] {
+      while (!stop) {
+        bool action = i % 2 == 0;
+        int status =
+            fleet.Call(i, action ? "POST" : "GET", action ? "/act/x" : "/one/x", "popular").status;
+        if (status == 200) ++answered;
+      }
+    });
+  }
+  for (int round = 0; round < 6; ++round) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    if (round % 2 == 0) fleet.CrashZone("a");
+    if (round % 2 == 1) fleet.ResetConnections();
+    fleet.RestartCrashed();
+  }
+  stop = true;
+  for (std::thread& caller : callers) caller.join();
+  for (std::size_t i = 0; i < 8; ++i) {
+    REQUIRE(fleet.AwaitServers(i));
+    CHECK(fleet.Call(i, "POST", "/act/x", "popular").status == 200);
+    CHECK(fleet.Call(i, "GET", "/one/x", "popular").status == 200);
+  }
+  CHECK(answered > 0);
+}
+
+// Guards against a limit that holds for one crashing request at a time.
+TEST_CASE("many requests that crash servers reach few servers each") {
+  PlatformFleet fleet(4);
+  constexpr int kRequests = 20;
+  for (int i = 0; i < kRequests; ++i) {
+    for (std::size_t node = 0; node < 6; ++node) {
+      REQUIRE(fleet.AwaitServers(node));
+      fleet.Call(node, "POST", fmt::format("/act/deadly/{}", i), "payload");
+      fleet.RestartCrashed();
+    }
+  }
+  CHECK(fleet.crashes() <= kRequests * (3 + kAllowedRetries));
+}
+
 }  // namespace
 }  // namespace damaskroute
--- a/tests/forward_run_exploration_test.cc
+++ b/tests/forward_run_exploration_test.cc
@@ -17,8 +17,14 @@
 
 using std::chrono::milliseconds;
 
-constexpr CallEnd kEnds[] = {CallEnd::kAnswered,    CallEnd::kServerError, CallEnd::kNotRun,
-                             CallEnd::kMisdirected, CallEnd::kUnreachable, CallEnd::kLost};
+struct End {
+  CallEnd end;
+  bool connection_lost = false;
+};
+
+constexpr End kEnds[] = {{CallEnd::kAnswered},    {CallEnd::kServerError}, {CallEnd::kNotRun},
+                         {CallEnd::kMisdirected}, {CallEnd::kUnreachable}, {CallEnd::kLost},
+                         {CallEnd::kLost, true}};
 
 bool IsNotRun(CallEnd end) {
   return end == CallEnd::kNotRun || end == CallEnd::kMisdirected || end == CallEnd::kUnreachable;
@@ -30,6 +36,7 @@
   std::size_t min_parts = 1;
   bool query = false;
   bool idempotent = false;
+  bool canary = false;
 };
 
 // One path: a sequence of choices, replayed from the start.
@@ -39,7 +46,7 @@
     ForwardSpec spec = setup.query ? fixture_.Query(setup.shards, setup.min_parts)
                                    : fixture_.Plain(setup.idempotent);
     max_attempts_ = spec.max_attempts;
-    fixture_.Begin(std::move(spec));
+    fixture_.Begin(std::move(spec), /*hedging=*/true, setup.canary);
     Check();
   }
 
@@ -55,10 +62,12 @@
       auto call =
           std::next(fixture_.open.begin(), static_cast<std::ptrdiff_t>(choice / std::size(kEnds)));
       std::string server = call->second;
-      CallEnd end = kEnds[choice % std::size(kEnds)];
+      auto [end, connection_lost] = kEnds[choice % std::size(kEnds)];
       if (IsNotRun(end)) ++not_run_[ShardOf(server)];
       if (end == CallEnd::kAnswered) answered_.insert(ShardOf(server));
-      fixture_.End(server, end, end == CallEnd::kServerError ? 500 : 200);
+      if (end == CallEnd::kAnswered || end == CallEnd::kServerError) server_survived_ = true;
+      if (connection_lost) ++lost_;
+      fixture_.End(server, end, end == CallEnd::kServerError ? 500 : 200, connection_lost);
     } else if (choice == ends) {
       fixture_.Advance(milliseconds(30));
     } else if (choice == ends + 1) {
@@ -91,6 +100,13 @@
       CHECK(ran <= (setup_.idempotent || setup_.query ? max_attempts_ : 1));
       may_have_run += ran;
     }
+    // A request that crashes its servers takes down one server as a canary; a query else takes down
+    // one of each shard and one more, besides those of calls that were hedged before.
+    if (!server_survived_) {
+      if (setup_.canary) CHECK(lost_ <= 1);
+      auto hedges = static_cast<int>(fixture_.run->counts().hedges);
+      if (setup_.query) CHECK(lost_ <= setup_.shards + 1 + hedges);
+    }
     CHECK(std::set<std::string>(fixture_.sent.begin(), fixture_.sent.end()).size() ==
           fixture_.sent.size());
     if (abandoned_ || fixture_.answer) CHECK(fixture_.open.empty());
@@ -114,6 +130,8 @@
   std::map<std::string, int> not_run_;  // Calls by shard that did not run the request.
   std::set<std::string> answered_;
   bool abandoned_ = false;
+  bool server_survived_ = false;
+  int lost_ = 0;  // Broken connections.
 };
 
 // Returns the number of paths.
@@ -168,5 +186,17 @@
   }
 }
 
+TEST_CASE("a canary takes down at most one server in any order of events") {
+  Setup setup;
+  setup.servers = 3;
+  setup.idempotent = true;
+  setup.canary = true;
+  CHECK(Explore(setup, 5) > 500);
+  setup.servers = 2;
+  setup.shards = 3;
+  setup.query = true;
+  CHECK(Explore(setup, 4) > 500);
+}
+
 }  // namespace
 }  // namespace damaskroute
--- a/tests/forward_run_test.cc
+++ b/tests/forward_run_test.cc
@@ -306,5 +306,74 @@
   CHECK(f.answer->kind == AnswerKind::kMerged);
 }
 
+TEST_CASE("a canary query sends one call, and the others after its answer") {
+  ForwardFixture f(3);
+  f.Begin(f.Query(3, 2), /*hedging=*/true, /*canary=*/true);
+  CHECK(f.sent.size() == 1);
+  f.Advance(milliseconds(40));
+  CHECK(f.sent.size() == 1);  // It is not hedged.
+  f.Answer200(f.sent[0]);
+  CHECK(f.sent.size() == 3);
+  f.Answer200(f.sent[1]);
+  f.Answer200(f.sent[2]);
+  REQUIRE(f.answer);
+  CHECK(f.answer->kind == AnswerKind::kMerged);
+  CHECK(f.answer->missing == 0);
+}
+
+TEST_CASE("a canary query ends with its first lost connection, and may have run") {
+  ForwardFixture f(3);
+  f.Begin(f.Query(3, 2), /*hedging=*/true, /*canary=*/true);
+  f.Lose(f.sent[0]);
+  REQUIRE(f.answer);
+  CHECK(f.answer->kind == AnswerKind::kFailed);
+  CHECK(f.sent.size() == 1);
+}
+
+TEST_CASE("a canary goes to another server after one that did not run it") {
+  ForwardFixture f(2);
+  f.Begin(f.Query(2, 2), /*hedging=*/true, /*canary=*/true);
+  f.End("s0a", CallEnd::kNotRun);
+  CHECK(f.sent.size() == 2);
+  f.Answer200("s0b");
+  f.Answer200("s1a");
+  REQUIRE(f.answer);
+  CHECK(f.answer->missing == 0);
+}
+
+// Guards against a query that crashes two servers of each shard.
+TEST_CASE("a query that loses all connections is tried again at one server") {
+  ForwardFixture f(3);
+  f.Begin(f.Query(3, 2));
+  for (const char* server : {"s0a", "s1a", "s2a"}) f.Lose(server);
+  REQUIRE_FALSE(f.answer);
+  CHECK(f.sent.size() == 4);
+  SUBCASE("it is lost as well") {
+    f.Lose(f.sent[3]);
+    REQUIRE(f.answer);
+    CHECK(f.answer->kind == AnswerKind::kFailed);
+    CHECK(f.sent.size() == 4);
+  }
+  SUBCASE("it is answered, so only connections were lost") {
+    f.Answer200(f.sent[3]);
+    CHECK(f.sent.size() == 6);
+    f.Answer200(f.sent[4]);
+    f.Answer200(f.sent[5]);
+    REQUIRE(f.answer);
+    CHECK(f.answer->missing == 0);
+  }
+}
+
+TEST_CASE("a lost part is retried at once after another part is answered") {
+  ForwardFixture f(3);
+  f.Begin(f.Query(3, 3));
+  f.Lose("s0a");
+  CHECK(f.sent.size() == 3);
+  f.Answer200("s1a");
+  CHECK(f.sent.size() == 4);
+  f.Lose("s2a");
+  CHECK(f.sent.size() == 5);
+}
+
 }  // namespace
 }  // namespace damaskroute
--- a/tests/stranded_node_test.cc
+++ b/tests/stranded_node_test.cc
@@ -141,7 +141,7 @@
     auto bytes = std::make_shared<std::string>(4096, ' ');
     connection->async_read_some(asio::buffer(*bytes),
                                 [&requests, bytes, connection](const auto&, std::size_t) {
-                                  ++requests;
+                                  if (bytes->find("/act/x") != std::string::npos) ++requests;
                                   connection->close();
                                 });
   };
--- a/tests/support/forward_fixture.h
+++ b/tests/support/forward_fixture.h
@@ -62,9 +62,10 @@
     return spec;
   }
 
-  void Begin(ForwardSpec spec, bool hedging = true) {
+  void Begin(ForwardSpec spec, bool hedging = true, bool canary = false) {
     run = std::make_unique<ForwardRun>(std::move(spec),
                                        ForwardContext{table, budgets, budget_options, latency});
+    if (canary) run->RunAsCanary();
     if (!hedging) run->DisableHedging();
     Take(run->Start(clock.Now()));
   }
@@ -85,19 +86,23 @@
   }
 
   /// Ends the open call to `server`.
-  void End(const std::string& server, CallEnd end, int status = 200) {
+  void End(const std::string& server, CallEnd end, int status = 200, bool connection_lost = false) {
     for (const auto& [call, name] : open) {
       if (name != server) continue;
       CallResult result;
       result.end = end;
       result.status = status;
       result.stamp = "stamp-" + server;
+      result.connection_lost = connection_lost;
       std::uint32_t number = call;
       open.erase(number);
       return Take(run->OnResult(number, std::move(result), clock.Now()));
     }
   }
 
+  /// The connection of the open call to `server` breaks, as if the server had crashed.
+  void Lose(const std::string& server) { End(server, CallEnd::kLost, 0, /*connection_lost=*/true); }
+
   void Answer200(const std::string& server) { End(server, CallEnd::kAnswered); }
 
   /// Advances the clock and fires the run's timers when due.
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -2,6 +2,7 @@
 #define TESTS_SUPPORT_PLATFORM_FLEET_H_
 
 #include <algorithm>
+#include <atomic>
 #include <future>
 #include <memory>
 #include <string>
@@ -90,21 +91,30 @@
     HttpTestClient client(nodes[node % nodes.size()]->settings.callers);
     std::string text = fmt::format(
         "{} {} HTTP/1.1\r\nHost: desk.example\r\n{}: id-{}\r\n{}: 1500\r\nAuthorization: {}\r\n",
-        method, target, platform::kRequestIdHeader, next_request_++, platform::kDeadlineHeader,
-        caller);
+        method, target, platform::kRequestIdHeader, next_request_.fetch_add(1),
+        platform::kDeadlineHeader, caller);
     if (!body.empty()) text += fmt::format("Content-Length: {}\r\n", body.size());
     client.SendRaw(text + "\r\n" + body);
     return client.Receive();
   }
 
-  /// Number of runs that crashed a server.
+  /// Number of crashes that were counted.
   std::size_t crashes() const { return crashes_; }
 
+  /// Counts the servers that have crashed since the last call, and leaves them down.
+  void CountCrashed() {
+    for (auto& server : servers) {
+      if (server.down || !server.standin->crashed()) continue;
+      server.down = true;
+      ++crashes_;
+    }
+  }
+
   /// Restarts the servers that have crashed, as new incarnations with other ids.
   void RestartCrashed() {
+    CountCrashed();
     for (auto& server : servers) {
-      if (!server.standin->crashed()) continue;
-      ++crashes_;
+      if (!std::exchange(server.down, false)) continue;
       store.Remove(platform::kServerPrefix + server.standin->id());
       server.standin->Restart(fmt::format("{}-{}", server.id, ++server.restarts));
       store.Write(platform::kServerPrefix + server.standin->id(),
@@ -112,12 +122,30 @@
     }
   }
 
+  /// Crashes all servers of a zone.
+  void CrashZone(const std::string& zone) {
+    for (auto& server : servers) {
+      if (server.zone == zone) server.standin->Crash();
+    }
+  }
+
+  /// Resets all connections of all servers, which go on.
+  void ResetConnections() {
+    for (auto& server : servers) server.standin->ResetConnections();
+  }
+
+  /// From now on no request crashes a server.
+  void SpareServers() {
+    for (auto& server : servers) server.standin->SetCrashMarker("");
+  }
+
   struct Server {
     std::string id;
     std::string service;
     std::string zone;
     std::unique_ptr<platform::ServerStandin> standin;
     int restarts = 0;
+    bool down = false;  // Has crashed and was counted.
   };
 
   struct RunningNode {
@@ -145,7 +173,7 @@
 
   std::size_t crashes_ = 0;
   int next_node_ = 0;
-  int next_request_ = 0;
+  std::atomic<int> next_request_{0};
 };
 
 }  // namespace damaskroute
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -8,13 +8,14 @@
 #include <utility>
 #include <vector>
 
+#include "damaskroute/node/crash_exchange.h"
 #include "tests/support/raw_server.h"
 
 namespace damaskroute {
 
 /// Server that answers its first, second, ... request with scripted bytes, on whichever connection
 /// the request arrives. Sends the pieces of an answer `kPieceDelay` apart and keeps its connections
-/// open.
+/// open. Crash records of nodes are neither answered nor counted.
 class ScriptedServer {
  public:
   using Pieces = std::vector<std::string>;
@@ -38,8 +39,10 @@
     connection->async_read_some(asio::buffer(*bytes),
                                 [this, connection, bytes](const auto& error, std::size_t) {
                                   if (error) return;
-                                  std::size_t number = requests_++;
-                                  if (number < answers_.size()) Send(connection, number, 0);
+                                  if (bytes->find(kCrashPageHeader) == std::string::npos) {
+                                    std::size_t number = requests_++;
+                                    if (number < answers_.size()) Send(connection, number, 0);
+                                  }
                                   Read(connection);
                                 });
   }
