--- a/include/damaskroute/crashguard/crash_gossip.h
+++ b/include/damaskroute/crashguard/crash_gossip.h
@@ -30,8 +30,8 @@
 
   /// What to send now.
   struct Step {
-    std::vector<Peer> push_to;    ///< Receive the changed records.
-    std::vector<Peer> sync_with;  ///< Exchange all records.
+    std::vector<Peer> push_to;          ///< Receive the changed records.
+    std::vector<Peer> sync_with;        ///< Exchange all records.
     TimePoint next = TimePoint::max();  ///< When to call `Next` again at the latest.
   };
 
--- a/include/damaskroute/crashguard/crash_guard.h
+++ b/include/damaskroute/crashguard/crash_guard.h
@@ -81,6 +81,9 @@
   /// while no crash is within the suspicion period.
   void OnAnswer(std::uint64_t incarnation, TimePoint sent, TimePoint now);
 
+  /// When the incarnation was last lost, as far as this node has heard; epoch if never.
+  TimePoint LostAt(std::uint64_t incarnation, TimePoint now) const;
+
   /// Whether the request may have crashed backend servers, so that it runs as a canary or not at
   /// all. Unlike `Check`, begins nothing.
   bool IsSuspect(const ServiceName& service, std::uint64_t fingerprint, TimePoint now) const;
@@ -148,7 +151,8 @@
   TimePoint ForgottenAt(const Suspect& suspect) const;
   Suspect& GetOrAddSuspect(std::uint64_t key, TimePoint now);
   void OnLossAdded(const Suspect& suspect, const CrashLoss& loss);
-  void MarkSurvived(std::uint64_t incarnation);
+  template <typename IsRefuted>
+  void MarkSurvived(std::uint64_t incarnation, const IsRefuted& is_refuted);
   void ExtendSuspicion(TimePoint until);
   void EvictSuspects(TimePoint now);
 
--- a/include/damaskroute/forward/backend.h
+++ b/include/damaskroute/forward/backend.h
@@ -20,6 +20,8 @@
   bool misdirected = false;      ///< Another server responded at its address.
   bool leaving = false;          ///< Reported in a response; set until the next incarnation.
   BackendRateLimit rate_limit;   ///< Stated in its responses.
+  TimePoint lost_at;             ///< When a connection was lost during a call, latest.
+  TimePoint answered_at;         ///< When the latest call began that was answered.
   TimePoint backoff_until;       ///< End of the backoff that the server requested (Retry-After).
 };
 
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -113,8 +113,9 @@
              const Origin& origin, HttpResponder respond);
   bool RefuseIfBlocked(const Exchange& exchange);
   bool BeginGuarded(Exchange& exchange, bool as_canary);
-  void OnServerSeen(Exchange& exchange, const Backend& backend, const CallResult& result,
-                    TimePoint sent, TimePoint now);
+  void OnServerSeen(Exchange& exchange, Backend& backend, const CallResult& result, TimePoint sent,
+                    TimePoint now);
+  bool MayHaveCrashed(const Backend& backend, TimePoint sent, TimePoint now) const;
   void ReportLosses(Exchange& exchange);
   bool MayPassToPeer(Exchange& exchange, const ForwardAnswer& answer, TimePoint now);
   bool LacksServers(const ForwardSpec& spec) const;
--- a/src/crashguard/crash_guard.cc
+++ b/src/crashguard/crash_guard.cc
@@ -58,7 +58,8 @@
                          const BackendName& backend, BootId boot_id, TimePoint now,
                          bool after_success) {
   if (after_success && IsSuspect(service, fingerprint, now)) return;
-  OnLoss(service, fingerprint, {Hash64(backend, boot_id), now, now});
+  std::uint64_t incarnation = Hash64(backend, boot_id);
+  OnLoss(service, fingerprint, {incarnation, incarnation, now, now});
 }
 
 void CrashGuard::OnLoss(const ServiceName& service, std::uint64_t fingerprint,
@@ -137,27 +138,43 @@
 void CrashGuard::OnRefuted(const BackendName& backend, BootId boot_id, TimePoint now) {
   if (HasNoRecentCrash(now)) return;
   std::lock_guard lock(mutex_);
-  MarkSurvived(Hash64(backend, boot_id));
+  MarkSurvived(Hash64(backend, boot_id), [](TimePoint) { return true; });
 }
 
 void CrashGuard::OnAnswer(std::uint64_t incarnation, TimePoint sent, TimePoint now) {
   if (HasNoRecentCrash(now)) return;
   std::lock_guard lock(mutex_);
-  auto it = lost_.find(incarnation);
-  if (it == lost_.end() || sent < it->second) return;
-  Duration since_loss = sent - it->second;
-  if (since_loss < kMinRestartTime || since_loss > kMaxReplacementDelay) MarkSurvived(incarnation);
+  // Between these times a process that replaced a crashed one may answer under its name.
+  auto is_refuted = [sent](TimePoint lost) {
+    return (sent >= lost && sent < lost + kMinRestartTime) || sent > lost + kMaxReplacementDelay;
+  };
+  auto latest = lost_.find(incarnation);
+  if (latest != lost_.end() && is_refuted(latest->second)) MarkSurvived(incarnation, is_refuted);
 }
 
-void CrashGuard::MarkSurvived(std::uint64_t incarnation) {
-  if (lost_.erase(incarnation) == 0) return;
+TimePoint CrashGuard::LostAt(std::uint64_t incarnation, TimePoint now) const {
+  if (HasNoRecentCrash(now)) return {};
+  std::lock_guard lock(mutex_);
+  auto found = lost_.find(incarnation);
+  return found == lost_.end() ? TimePoint() : found->second;
+}
+
+// Marks the losses of the incarnation for whose times `is_refuted` returns true.
+template <typename IsRefuted>
+void CrashGuard::MarkSurvived(std::uint64_t incarnation, const IsRefuted& is_refuted) {
+  bool unresolved = false;
   for (auto& [key, suspect] : suspects_) {
     for (CrashLoss& loss : suspect.record.losses) {
       if (loss.incarnation != incarnation || loss.survived) continue;
-      loss.survived = true;
-      changed_.insert(key);
+      if (is_refuted(loss.lost)) {
+        loss.survived = true;
+        changed_.insert(key);
+      } else {
+        unresolved = true;
+      }
     }
   }
+  if (!unresolved) lost_.erase(incarnation);
 }
 
 void CrashGuard::OnActionCrash(const ServiceName& service, std::uint64_t fingerprint,
--- a/src/crashguard/crash_page.cc
+++ b/src/crashguard/crash_page.cc
@@ -23,6 +23,7 @@
 constexpr std::int64_t kMaxAge = microseconds(std::chrono::hours(24)).count();
 
 struct EncodedLoss {
+  std::uint64_t id = 0;
   std::uint64_t incarnation = 0;
   std::int64_t sent_age = 0;  // In microseconds, as all ages.
   std::int64_t lost_age = 0;
@@ -30,7 +31,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT(readability-identifier-naming)
-    archive(incarnation, sent_age, lost_age, survived);
+    archive(id, incarnation, sent_age, lost_age, survived);
   }
 };
 
@@ -56,7 +57,7 @@
   if (record.answered != TimePoint()) encoded.answered_age = AgeOf(record.answered, now);
   for (const CrashLoss& loss : record.losses) {
     encoded.losses.push_back(
-        {loss.incarnation, AgeOf(loss.sent, now), AgeOf(loss.lost, now), loss.survived});
+        {loss.id, loss.incarnation, AgeOf(loss.sent, now), AgeOf(loss.lost, now), loss.survived});
   }
   return encoded;
 }
@@ -74,7 +75,7 @@
   record.request = encoded.request;
   if (encoded.answered_age != kNever) record.answered = now - microseconds(encoded.answered_age);
   for (const EncodedLoss& loss : encoded.losses) {
-    record.losses.push_back({loss.incarnation, now - microseconds(loss.sent_age),
+    record.losses.push_back({loss.id, loss.incarnation, now - microseconds(loss.sent_age),
                              now - microseconds(loss.lost_age), loss.survived});
   }
   return record;
--- a/src/crashguard/crash_record.cc
+++ b/src/crashguard/crash_record.cc
@@ -1,13 +1,13 @@
 #include "damaskroute/crashguard/crash_record.h"
 
 #include <algorithm>
+#include <set>
 
 namespace damaskroute {
 
 bool CrashRecord::Add(const CrashLoss& loss) {
-  auto known = std::find_if(losses.begin(), losses.end(), [&](const CrashLoss& other) {
-    return other.incarnation == loss.incarnation;
-  });
+  auto known = std::find_if(losses.begin(), losses.end(),
+                            [&](const CrashLoss& other) { return other.id == loss.id; });
   if (known != losses.end()) {
     bool changed = loss.survived && !known->survived;
     known->survived |= loss.survived;
@@ -43,8 +43,11 @@
 }
 
 std::size_t CrashRecord::CountLosses() const {
-  return static_cast<std::size_t>(std::count_if(
-      losses.begin(), losses.end(), [this](const CrashLoss& loss) { return Counts(loss); }));
+  std::set<std::uint64_t> incarnations;
+  for (const CrashLoss& loss : losses) {
+    if (Counts(loss)) incarnations.insert(loss.incarnation);
+  }
+  return incarnations.size();
 }
 
 std::size_t CrashRecord::CountSuccessiveLosses() const {
@@ -55,9 +58,9 @@
   std::sort(ordered.begin(), ordered.end(),
             [](const CrashLoss* a, const CrashLoss* b) { return a->lost < b->lost; });
   std::size_t count = 0;
-  TimePoint last = TimePoint::min();
+  TimePoint last;
   for (const CrashLoss* loss : ordered) {
-    if (loss->sent < last) continue;
+    if (count > 0 && loss->sent < last + kCommonCauseTime) continue;
     ++count;
     last = loss->lost;
   }
--- a/src/node/crash_exchange.cc
+++ b/src/node/crash_exchange.cc
@@ -55,9 +55,8 @@
       "POST {} HTTP/1.1\r\nHost: {}\r\n{}: 1\r\nContent-Type: {}\r\nContent-Length: {}\r\n\r\n{}",
       kTarget, FormatEndpoint(peer.endpoint), kCrashPageHeader, kContentType, body.size(), body);
   clients_.ClientFor(peer.endpoint)
-      ->Start(std::move(request), [this, sync = page.all](const ExchangeResult& result) {
-        OnResponse(result, sync);
-      });
+      ->Start(std::move(request),
+              [this, sync = page.all](const ExchangeResult& result) { OnResponse(result, sync); });
 }
 
 void CrashExchange::OnResponse(const ExchangeResult& result, bool sync) {
@@ -82,9 +81,9 @@
   CrashPage reply{Merge(*page)};
   if (page->all && reply.records.size() < CrashPage::kMaxRecords) {
     for (CrashRecord& record : guard_.Records(CrashPage::kMaxRecords, now)) {
-      bool stated = std::any_of(
-          page->records.begin(), page->records.end(),
-          [&](const CrashRecord& known) { return known.request == record.request; });
+      bool stated =
+          std::any_of(page->records.begin(), page->records.end(),
+                      [&](const CrashRecord& known) { return known.request == record.request; });
       if (!stated) reply.records.push_back(std::move(record));
     }
     reply.records.resize(std::min(reply.records.size(), CrashPage::kMaxRecords));
--- a/src/node/forward_service_crashes.cc
+++ b/src/node/forward_service_crashes.cc
@@ -21,11 +21,6 @@
   return Hash64(entry.id, static_cast<std::uint64_t>(entry.incarnation));
 }
 
-// Servers that leave end connections without a crash.
-bool MayHaveCrashed(const Backend& backend) {
-  return !backend.gone && !backend.leaving && !backend.entry.draining;
-}
-
 }  // namespace
 
 // Crashes are counted per request and not per service, as weights may send it to several.
@@ -66,20 +61,36 @@
   return true;
 }
 
-void ForwardService::OnServerSeen(Exchange& exchange, const Backend& backend,
-                                  const CallResult& result, TimePoint sent, TimePoint now) {
+// Whether a call that was sent at `sent` and lost its connection may have crashed the server.
+// Servers that leave end connections without a crash, and one that was lost before the call is down
+// already.
+bool ForwardService::MayHaveCrashed(const Backend& backend, TimePoint sent, TimePoint now) const {
+  if (backend.gone || backend.leaving || backend.entry.draining) return false;
+  TimePoint lost_at =
+      std::max(backend.lost_at, crash_guard_.LostAt(IncarnationOf(backend.entry), now));
+  return sent < lost_at || lost_at <= backend.answered_at;
+}
+
+void ForwardService::OnServerSeen(Exchange& exchange, Backend& backend, const CallResult& result,
+                                  TimePoint sent, TimePoint now) {
   std::uint64_t incarnation = IncarnationOf(backend.entry);
   bool ran = result.end == CallEnd::kAnswered || result.end == CallEnd::kServerError;
-  if (ran || result.end == CallEnd::kNotRun) crash_guard_.OnAnswer(incarnation, sent, now);
+  if (ran || result.end == CallEnd::kNotRun) {
+    backend.answered_at = std::max(backend.answered_at, sent);
+    crash_guard_.OnAnswer(incarnation, sent, now);
+  }
   if (ran && !exchange.server_survived) {
     exchange.server_survived = true;
     exchange.losses.clear();
     crash_guard_.OnSuccess(kAnyService, exchange.fingerprint, now);
   }
   if (result.connection_lost) {
-    if (!exchange.server_survived && MayHaveCrashed(backend)) {
-      exchange.losses.push_back({incarnation, sent, now});
+    if (!exchange.server_survived && MayHaveCrashed(backend, sent, now)) {
+      auto id = Hash64(exchange.request.id,
+                       incarnation ^ static_cast<std::uint64_t>(now.time_since_epoch().count()));
+      exchange.losses.push_back({id, incarnation, sent, now});
     }
+    backend.lost_at = now;
     if (crash_guard_.IsSuspect(kAnyService, exchange.fingerprint, now)) exchange.run.RunAsCanary();
   }
   if (crash_guard_.has_changes()) crash_exchange_.Update();
