--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -335,8 +335,8 @@
   Part& part = parts_[index];
   part.check_at = TimePoint::max();
   const Call* call = OldestOpenCall(index);
-  if (canary_ || call == nullptr || part.open_calls > 1 || part.attempts >= spec_.max_attempts)
-    return;
+  bool may_hedge = !canary_ && part.open_calls == 1 && part.attempts < spec_.max_attempts;
+  if (call == nullptr || !may_hedge) return;
   TimePoint late_at = LateAt(*call);
   if (now < late_at) {
     part.check_at = late_at;
--- a/tests/crashing_request_test.cc
+++ b/tests/crashing_request_test.cc
@@ -58,9 +58,11 @@
   SUBCASE("12 nodes") { nodes = 12; }
   CAPTURE(nodes);
   PlatformFleet fleet(nodes);
-  for (auto [method, target] : {std::pair("GET", "/one/deadly"), std::pair("POST", "/act/deadly"),
-                                std::pair("GET", "/all/deadly")}) {
-    CAPTURE(std::string(target));
+  for (const auto& request : {std::pair("GET", "/one/deadly"), std::pair("POST", "/act/deadly"),
+                              std::pair("GET", "/all/deadly")}) {
+    std::string method = request.first;
+    std::string target = request.second;
+    CAPTURE(target);
     CrashThree(fleet, method, target);
     Repeats later = Repeat(fleet, 2 * nodes, method, target);
     CHECK(later.reached <= kAllowedRetries);
