--- a/tests/crashing_request_test.cc
+++ b/tests/crashing_request_test.cc
@@ -113,6 +113,34 @@
   CHECK(reached <= 3 + kAllowedRetries);
 }
 
+TEST_CASE("a node without links to servers does not spread a request that crashes them") {
+  PlatformFleet fleet(4);
+  PlatformFixture stranded;
+  for (const char* service : {"desk", "s0", "s1", "s2"}) {
+    stranded.store.Write(platform::kServerPrefix + std::string(service),
+                         platform::ServerStandin::EntryAt(standins::NonEphemeralEndpoint(), service,
+                                                          "a", 1, "ready"));
+  }
+  for (const auto& node : fleet.nodes) {
+    stranded.store.Write(
+        platform::kNodePrefix + node->settings.node,
+        fmt::format(R"({{"zone":"b","requests":"{}"}})", FormatEndpoint(*node->settings.peers)));
+  }
+  REQUIRE(stranded.StartServing(4));
+  for (const char* target : {"/one/deadly", "/act/deadly", "/all/deadly"}) {
+    CAPTURE(std::string(target));
+    int reached = 0;
+    for (std::size_t i = 0; i < 12; ++i) {
+      for (std::size_t node = 0; node < 4; ++node) REQUIRE(fleet.AwaitServers(node));
+      std::size_t before = fleet.crashes();
+      stranded.Get(target, fmt::format("{}-{}", target, i));
+      fleet.RestartCrashed();
+      if (fleet.crashes() > before) ++reached;
+    }
+    CHECK(reached <= 3 + kAllowedRetries);
+  }
+}
+
 TEST_CASE("requests other than the one that crashes servers are served") {
   PlatformFleet fleet(4);
   Repeat(fleet, 6, "GET", "/one/deadly");
