--- a/src/crashguard/crash_guard.cc
+++ b/src/crashguard/crash_guard.cc
@@ -107,6 +107,7 @@
 
 bool CrashGuard::IsSuspect(const Suspect& suspect, TimePoint now) const {
   if (suspect.action_crash != TimePoint() && now < ForgottenAt(suspect)) return true;
+  if (suspect.record.losses.size() < settings_.crashes_to_suspect) return false;
   if (suspect.record.CountLosses() < settings_.crashes_to_suspect) return false;
   int periods = ReachesBlockThreshold(suspect) ? 2 : 1;
   return now < suspect.record.LastLoss() + periods * settings_.suspicion_period;
