--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -106,14 +106,15 @@
     bool canary = false;
   };
 
-  static const ServiceName kAnyService;
+  // Crashes are counted per request and not per service, as weights may send it to several.
+  static constexpr char kAnyService[] = "";
   static CrashGuardSettings MakeCrashGuardSettings();
 
   void Serve(CallerRequest request, std::shared_ptr<CallerPresence> presence, const Route& route,
              const Origin& origin, HttpResponder respond);
   bool RefuseIfBlocked(const Exchange& exchange);
   bool BeginGuarded(Exchange& exchange, bool as_canary);
-  void OnServerSeen(Exchange& exchange, Backend& backend, const CallResult& result, TimePoint sent,
+  void TrackCrashes(Exchange& exchange, Backend& backend, const CallResult& result, TimePoint sent,
                     TimePoint now);
   bool MayHaveCrashed(const Backend& backend, TimePoint sent, TimePoint now) const;
   void ReportLosses(Exchange& exchange);
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -242,7 +242,7 @@
         exchange->calls.erase(found);
         CallResult call_result = ClassifyForwardCall(exchange->request, std::move(result),
                                                      exchange->run.spec().query, protocol_);
-        OnServerSeen(*exchange, *backend, call_result, sent, ended);
+        TrackCrashes(*exchange, *backend, call_result, sent, ended);
         if (call_result.leaving) forwarding_state_.OnLeaving(backend);
         if (call_result.backoff) {
           forwarding_state_.OnBackoffRequested(backend, *call_result.backoff);
--- a/src/node/forward_service_crashes.cc
+++ b/src/node/forward_service_crashes.cc
@@ -23,9 +23,6 @@
 
 }  // namespace
 
-// Crashes are counted per request and not per service, as weights may send it to several.
-const ServiceName ForwardService::kAnyService;
-
 // A connection is lost far more often than a server crashes because of a request: a failed server
 // or link is not enough to restrict the requests that were running there.
 CrashGuardSettings ForwardService::MakeCrashGuardSettings() {
@@ -61,9 +58,8 @@
   return true;
 }
 
-// Whether a call that was sent at `sent` and lost its connection may have crashed the server.
-// Servers that leave end connections without a crash, and one that was lost before the call is down
-// already.
+// Whether a call that began at `sent` and lost its connection may have crashed the server. A server
+// that is leaving closes connections without a crash, and one that was lost earlier is still down.
 bool ForwardService::MayHaveCrashed(const Backend& backend, TimePoint sent, TimePoint now) const {
   if (backend.gone || backend.leaving || backend.entry.draining) return false;
   TimePoint lost_at =
@@ -71,7 +67,7 @@
   return sent < lost_at || lost_at <= backend.answered_at;
 }
 
-void ForwardService::OnServerSeen(Exchange& exchange, Backend& backend, const CallResult& result,
+void ForwardService::TrackCrashes(Exchange& exchange, Backend& backend, const CallResult& result,
                                   TimePoint sent, TimePoint now) {
   std::uint64_t incarnation = IncarnationOf(backend.entry);
   bool ran = result.end == CallEnd::kAnswered || result.end == CallEnd::kServerError;
