--- a/review/standins.py
+++ b/review/standins.py
@@ -42,6 +42,8 @@
         self.file = open(os.path.join(folder, "record.txt"), "w", encoding="ascii")
 
     def add(self, *words):
+        if self.file.closed:  # The case has ended.
+            return
         self.file.write(f"{now() - self.start:9.3f} {' '.join(str(word) for word in words)}\n")
 
     def say(self, *words):
