--- a/review/standins.py
+++ b/review/standins.py
@@ -15,7 +15,6 @@
 import socket
 import struct
 import subprocess
-import sys
 import tempfile
 import time
 from urllib.parse import parse_qs, urlsplit
@@ -568,10 +567,13 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         loop = asyncio.new_event_loop()
-        broken = loop.run_until_complete(asyncio.wait_for(case(folder, trouble), 110))
+        task = loop.create_task(asyncio.wait_for(case(folder, trouble), 110))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)  # The nodes are ended first.
+        broken = loop.run_until_complete(task)
         code = 1 if broken else 0
         print("rule broken" if broken else "rule held", flush=True)
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         print("cannot run:", repr(error), flush=True)
         code = 2
     os._exit(code)  # Without closing the connections of the stand-ins one by one.
