--- a/review/standins.py
+++ b/review/standins.py
@@ -299,20 +299,29 @@
 
 
 class Backend:
-    """A backend that works on `slots` requests at once, each for `work_s` seconds."""
+    """A backend that works on `slots` requests at once, each for `work_s` seconds.
 
-    def __init__(self, record, name, service, zone, work_s=0.02, slots=4):
+    It queues a few more and rejects the rest, ends work at the deadline it is given, drops what runs
+    when its process ends, and answers health checks, which count as no arrival.
+    """
+
+    QUEUE = 16
+    EXPIRY_S = 3.6  # Three heartbeats of 1.2 s; an entry is removed after as long a silence.
+
+    def __init__(self, record, name, service, zone, work_s=0.02, slots=4, max_connections=44):
         self.record = record
         self.name = name
         self.service = service
         self.zone = zone
         self.work_s = work_s
         self.slots = slots
+        self.max_connections = max_connections
         self.state = "ready"
         self.sequence = 1
         self.born = int(time.time() * 1000)
-        self.connections = set()
+        self.connections = {}  # The task of each connection.
         self.arrivals = []  # (time, request id)
+        self.waiting = 0
         self.running = set()
 
     async def start(self):
@@ -320,51 +329,100 @@
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    async def listen_again(self):
+        """The process starts again at its address."""
+        self.free = asyncio.Semaphore(self.slots)
+        self.waiting = 0
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+
+    def warmup_ms(self):
+        return 0
+
     def entry(self):
         return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone,
-                "version": "v1", "capacity": self.slots, "state": self.state, "warmupLeftMs": 0,
-                "sequence": self.sequence, "born": self.born}
+                "version": "v1", "capacity": self.slots, "state": self.state,
+                "warmupLeftMs": self.warmup_ms(), "sequence": self.sequence, "born": self.born}
 
     def exit(self):
         """The process ends: its connections are reset, and what runs is lost."""
-        self.record.add("backend", self.name, "exits; it was running", " ".join(sorted(self.running)))
         cut = set(self.running)
+        self.record.add("backend", self.name, "ends; it was running", " ".join(sorted(cut)))
         self.server.close()
-        for writer in list(self.connections):
+        for writer, task in list(self.connections.items()):
             reset(writer)
+            task.cancel()
+        self.connections.clear()
+        self.running.clear()
         return cut
 
     async def _serve(self, reader, writer):
-        self.connections.add(writer)
+        if len(self.connections) >= self.max_connections:
+            return reset(writer)
+        self.connections[writer] = asyncio.current_task()
         try:
             while True:
                 first, headers = await read_head(reader)
                 body = await read_body(reader, headers)
                 writer.write(await self._answer(first, headers, body))
                 await writer.drain()
-        except CLOSED:
+        except (*CLOSED, asyncio.CancelledError):
             pass
         finally:
-            self.connections.discard(writer)
+            self.connections.pop(writer, None)
             writer.close()
 
+    def _health(self):
+        good = self.state == "ready"
+        return message("HTTP/1.1 200 OK" if good else "HTTP/1.1 503 Service Unavailable",
+                       [("X-Damaskroute-Instance-Id", self.name),
+                        ("X-Damaskroute-Warmup-Ms", self.warmup_ms())])
+
     async def _answer(self, first, headers, body):
+        if first.startswith("GET /healthz "):
+            return self._health()
         request = headers.get("x-damaskroute-request-id", "")
         echo = [("X-Damaskroute-Request-Id", request)]
-        expected = headers.get("x-damaskroute-expect-instance", self.name)
-        if expected != self.name:
+        not_executed = echo + [("X-Damaskroute-Not-Executed", "1")]
+        if not request:
+            return message("HTTP/1.1 400 Bad Request", not_executed)
+        if headers.get("x-damaskroute-expect-instance", self.name) != self.name:
             return message("HTTP/1.1 421 Misdirected Request",
-                           echo + [("X-Damaskroute-Instance-Id", self.name)])
-        self.arrivals.append((now(), request))
+                           not_executed + [("X-Damaskroute-Instance-Id", self.name)])
+        self.on_arrival(request)
         self.record.add("reaches", self.name, request, first)
+        if self.waiting >= self.QUEUE:
+            self.record.add("rejected by", self.name, request)
+            return message("HTTP/1.1 503 Service Unavailable", not_executed)
+        until = now() + int(headers.get("x-damaskroute-deadline-ms", 60000)) / 1000
+        self.waiting += 1
+        try:
+            await asyncio.wait_for(self.free.acquire(), max(until - now(), 0.001))
+        except asyncio.TimeoutError:
+            return message("HTTP/1.1 503 Service Unavailable", not_executed)
+        finally:
+            self.waiting -= 1
+        free = self.free
         self.running.add(request)
-        async with self.free:
-            await asyncio.sleep(self.work_s)
-        self.running.discard(request)
+        try:
+            return await self._run(request, echo, until)
+        finally:
+            free.release()
+            self.running.discard(request)
+
+    def on_arrival(self, request):
+        self.arrivals.append((now(), request))
+
+    async def _run(self, request, echo, until):
+        self.record.add("begins to run at", self.name, request)
+        await asyncio.sleep(max(min(self.work_s, until - now()), 0))
+        signed = echo + [("X-Damaskroute-Server-Stamp", f"{self.name}.{request}")]
+        if now() >= until:
+            return message("HTTP/1.1 504 Gateway Timeout", signed)
         self.record.add("ran at", self.name, request)
-        return message("HTTP/1.1 200 OK",
-                       echo + [("X-Damaskroute-Server-Stamp", f"{self.name}.{request}")],
-                       f"{self.name} {request}".encode())
+        return message("HTTP/1.1 200 OK", signed, self.answer_body(request))
+
+    def answer_body(self, request):
+        return f"{self.name} {request}".encode()
 
 
 SETTINGS = """nodeName: "{name}"
@@ -467,7 +525,7 @@
     numbers = itertools.count(1)
 
     def __init__(self, record, node, host, path, method="GET", body=b"", deadline_ms=4000,
-                 pause_s=0.02):
+                 pause_s=0.02, every_s=None, first_s=0.0):
         self.record = record
         self.node = node
         self.host = host
@@ -476,10 +534,13 @@
         self.body = body
         self.deadline_ms = deadline_ms
         self.pause_s = pause_s
+        self.every_s = every_s  # Sends at this interval instead of after a pause.
+        self.first_s = first_s
         self.requests = {}  # id -> (sent, status)
 
     async def run(self, until):
         connection = None
+        await asyncio.sleep(self.first_s)
         while now() < until:
             request = f"{self.node.name}-{next(Client.numbers)}"
             sent = now()
@@ -506,7 +567,8 @@
                 connection = None
             self.requests[request] = (sent, status)
             self.record.add("client gets", request, status)
-            await asyncio.sleep(self.pause_s)
+            rest = 0 if self.every_s is None else sent + self.every_s - now()
+            await asyncio.sleep(self.pause_s if self.every_s is None else max(rest, 0))
 
 
 class Deployment:
