Log how a call to the store ended, and what it was allowed

A line "store call failed" said "no answer" and how long the call ran. Now it states how the exchange ended, the deadline, whether the call opened a connection, how many calls failed in succession, and the pause before the next one. The lines of a lease and of a followed node state how the exchange ended as well. No decision changes.

--- a/include/damaskroute/http/exchange_result.h
+++ b/include/damaskroute/http/exchange_result.h
@@ -23,6 +23,25 @@
   kBadAnswer,       ///< The response is not valid HTTP or is too long.
 };
 
+/// Description of `end` for logs.
+inline const char* ExchangeEndName(ExchangeEnd end) {
+  switch (end) {
+    case ExchangeEnd::kAnswered:
+      return "answered";
+    case ExchangeEnd::kConnectFailed:
+      return "cannot connect";
+    case ExchangeEnd::kConnectionLost:
+      return "connection lost";
+    case ExchangeEnd::kTimedOut:
+      return "timed out";
+    case ExchangeEnd::kCancelled:
+      return "cancelled";
+    case ExchangeEnd::kBadAnswer:
+      return "not a valid response";
+  }
+  return "unknown";
+}
+
 /// Result of one HTTP exchange with a backend server. Absent and malformed header values keep their
 /// defaults.
 struct ExchangeResult {
--- a/include/damaskroute/store/feed_schedule.h
+++ b/include/damaskroute/store/feed_schedule.h
@@ -90,6 +90,9 @@
   /// A call failed or got no response. `overdue`: how long it ran beyond the requested wait.
   void OnFailure(Duration overdue, TimePoint now);
 
+  /// Number of consecutive failures.
+  int failures() const { return failures_; }
+
   /// Whether the store counts as unreachable.
   bool in_outage() const { return outage_; }
 
--- a/include/damaskroute/store/leased_key.h
+++ b/include/damaskroute/store/leased_key.h
@@ -104,7 +104,9 @@
 
   absl::Status OnLeaseResponse(LeaseStepKind kind, std::uint64_t sent_era,
                                const ExchangeResult& result) {
-    if (result.end != ExchangeEnd::kAnswered) return absl::UnavailableError("no answer");
+    if (result.end != ExchangeEnd::kAnswered) {
+      return absl::UnavailableError(ExchangeEndName(result.end));
+    }
     auto era = codec_.ParseEra(result.headers).value_or(era_);
     UpdateEra(era);
     // A lease id of another era may be that of another node's lease.
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -117,6 +117,15 @@
   BackendClient& client() { return client_; }
 
  private:
+  // A call to the store.
+  struct StoreCall {
+    FeedStepKind kind = FeedStepKind::kRead;
+    std::chrono::milliseconds wait{};
+    std::chrono::milliseconds timeout{};
+    TimePoint sent;
+    bool connected = false;  // Whether it opened a connection.
+  };
+
   static constexpr int kConnections = 2;
 
   // Opening a connection takes one round trip, 2 to 10 ms between zones.
@@ -185,7 +194,7 @@
     constexpr int kGone = 410;
     bool answered = result.end == ExchangeEnd::kAnswered;
     if (answered && result.status == kGone) return schedule_.OnRelayHistoryLost();
-    absl::StatusOr<RelayedPage> relayed = absl::UnavailableError("no answer");
+    absl::StatusOr<RelayedPage> relayed = absl::UnavailableError(ExchangeEndName(result.end));
     if (answered && result.status == kOk) relayed = DecodeRelayedPage(result.body);
     if (!relayed.ok()) {
       LogLine(LogLevel::kWarning, "followed node lost")
@@ -261,16 +270,17 @@
     request.bytes = Render(step);
     request.time_left = step.timeout;
     if (step.kind == FeedStepKind::kRead && step.after_key.empty()) keys_.clear();
-    client_.Start(std::move(request),
-                  [this, kind = step.kind, wait = step.wait, sent = Now()](ExchangeResult result) {
-                    OnStoreResponse(kind, wait, sent, result);
-                    Step();
-                  });
+    call_ = {.kind = step.kind, .wait = step.wait, .timeout = step.timeout, .sent = Now()};
+    std::uint64_t connects = client_.connect_count();
+    client_.Start(std::move(request), [this](const ExchangeResult& result) {
+      OnStoreResponse(result);
+      Step();
+    });
+    call_.connected = client_.connect_count() > connects;
   }
 
-  void OnStoreResponse(FeedStepKind kind, std::chrono::milliseconds wait, TimePoint sent,
-                       const ExchangeResult& result) {
-    bool watch = kind == FeedStepKind::kWatch;
+  void OnStoreResponse(const ExchangeResult& result) {
+    bool watch = call_.kind == FeedStepKind::kWatch;
     TimePoint now = Now();
     bool after_outage = schedule_.is_recovering(now);
     switch (OnEra(codec_.ParseEra(result.headers), now)) {
@@ -280,9 +290,9 @@
         return OnRestored();
       case FeedSchedule::EraOrder::kOutdated:
         return OnFailure(absl::AbortedError("the response is from before the store was restored"),
-                         kind, wait, sent, now);
+                         now);
     }
-    absl::StatusOr<StorePage> page = absl::UnavailableError("no answer");
+    absl::StatusOr<StorePage> page = absl::UnavailableError(ExchangeEndName(result.end));
     if (result.end == ExchangeEnd::kAnswered) {
       page = watch ? codec_.ParseWatch(result.status, result.body)
                    : codec_.ParseRead(result.status, result.body);
@@ -291,12 +301,12 @@
       LogLine(LogLevel::kInfo, "store dropped its history, reading all of it");
       return schedule_.OnHistoryLost(now);
     }
-    if (!page.ok()) return OnFailure(page.status(), kind, wait, sent, now);
+    if (!page.ok()) return OnFailure(page.status(), now);
     if (schedule_.in_outage()) {
       LogLine(LogLevel::kInfo, "store reached again").Field("as_of", page->as_of);
       hooks_.on_reachability_changed(true);
     }
-    if (kind == FeedStepKind::kReadDirectives) return OnDirectives(*page, after_outage, now);
+    if (call_.kind == FeedStepKind::kReadDirectives) return OnDirectives(*page, after_outage, now);
     if (watch) return OnChanges(*page, after_outage, now);
     OnPage(*page, after_outage, now);
   }
@@ -344,19 +354,28 @@
     hooks_.on_directives_read(keys);
   }
 
-  void OnFailure(const absl::Status& error, FeedStepKind kind, std::chrono::milliseconds wait,
-                 TimePoint sent, TimePoint now) {
+  void OnFailure(const absl::Status& error, TimePoint now) {
     bool before = schedule_.in_outage();
-    schedule_.OnFailure(now - sent - wait, now);
+    schedule_.OnFailure(now - call_.sent - call_.wait, now);
     if (schedule_.in_outage() && !before) {
       LogLine(LogLevel::kWarning, "store lost");
       hooks_.on_reachability_changed(false);
     }
     LogLine(LogLevel::kWarning, "store call failed")
-        .Field("call", CallName(kind))
+        .Field("call", CallName(call_.kind))
         .Field("error", ErrorText(error))
         .Field("took_ms",
-               std::chrono::duration_cast<std::chrono::milliseconds>(now - sent).count());
+               std::chrono::duration_cast<std::chrono::milliseconds>(now - call_.sent).count())
+        .Field("timeout_ms", call_.timeout.count())
+        .Field("connection", call_.connected ? "new" : "reused")
+        .Field("failures", schedule_.failures())
+        .Field("retry_ms", RetryDelay(now).count());
+  }
+
+  std::chrono::milliseconds RetryDelay(TimePoint now) const {
+    FeedStep next = schedule_.Next(now);
+    if (next.kind != FeedStepKind::kPause) return {};
+    return std::chrono::ceil<std::chrono::milliseconds>(next.until - now);
   }
 
   asio::io_context& loop_;
@@ -365,6 +384,7 @@
   FeedSchedule schedule_;
   const StoreFeedHooks hooks_;
   BackendClient client_;
+  StoreCall call_;  // In progress, or the last one.
   BackendClient probe_client_;
   asio::steady_timer timer_;
   std::vector<std::string> keys_;
