Derive deadlines of store calls after failures from the contact bound

Cause: the deadline of a watch was doubled with each failure, on top of the time for which the store may hold it. A watch that was sent 65 ms before the store's return was given up 4.2 s later; after more failures 5.3 s and pauses of up to 0.8 s were possible. Only the first deadline was derived from contactMs. Fix: after a failure the store does not hold a watch, so the deadline covers only the answer, and any answer shows that the store is back. MakeFeedOptions derives deadlines and pauses from contactMs, so that an unanswered call, the pause after it and the next call fit into it after any number of failures. A slow store still has 1.4 s and more for an answer. Options at contactMs 4 and 5 s are unchanged but for the hold time after failures.

store_outage_test failed before: 20 of 587 checks, a delay of 6.1 s at contactMs 4 s, 4.1 s at 2 s. All 88 tests pass.

--- a/include/damaskroute/store/feed_options.h
+++ b/include/damaskroute/store/feed_options.h
@@ -22,9 +22,12 @@
   /// How long the store holds a watch without changes. An unresponsive connection is detected only
   /// when the watch is overdue, so this bounds how long a node can be behind.
   std::chrono::milliseconds watch_wait{2'800};
-  /// Deadline of a watch in addition to `watch_wait`; doubled with each failure, up to
-  /// `read_timeout`.
+  /// Deadline of a watch in addition to the time for which the store holds it; doubled with each
+  /// failure, up to `max_watch_slack`. After a failure the store does not hold watches. A call sent
+  /// just before the end of an outage may never be answered, so `max_watch_slack` and `max_backoff`
+  /// bound how long a node can be behind afterwards.
   std::chrono::milliseconds watch_slack{700};
+  std::chrono::milliseconds max_watch_slack{2'500};
   /// Deadline of a read. A read of the whole store takes 8 to 16 ms, and about 60 times as long
   /// when the store is slow.
   std::chrono::milliseconds read_timeout{2'500};
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -15,10 +15,26 @@
 // covers a slow store, a lost call and its retry.
 constexpr double kBatchDelayFraction = 0.4;
 
-// Time reserved for the call that brings a node up to date after a broken watch was detected.
+// Time reserved for the call that brings a node up to date after a broken watch was detected, and
+// the largest fraction of the time limit that is reserved for it.
 constexpr milliseconds kRecoveryTime{500};
+constexpr double kMaxRecoveryFraction = 0.25;
 
-constexpr milliseconds kMinWatchWait{500};
+// Within a shorter limit, an unresponsive store cannot be told from a slow one, which answers a
+// watch in about 240 ms.
+constexpr milliseconds kMinContactBound{1000};
+
+// A slow store needs about a second to return all items.
+constexpr milliseconds kMinReadTimeout{1000};
+
+// Fraction of the time for recovering from unanswered calls that the pause before the next call may
+// take.
+constexpr double kBackoffFraction = 0.25;
+
+template <typename Rep, typename Period>
+milliseconds Scaled(std::chrono::duration<Rep, Period> duration, double factor) {
+  return std::chrono::duration_cast<milliseconds>(duration * factor);
+}
 
 // The balancer checks readiness every second and removes a node after two failed checks.
 constexpr milliseconds kBalancerRemovalDelay{3000};
@@ -89,13 +105,23 @@
 FeedOptions MakeFeedOptions(const ForwardNodeSettings& settings) {
   FeedOptions options;
   auto bound = std::min({settings.config_bound, settings.drain_bound, settings.evacuate_bound});
-  options.batch_delay = std::chrono::duration_cast<milliseconds>(bound * kBatchDelayFraction);
-  options.watch_wait =
-      std::max(settings.contact_bound - options.watch_slack - kRecoveryTime, kMinWatchWait);
+  options.batch_delay = Scaled(bound, kBatchDelayFraction);
+  milliseconds contact_bound = std::max(settings.contact_bound, kMinContactBound);
+  milliseconds recovery_time = std::min(kRecoveryTime, Scaled(contact_bound, kMaxRecoveryFraction));
+  // An unanswered call and the pause after it must end within this time.
+  milliseconds limit = contact_bound - recovery_time;
+  options.max_backoff = std::min(options.max_backoff, Scaled(limit, kBackoffFraction));
+  options.max_watch_slack = std::min(options.max_watch_slack, limit - options.max_backoff);
+  options.read_timeout =
+      std::max(std::min(options.read_timeout, limit - options.max_backoff), kMinReadTimeout);
+  options.watch_slack = std::min(options.watch_slack, limit / 2);
+  options.watch_wait = limit - options.watch_slack;
+  options.follow_wait = std::min(options.follow_wait, limit / 2);
+  options.follow_slack = std::min(options.follow_slack, limit / 4);
   // Data from a followed node must be recent enough to leave time for calls to the store within the
   // limit.
-  auto longest = std::chrono::duration_cast<milliseconds>(bound) - kRecoveryTime;
-  options.max_relay_age = std::min(options.watch_wait + options.watch_slack, longest);
+  milliseconds longest = bound - recovery_time;
+  options.max_relay_age = std::min(limit, longest);
   return options;
 }
 
--- a/src/store/feed_schedule.cc
+++ b/src/store/feed_schedule.cc
@@ -41,10 +41,11 @@
   }
   step.kind = directives_due_ ? FeedStepKind::kReadDirectives : FeedStepKind::kWatch;
   // The store must not hold a watch that may be the last of a backlog, so that the end is known at
-  // once.
-  if (!behind_) step.wait = options_.watch_wait;
+  // once. Nor must it hold one after a failure: a watch sent just before the end of an outage may
+  // never be answered, and only its deadline shows that.
+  if (!behind_ && failures_ == 0) step.wait = options_.watch_wait;
   step.timeout =
-      step.wait + ExponentialBackoff(options_.watch_slack, failures_, options_.read_timeout);
+      step.wait + ExponentialBackoff(options_.watch_slack, failures_, options_.max_watch_slack);
   return step;
 }
 
