--- a/include/damaskroute/http/backend_client.h
+++ b/include/damaskroute/http/backend_client.h
@@ -52,6 +52,9 @@
   /// Defaults to the connection limit.
   void SetMaxIdleConnections(int max_idle_connections);
 
+  /// Closes the connections that no exchange uses.
+  void CloseIdleConnections();
+
   /// Number of open or opening connections.
   std::size_t open_connections() const;
 
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -340,8 +340,7 @@
 
 BackendClient::~BackendClient() {
   state_->closed = true;
-  state_->open_count -= state_->idle_connections.size();
-  state_->idle_connections.clear();
+  CloseIdleConnections();
   for (const auto& connection : state_->active_connections) {
     connection->Abort(ExchangeEnd::kCancelled);
   }
@@ -422,6 +421,11 @@
   state_->max_idle_connections = static_cast<std::size_t>(std::max(max_idle_connections, 0));
 }
 
+void BackendClient::CloseIdleConnections() {
+  state_->open_count -= state_->idle_connections.size();
+  state_->idle_connections.clear();
+}
+
 std::size_t BackendClient::open_connections() const { return state_->open_count; }
 
 std::uint64_t BackendClient::connect_count() const { return state_->connect_count; }
--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -23,6 +23,7 @@
   LinkMode mode = LinkMode::kPass;
   std::chrono::milliseconds delay{};
   std::unordered_set<Link*> links;
+  std::size_t silenced_blocks = 0;
 };
 
 namespace {
@@ -47,6 +48,8 @@
     });
   }
 
+  void Silence() { silent_ = true; }
+
   void Reset() {
     error_code ignored;
     client_.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -58,8 +61,10 @@
  private:
   using Buffer = std::array<char, 16384>;
 
+  bool IsUnresponsive() const { return silent_ || shared_->mode == LinkMode::kUnresponsive; }
+
   bool ShouldDrop(const Tcp::socket& to) const {
-    if (shared_->mode == LinkMode::kUnresponsive) return true;
+    if (IsUnresponsive()) return true;
     bool to_server = &to == &server_;
     return shared_->mode == (to_server ? LinkMode::kDropToServer : LinkMode::kDropFromServer);
   }
@@ -68,6 +73,7 @@
     from.async_read_some(asio::buffer(buffer), [self = shared_from_this(), &from, &to, &buffer](
                                                    const error_code& error, std::size_t size) {
       if (error) return self->OnReadError(to);
+      if (self->silent_ && &to == &self->server_) ++self->shared_->silenced_blocks;
       if (self->ShouldDrop(to)) return self->Read(from, to, buffer);
       self->Forward(from, to, buffer, size);
     });
@@ -88,7 +94,7 @@
 
   // An unresponsive link also hides the end of a connection by keeping the other one open.
   void OnReadError(Tcp::socket& to) {
-    if (shared_->mode == LinkMode::kUnresponsive) {
+    if (IsUnresponsive()) {
       self_reference_ = shared_from_this();
       return;
     }
@@ -103,6 +109,7 @@
   Buffer client_buffer_{};
   Buffer server_buffer_{};
   int ended_directions_ = 0;
+  bool silent_ = false;
   std::shared_ptr<Link> self_reference_;
 
  public:
@@ -164,4 +171,14 @@
   loop_.Run([this] { ResetAll(*shared_); });
 }
 
+void FaultProxy::SilenceConnections() {
+  loop_.Run([this] {
+    for (Link* link : shared_->links) link->Silence();
+  });
+}
+
+std::size_t FaultProxy::silenced_blocks() const {
+  return loop_.Run([this] { return shared_->silenced_blocks; });
+}
+
 }  // namespace damaskroute::standins
--- a/standins/fault_proxy.h
+++ b/standins/fault_proxy.h
@@ -41,6 +41,12 @@
   /// Resets all connections (TCP RST). New ones are still accepted.
   void ResetConnections();
 
+  /// Makes the open connections unresponsive for good. New ones work.
+  void SilenceConnections();
+
+  /// Number of blocks of bytes that clients sent on connections that were silenced.
+  std::size_t silenced_blocks() const;
+
   struct SharedState;
 
  private:
--- a/tests/support/platform_fixture.h
+++ b/tests/support/platform_fixture.h
@@ -15,6 +15,7 @@
 #include "platform/standins/server_standin.h"
 #include "platform/standins/store_standin.h"
 #include "platform/wire_names.h"
+#include "standins/fault_proxy.h"
 #include "standins/non_ephemeral_endpoint.h"
 #include "tests/http_test_client.h"
 
@@ -77,7 +78,7 @@
     settings.ready = standins::NonEphemeralEndpoint();
     settings.metrics = standins::NonEphemeralEndpoint();
     settings.ready_path = platform::kReadyPath;
-    settings.store = store.endpoint();
+    settings.store = store_link ? store_link->endpoint() : store.endpoint();
     settings.grace = std::chrono::milliseconds(1500);
     settings.budget_slack = 1000;
     node_loop = std::make_unique<asio::io_context>(1);
@@ -180,6 +181,7 @@
 
   standins::LoopThread loop;
   platform::StoreStandin store{loop};
+  std::unique_ptr<standins::FaultProxy> store_link;  ///< If set, the node's way to the store.
   std::map<std::string, std::unique_ptr<Server>> servers;
   ForwardNodeSettings settings;
   std::unique_ptr<asio::io_context> node_loop;
--- a/tests/support/relay_reader.h
+++ b/tests/support/relay_reader.h
@@ -15,8 +15,8 @@
 
 /// Stand-in for a reader: a node that reads the store and relays its changes.
 struct RelayReader {
-  RelayReader(PlatformFixture& world, const NodeName& name, std::function<Duration()> age)
-      : loop(world.loop), endpoint(standins::NonEphemeralEndpoint()) {
+  RelayReader(PlatformFixture& world, const NodeName& node_name, std::function<Duration()> age)
+      : loop(world.loop), name(node_name), endpoint(standins::NonEphemeralEndpoint()) {
     loop.Run([&] {
       relay = std::make_unique<ChangeRelay>(loop.io(), endpoint, std::move(age));
       (void)relay->Start();
@@ -32,6 +32,7 @@
   }
 
   standins::LoopThread& loop;
+  NodeName name;
   Endpoint endpoint;
   std::unique_ptr<ChangeRelay> relay;
 };
