Count a server as cold after it was unreachable, until its entry must be known

Cause: whether a server is cold came from its entry only, and its new entry is known up to drainMs after it can be reached again. The count of its calls was lost with the old incarnation, so that each node could send its share twice. Fix: after a failed connection a server of a service with a limit for cold servers counts as cold until drainMs after the last failure, and calls count for its next incarnation.

--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -51,8 +51,8 @@
   BackendTable(BackendTableOptions options, std::uint64_t seed);
 
   /// Adds a server or updates its entry. The statistics are kept; for another incarnation call
-  /// `Remove` first.
-  void Put(const BackendEntry& entry, TimePoint now);
+  /// `Remove` first and pass the incarnation that it `replaces`.
+  void Put(const BackendEntry& entry, TimePoint now, const Backend* replaces = nullptr);
 
   /// Removes a server. Calls in progress continue.
   void Remove(const BackendName& id);
@@ -146,6 +146,7 @@
 
  private:
   std::shared_ptr<Backend> MakeBackend(const BackendEntry& entry) const;
+  void OnMayHaveRestarted(Backend& backend, TimePoint now);
   static bool AllowsCall(const Backend& backend, const CallTimes& times, TimePoint now);
   static bool HasTime(const Backend& backend, const CallTimes& times, TimePoint now);
   static BackendRank RankOf(const Backend& backend, BackendEligibility eligibility,
--- a/include/damaskroute/forward/backend_table_options.h
+++ b/include/damaskroute/forward/backend_table_options.h
@@ -18,6 +18,8 @@
   /// start. Set by the deployment.
   double cold_overshoot = 1.5;
   double cold_slack = 5;
+  /// Time within which a change of a server's entry is known. Set by the deployment.
+  std::chrono::milliseconds entry_bound{3000};
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/forward/cold_gate.h
+++ b/include/damaskroute/forward/cold_gate.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKROUTE_FORWARD_COLD_GATE_H_
 #define DAMASKROUTE_FORWARD_COLD_GATE_H_
 
+#include <algorithm>
 #include <chrono>
 #include <deque>
 
@@ -15,6 +16,12 @@
   /// Marks the server as cold until `until`.
   void SetCold(TimePoint until) { cold_until_ = until; }
 
+  /// Marks the server as cold at least until `until`.
+  void ExtendCold(TimePoint until) { cold_until_ = std::max(cold_until_, until); }
+
+  /// Counts the calls that were sent to the previous incarnation of the server.
+  void CountCallsOf(const ColdGate& previous) { recent_ = previous.recent_; }
+
   /// Sets the calls per second that a cold server accepts from this node. No calls are allowed
   /// before.
   void SetRate(double node_rate) { node_rate_ = node_rate; }
--- a/include/damaskroute/node/forwarding_state.h
+++ b/include/damaskroute/node/forwarding_state.h
@@ -105,7 +105,8 @@
     int removed = 0;
   };
 
-  void RemoveBackend(const BackendName& id, const char* reason);
+  // Returns the removed server; null if it is unknown.
+  std::shared_ptr<Backend> RemoveBackend(const BackendName& id, const char* reason);
   void ScheduleExpiry();
   void ApplyClosedZones();
 
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -67,7 +67,7 @@
 BackendTable::BackendTable(BackendTableOptions options, std::uint64_t seed)
     : options_(std::move(options)), seed_(seed), random_(seed) {}
 
-void BackendTable::Put(const BackendEntry& entry, TimePoint now) {
+void BackendTable::Put(const BackendEntry& entry, TimePoint now, const Backend* replaces) {
   auto found = by_id_.find(entry.id);
   if (found != by_id_.end() && found->second->entry.service != entry.service) {
     Remove(entry.id);
@@ -84,6 +84,8 @@
   backend->entry = entry;
   // A newer entry shows that the server runs, whichever server responded at its address before.
   backend->misdirected = false;
+  backend->may_have_restarted = false;
+  if (replaces != nullptr) backend->cold.CountCallsOf(replaces->cold);
   ApplyPolicy(*backend);
   if (entry.warmup_left.count() > 0) backend->cold.SetCold(now + entry.warmup_left);
 }
@@ -141,7 +143,8 @@
   if (policy.cold_rate <= 0) return std::numeric_limits<double>::infinity();
   double all = policy.cold_rate * options_.cold_overshoot + options_.cold_slack;
   // The position takes time to compute and only matters for cold servers.
-  int position = backend.entry.warmup_left.count() > 0 ? PositionFor(backend) : nodes_;
+  bool may_be_cold = backend.entry.warmup_left.count() > 0 || backend.may_have_restarted;
+  int position = may_be_cold ? PositionFor(backend) : nodes_;
   return NodeShare(static_cast<int>(std::min(all, kMaxColdRate)), nodes_, position);
 }
 
@@ -231,6 +234,7 @@
   backend.call_stats.OnEnded(sent, observation, mean_latency, now);
   const ZoneName& zone = backend.entry.zone;
   if (observation == CallObservation::kUnreachable) {
+    OnMayHaveRestarted(backend, now);
     zone_reachability_.OnNoConnection(zone, backend.entry.id, sent, now);
   } else if (observation == CallObservation::kAnswer || observation == CallObservation::kShed) {
     zone_reachability_.OnContact(zone, now);
@@ -271,7 +275,16 @@
   return first;
 }
 
+// A server that restarts under its id is cold before its new entry is known.
+void BackendTable::OnMayHaveRestarted(Backend& backend, TimePoint now) {
+  if (!routes_ || routes_->Policy(backend.entry.service).cold_rate <= 0) return;
+  backend.cold.ExtendCold(now + options_.entry_bound);
+  if (std::exchange(backend.may_have_restarted, true)) return;
+  ApplyPolicy(backend);
+}
+
 void BackendTable::OnProbed(Backend& backend, TimePoint begun, bool opened, TimePoint now) {
+  if (!opened || backend.call_stats.is_unreachable()) OnMayHaveRestarted(backend, now);
   if (!opened) {
     backend.call_stats.OnConnectFailure(now);
     return zone_reachability_.OnNoConnection(backend.entry.zone, backend.entry.id, begun, now);
--- a/src/node/forwarding_state.cc
+++ b/src/node/forwarding_state.cc
@@ -78,10 +78,11 @@
   if (change == DirectoryChange::kAdded) ++entry_counts_.added;
   if (change == DirectoryChange::kUpdated) ++entry_counts_.updated;
   if (change == DirectoryChange::kReplaced) ++entry_counts_.replaced;
+  std::shared_ptr<Backend> replaced;
   if (change == DirectoryChange::kReplaced) {
-    RemoveBackend(entry.id, "replaced by a new incarnation");
+    replaced = RemoveBackend(entry.id, "replaced by a new incarnation");
   }
-  backends_.Put(entry, Now());
+  backends_.Put(entry, Now(), replaced.get());
   LogLine(entry_level_, "backend server known")
       .Field("backend", entry.id)
       .Field("service", entry.service)
@@ -152,7 +153,7 @@
   ScheduleExpiry();
 }
 
-void ForwardingState::RemoveBackend(const BackendName& id, const char* reason) {
+std::shared_ptr<Backend> ForwardingState::RemoveBackend(const BackendName& id, const char* reason) {
   LogLine(entry_level_, "backend server gone").Field("backend", id).Field("reason", reason);
   auto backend = backends_.Find(id);
   std::erase_if(expired_at_,
@@ -162,6 +163,7 @@
   }
   pool_.Forget(backend.get());
   backends_.Remove(id);
+  return backend;
 }
 
 bool ForwardingState::ExpectsReturningServers(TimePoint now) const {
--- a/tests/backend_table_test.cc
+++ b/tests/backend_table_test.cc
@@ -183,6 +183,65 @@
   CHECK(f.Choose() == "s0a");
 }
 
+// A service with one server, of which a quarter of 10/s x 1.5 + 5 = 20/s is this node's share while
+// it is cold.
+struct ColdLimitFixture : Fixture {
+  ColdLimitFixture() : Fixture(1) {
+    RoutingDocument document;
+    document.services["s0"] = {.max_connections = 100, .cold_rate = 10};
+    table.SetPolicies(std::make_shared<const RouteTable>(document), /*nodes=*/4);
+  }
+
+  Backend& server() { return *table.Find("s0a"); }
+  void Probe(bool opened) { table.OnProbed(server(), clock.Now(), opened, clock.Now()); }
+
+  // Sends as many calls as the server may get now, at most 50.
+  int SendAll() {
+    int sent = 0;
+    for (; sent < 50 && !Choose().empty(); ++sent) server().cold.OnSent(clock.Now());
+    return sent;
+  }
+};
+
+// Guards against a server that restarts under its id and is overrun: it is cold, but its entry of
+// before says that it is warm.
+TEST_CASE("a server that no call reached counts as cold until a newer entry must be known") {
+  ColdLimitFixture f;
+  f.table.OnCallEnded(f.server(), f.clock.Now(), CallObservation::kUnreachable, kMeanLatency,
+                      f.clock.Now());
+  f.clock.Advance(seconds(10));
+  f.Probe(/*opened=*/true);
+  CHECK(f.SendAll() == 5);
+  f.clock.Advance(BackendTableOptions().entry_bound);
+  CHECK(f.SendAll() == 50);
+}
+
+TEST_CASE("calls to a server before its restart is known count against its limit") {
+  ColdLimitFixture f;
+  f.Probe(/*opened=*/false);
+  f.clock.Advance(seconds(10));
+  f.Probe(/*opened=*/true);
+  CHECK(f.SendAll() == 5);
+  BackendEntry entry = ForwardFixture::Entry(0, "a");
+  entry.incarnation = 2;
+  entry.warmup_left = seconds(2);
+  auto replaced = f.table.Find(entry.id);
+  f.table.Remove(entry.id);
+  f.table.Put(entry, f.clock.Now(), replaced.get());
+  CHECK(f.SendAll() == 0);
+  f.clock.Advance(seconds(2));
+  CHECK(f.SendAll() == 50);
+}
+
+// Services without a limit for cold servers.
+TEST_CASE("a server that was unreachable is used at once if cold servers have no limit") {
+  Fixture f(1);
+  f.table.OnProbed(*f.table.Find("s0a"), f.clock.Now(), /*opened=*/false, f.clock.Now());
+  f.clock.Advance(seconds(10));
+  f.table.OnProbed(*f.table.Find("s0a"), f.clock.Now(), /*opened=*/true, f.clock.Now());
+  CHECK(f.table.EligibilityOf(*f.table.Find("s0a"), f.clock.Now()) == BackendEligibility::kGood);
+}
+
 TEST_CASE("a cold server is limited although its entry arrived before the routes") {
   Fixture f(1);
   BackendEntry cold = ForwardFixture::Entry(0, "a");
