Keep the records of blocked requests in the store

Cause: the records of crashes were in the memory of the nodes. A node that starts asks the others, which had lost them as well. Evidence: after the loss the log of a node has the same fingerprint with canary "no": not even a suspect. Nodes read the store before they serve. Records of suspects are not written: they are frequent when a zone is lost, and calls to the store are priced.

--- a/include/damaskroute/crashguard/crash_guard.h
+++ b/include/damaskroute/crashguard/crash_guard.h
@@ -13,6 +13,7 @@
 
 #include "damaskroute/core/ids.h"
 #include "damaskroute/core/time.h"
+#include "damaskroute/crashguard/blocked_request.h"
 #include "damaskroute/crashguard/crash_mode.h"
 #include "damaskroute/crashguard/crash_record.h"
 
@@ -126,12 +127,16 @@
   /// anything.
   std::optional<CrashRecord> Merge(const CrashRecord& record, TimePoint now);
 
+  /// Returns at most `max` blocked requests.
+  std::vector<BlockedRequest> BlockedRequests(std::size_t max, TimePoint now) const;
+
   /// Whether there is knowledge for `TakeChanges`.
   bool has_changes() const;
 
  private:
   struct Suspect {
     CrashRecord record;
+    bool lost_here = false;  // Whether this node has seen one of the losses.
     TimePoint action_crash;  // Epoch if no action crashed.
     bool canary_runs = false;
     TimePoint canary_since;
--- a/include/damaskroute/node/crash_exchange.h
+++ b/include/damaskroute/node/crash_exchange.h
@@ -2,7 +2,9 @@
 #define DAMASKROUTE_NODE_CRASH_EXCHANGE_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "damaskroute/core/asio.h"
@@ -26,6 +28,9 @@
 
   void SetPeers(std::vector<Peer> peers);
 
+  /// Sets a function that is called whenever requests may have been blocked.
+  void SetOnChange(std::function<void()> on_change) { on_change_ = std::move(on_change); }
+
   /// Sends what is due. Called after events that may have changed records.
   void Update();
 
@@ -41,6 +46,7 @@
   PeerClients& clients_;
   CrashGossip gossip_;
   asio::steady_timer timer_;
+  std::function<void()> on_change_ = [] {};
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -18,6 +18,7 @@
 #include "damaskroute/core/error_text.h"
 #include "damaskroute/core/hash.h"
 #include "damaskroute/log/log_line.h"
+#include "damaskroute/node/crash_record_store.h"
 #include "damaskroute/node/forward_node_settings.h"
 #include "damaskroute/node/forward_server.h"
 #include "damaskroute/node/node_count.h"
@@ -73,10 +74,13 @@
                }}),
         node_key_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
                   RenderNodeRecord({settings.zone, settings.changes, settings.peers}),
-                  settings.node_lease, Hash64(settings.node, /*seed=*/1)) {
+                  settings.node_lease, Hash64(settings.node, /*seed=*/1)),
+        crash_records_(loop, feed_.client(), settings.store, platform_.Codec(),
+                       forward_server_.service().crash_guard(), Hash64(settings.node, /*seed=*/2)) {
     forward_server_.SetStoreView({.probe = [this](auto done) { feed_.Probe(std::move(done)); },
                                   .age = [this] { return feed_.age(); },
                                   .followed = [this] { return Followed(); }});
+    forward_server_.service().SetOnCrashRecords([this] { crash_records_.Update(); });
     if (settings.changes) {
       relay_.emplace(loop, *settings.changes, [this] { return feed_.age(); });
     }
@@ -172,10 +176,7 @@
   void OnWritten(const StoreEntryKey& key, const StoreItem& item, bool after_outage) {
     auto store_entry = platform_.ParseStoreEntry(item);
     if (!store_entry.ok()) {
-      LogLine(LogLevel::kWarning, "store item not usable")
-          .Field("key", item.key)
-          .Field("revision", item.revision)
-          .Field("error", ErrorText(store_entry.status()));
+      LogUnusable(item, store_entry.status());
       // An entry that cannot be decoded counts as removed.
       if (key.kind == StoreEntryKind::kBackend) {
         state().OnBackendRemoved(key.name, after_outage);
@@ -191,9 +192,24 @@
     } else if (auto* node = std::get_if<LiveNode>(&*store_entry)) {
       nodes_.Add(node->node);
       node_records_.insert_or_assign(node->node, node->record);
+    } else if (auto* crash = std::get_if<StoredCrashRecord>(&*store_entry)) {
+      OnCrashRecord(key, item, crash->page);
     }
   }
 
+  void OnCrashRecord(const StoreEntryKey& key, const StoreItem& item, const std::string& page) {
+    if (absl::Status status = crash_records_.OnStored(key.name, page); !status.ok()) {
+      LogUnusable(item, status);
+    }
+  }
+
+  static void LogUnusable(const StoreItem& item, const absl::Status& error) {
+    LogLine(LogLevel::kWarning, "store item not usable")
+        .Field("key", item.key)
+        .Field("revision", item.revision)
+        .Field("error", ErrorText(error));
+  }
+
   void OnRemoved(const StoreEntryKey& key, bool after_outage) {
     if (key.kind == StoreEntryKind::kBackend) {
       state().OnBackendRemoved(key.name, after_outage);
@@ -243,6 +259,7 @@
   std::map<NodeName, NodeRecord> node_records_;  // Nodes with a key in the store.
   StoreFeed<typename Platform::StoreCodec> feed_;
   LeasedKey<typename Platform::StoreCodec> node_key_;
+  CrashRecordStore<typename Platform::StoreCodec> crash_records_;
   std::optional<ChangeRelay> relay_;
 };
 
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -89,6 +89,12 @@
   std::size_t active() const { return active_.size(); }
   const ForwardMetrics& metrics() const { return metrics_; }
   const CrashGuard& crash_guard() const { return crash_guard_; }
+  CrashGuard& crash_guard() { return crash_guard_; }
+
+  /// Sets a function that is called whenever requests may have been blocked.
+  void SetOnCrashRecords(std::function<void()> on_change) {
+    crash_exchange_.SetOnChange(std::move(on_change));
+  }
 
  private:
   struct Exchange;
--- a/include/damaskroute/node/store_entry.h
+++ b/include/damaskroute/node/store_entry.h
@@ -13,9 +13,16 @@
 namespace damaskroute {
 
 /// Kind of an entry in the store.
-enum class StoreEntryKind : std::uint8_t { kRouting, kBackend, kClosedZone, kNode, kOther };
+enum class StoreEntryKind : std::uint8_t {
+  kRouting,
+  kBackend,
+  kClosedZone,
+  kNode,
+  kCrashRecord,
+  kOther
+};
 
-/// A decoded key of the store: its kind and the name of the backend server, zone or node.
+/// A decoded key of the store: its kind and the name of the backend server, zone, node or request.
 struct StoreEntryKey {
   StoreEntryKind kind = StoreEntryKind::kOther;
   std::string name;
@@ -32,8 +39,14 @@
   NodeRecord record;
 };
 
+/// The crash record of a request, as an encoded `CrashPage`.
+struct StoredCrashRecord {
+  std::string page;
+};
+
 /// A decoded value of the store.
-using StoreEntry = std::variant<RoutingDocument, BackendEntry, ClosedZone, LiveNode>;
+using StoreEntry =
+    std::variant<RoutingDocument, BackendEntry, ClosedZone, LiveNode, StoredCrashRecord>;
 
 }  // namespace damaskroute
 
--- a/src/crashguard/crash_guard.cc
+++ b/src/crashguard/crash_guard.cc
@@ -67,6 +67,7 @@
   std::lock_guard lock(mutex_);
   std::uint64_t key = KeyOf(service, fingerprint);
   Suspect& suspect = GetOrAddSuspect(key, loss.lost);
+  suspect.lost_here = true;
   bool changed = suspect.record.Add(loss);
   OnLossAdded(suspect, loss);
   if (changed) changed_.insert(key);
@@ -283,6 +284,17 @@
   return std::nullopt;
 }
 
+std::vector<BlockedRequest> CrashGuard::BlockedRequests(std::size_t max, TimePoint now) const {
+  if (HasNoRecentCrash(now)) return {};
+  std::lock_guard lock(mutex_);
+  std::vector<BlockedRequest> requests;
+  for (const auto& [key, suspect] : suspects_) {
+    if (requests.size() >= max) break;
+    if (IsBlocked(suspect, now)) requests.push_back({suspect.record, suspect.lost_here});
+  }
+  return requests;
+}
+
 bool CrashGuard::has_changes() const {
   std::lock_guard lock(mutex_);
   return !changed_.empty();
--- a/src/node/crash_exchange.cc
+++ b/src/node/crash_exchange.cc
@@ -30,6 +30,7 @@
 }
 
 void CrashExchange::Update() {
+  on_change_();
   TimePoint now = Now();
   auto step = gossip_.Next(guard_.has_changes(), guard_.HasSuspects(now), now);
   if (!step.push_to.empty()) {
--- a/tests/crashing_request_test.cc
+++ b/tests/crashing_request_test.cc
@@ -97,6 +97,30 @@
   CHECK(Repeat(fleet, 12, "GET", "/one/deadly").reached <= kAllowedRetries);
 }
 
+// Guards against a request that crashes three servers again after each loss of all nodes.
+TEST_CASE("a request stays blocked when all nodes are lost at once") {
+  PlatformFleet fleet(4);
+  // Crashes that follow each other faster count as one.
+  auto repeat_slowly = [&] {
+    int reached = 0;
+    for (int i = 0; i < 4; ++i) {
+      reached += Repeat(fleet, 1, "POST", "/act/deadly").reached;
+      std::this_thread::sleep_for(2 * CrashRecord::kCommonCauseTime);
+    }
+    return reached;
+  };
+  REQUIRE(repeat_slowly() >= 3);
+  int reached = 0;
+  for (int losses = 0; losses < 2; ++losses) {
+    AwaitContact();
+    while (!fleet.nodes.empty()) fleet.StopNode(0);
+    for (int i = 0; i < 4; ++i) REQUIRE(fleet.AddNode());
+    reached += repeat_slowly();
+  }
+  CHECK(reached <= kAllowedRetries);
+  CHECK(fleet.Call(0, "POST", "/act/harmless", "payload").status == 200);
+}
+
 TEST_CASE("nodes learn of crashes while the store is away") {
   PlatformFleet fleet(4);
   for (std::size_t i = 0; i < 4; ++i) REQUIRE(fleet.AwaitServers(i));
--- a/tests/odd_entries_test.cc
+++ b/tests/odd_entries_test.cc
@@ -87,6 +87,7 @@
     std::string name = fmt::format("odd-{}-{}", suffix, number++);
     fixture.store.Write(platform::kServerPrefix + name, text);
     fixture.store.Write(platform::kNodePrefix + name, text);
+    fixture.store.Write(platform::kCrashRecordPrefix + name, text);
   }
   fixture.store.Write(std::string(platform::kEvacuatePrefix) + "zone-" + suffix, OddTexts()[8]);
   fixture.store.Write(platform::kConfigKey, OddTexts()[11]);
@@ -94,6 +95,8 @@
 
 TEST_CASE("a node that reads odd entries serves, and follows the store") {
   PlatformFixture fixture;
+  // The odd entries are longer together than one response may be.
+  fixture.store.SetPaging(100, std::chrono::milliseconds(0));
   fixture.settings.changes = standins::NonEphemeralEndpoint();
   fixture.settings.peers = standins::NonEphemeralEndpoint();
   for (const char* shard : {"s0", "s1", "s2"}) fixture.AddServer(std::string("i-") + shard, shard);
