Back off when crash records cannot be written; name a function after what it does

A node repeated a failed write every 1 to 2 s for up to 10 minutes while the store was away. The pause grows to 30 s now.

--- a/include/damaskroute/crashguard/crash_archive.h
+++ b/include/damaskroute/crashguard/crash_archive.h
@@ -24,13 +24,14 @@
   /// Limit of the records that a node considers, about 1.5 KB each.
   static constexpr std::size_t kMaxRecords = 64;
 
-  /// Maximum time until a failed write is repeated, and twice the minimum.
-  static constexpr std::chrono::milliseconds kRetryDelay{2000};
+  /// Backoff after the first failed write; doubled with each further one, up to `kMaxRetryDelay`.
+  static constexpr std::chrono::milliseconds kRetryDelay{1000};
+  static constexpr std::chrono::milliseconds kMaxRetryDelay{30'000};
 
   explicit CrashArchive(std::uint64_t seed) : random_(seed) {}
 
   /// The store has the record of a request.
-  void OnStored(std::uint64_t request) { stored_.insert(request); }
+  void OnStored(std::uint64_t request);
 
   /// A write of a record failed.
   void OnFailure(TimePoint now);
@@ -47,6 +48,7 @@
  private:
   Random random_;
   std::set<std::uint64_t> stored_;
+  int failures_ = 0;  // Consecutive ones.
   TimePoint retry_at_;
 };
 
--- a/include/damaskroute/node/crash_record_store.h
+++ b/include/damaskroute/node/crash_record_store.h
@@ -122,11 +122,10 @@
     request.bytes = std::move(bytes);
     request.time_left = kCallTimeout;
     calling_ = true;
-    client_.Start(std::move(request),
-                  [this, done = std::move(done)](const ExchangeResult& result) {
-                    calling_ = false;
-                    done(result.end == ExchangeEnd::kAnswered ? result.status : 0, result.body);
-                  });
+    client_.Start(std::move(request), [this, done = std::move(done)](const ExchangeResult& result) {
+      calling_ = false;
+      done(result.end == ExchangeEnd::kAnswered ? result.status : 0, result.body);
+    });
   }
 
   void OnFailure(const absl::Status& error) {
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -187,9 +187,9 @@
     });
   }
 
-  // Closes idle connections after an unanswered call, which may be as unresponsive as the one that
-  // the call used: one call would be lost on each.
-  void CheckResponsive(const ExchangeResult& result) {
+  // After an unanswered call, idle connections may be as unresponsive as the one that it used, and
+  // one call would be lost on each.
+  void CloseIdleConnectionsIfUnanswered(const ExchangeResult& result) {
     if (result.end != ExchangeEnd::kTimedOut && result.end != ExchangeEnd::kConnectionLost) return;
     client_.CloseIdleConnections();
     for (auto& [relay, client] : relay_clients_) client->CloseIdleConnections();
@@ -197,7 +197,7 @@
 
   void OnRelayChanges(const Endpoint& relay, std::uint64_t after_revision, TimePoint sent,
                       const ExchangeResult& result) {
-    CheckResponsive(result);
+    CloseIdleConnectionsIfUnanswered(result);
     TimePoint now = Now();
     constexpr int kOk = 200;
     constexpr int kGone = 410;
@@ -289,7 +289,7 @@
   }
 
   void OnStoreResponse(const ExchangeResult& result) {
-    CheckResponsive(result);
+    CloseIdleConnectionsIfUnanswered(result);
     bool watch = call_.kind == FeedStepKind::kWatch;
     TimePoint now = Now();
     bool after_outage = schedule_.is_recovering(now);
--- a/tests/crash_archive_test.cc
+++ b/tests/crash_archive_test.cc
@@ -45,6 +45,10 @@
   CHECK(step.next - f.clock.Now() >= CrashArchive::kRetryDelay / 2);
   f.clock.Advance(CrashArchive::kRetryDelay);
   CHECK(f.Written({Blocked(7)}) == 7);
+  for (int i = 0; i < 100; ++i) f.archive.OnFailure(f.clock.Now());
+  step = f.archive.Next({Blocked(7)}, f.clock.Now());
+  CHECK(step.next - f.clock.Now() >= CrashArchive::kMaxRetryDelay / 2);
+  CHECK(step.next - f.clock.Now() <= CrashArchive::kMaxRetryDelay);
 }
 
 TEST_CASE("a request that is blocked again later is written again") {
