Answer 502 if a request ran here before another node refused it

Callers of a node that reaches too few backend servers saw 503 or 429, which promise that the request has not run, for a query that one of the node's own servers had run.

Cause: after a failed run the node passes the request to another node, and passes that node's refusal on, or answers 503 itself if no other node is reached. Both state what the last node knows, not what happened before.

Change: a promise of "not run" becomes 502 if a server of this node may have run the request.

--- a/include/damaskroute/forward/forward_run.h
+++ b/include/damaskroute/forward/forward_run.h
@@ -58,6 +58,9 @@
   /// Load signal of the run; valid once it has finished.
   LoadSignal load_signal() const { return load_signal_; }
 
+  /// Whether a server may have run the request.
+  bool may_have_run() const { return may_have_run_; }
+
   /// Shards that were left out from the start because none of their servers was usable.
   const std::vector<ServiceName>& left_out() const { return left_out_; }
 
--- a/src/node/forward_service_peers.cc
+++ b/src/node/forward_service_peers.cc
@@ -34,6 +34,11 @@
   return PeerOutcome::kLost;
 }
 
+// Whether the status states that the request has not run.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 }  // namespace
 
 void ForwardService::SetPeers(std::vector<Peer> peers) {
@@ -153,6 +158,11 @@
     response = MakeForwardRefusal(request, timed_out ? 504 : 502, "another node did not answer", {},
                                   protocol_);
   }
+  if (exchange->run.may_have_run() && PromisesNotRun(response.status)) {
+    name = "failed";
+    response = MakeForwardRefusal(request, 502, "no other node serves it, and it may have run here",
+                                  {}, protocol_);
+  }
   Duration latency = Now() - request.received;
   metrics_.request_latency.Record(latency);
   ++metrics_.answers[name];
--- a/tests/stranded_node_test.cc
+++ b/tests/stranded_node_test.cc
@@ -1,5 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <optional>
+#include <vector>
+
 #include "tests/support/platform_fixture.h"
 #include "tests/support/scripted_server.h"
 
@@ -154,6 +157,42 @@
   CHECK(requests == 1);
 }
 
+// Guards against 503, which promises that the request did not run, for one that a server of this
+// node ran before it was passed on.
+TEST_CASE("a query that ran here is not refused when other nodes do not serve it") {
+  bool peer_refuses = false;
+  SUBCASE("another node is not reached") {}
+  SUBCASE("another node refuses it") { peer_refuses = true; }
+  CAPTURE(peer_refuses);
+  // The query is cancelled before a server has read it if the calls to the others fail sooner.
+  bool ran = false;
+  for (int i = 0; i < 20 && !ran; ++i) {
+    PlatformFixture w;
+    auto& server = w.AddServer("i-s0", "s0");
+    server.SetMode(platform::ServerMode::kReset);
+    for (const char* service : {"s1", "s2"}) {
+      Endpoint closed = standins::NonEphemeralEndpoint();
+      w.store.Write(platform::kServerPrefix + std::string(service),
+                    PlatformFixture::Server::EntryAt(closed, service, "a", 1, "ready"));
+    }
+    Endpoint peer = standins::NonEphemeralEndpoint();
+    std::optional<ScriptedServer> refusing;
+    if (peer_refuses) {
+      ScriptedServer::Pieces refusal{
+          "HTTP/1.1 503 No\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"};
+      refusing.emplace(w.loop, std::vector(3, refusal));
+      peer = refusing->endpoint();
+    }
+    w.store.Write(platform::kNodePrefix + std::string("node-2"),
+                  fmt::format(R"({{"zone":"b","requests":"{}"}})", FormatEndpoint(peer)));
+    REQUIRE(w.StartServing(3));
+    CHECK(w.Get("/all/x").status == 502);
+    ran = !server.runs().empty();
+    if (refusing) CHECK(refusing->requests() >= 1);
+  }
+  CHECK(ran);
+}
+
 TEST_CASE("the call at a server ends when the caller of the other node leaves") {
   ServingNode peer;
   peer.servers.at("i-desk")->SetMode(platform::ServerMode::kUnresponsive);
