Test that a popular request is served while callers leave and zones are lost

Sixteen callers, six of which leave after 60 ms, call an idempotent request and an action, while the servers of a zone are lost four times in 9 s.

--- a/tests/crashing_request_test.cc
+++ b/tests/crashing_request_test.cc
@@ -358,6 +358,59 @@
   CHECK(answered > 0);
 }
 
+// Guards against a popular request that is blocked, because calls that its callers gave up were in
+// progress at a zone that was lost.
+TEST_CASE("a popular request whose callers leave while zones are lost is never blocked") {
+  using std::chrono::milliseconds;
+  std::size_t node_count = 0;
+  SUBCASE("4 nodes") { node_count = 4; }
+  SUBCASE("12 nodes") { node_count = 12; }
+  PlatformFleet fleet(static_cast<int>(node_count));
+  for (std::size_t i = 0; i < node_count; ++i) REQUIRE(fleet.AwaitServers(i));
+  fleet.SetAnswerDelay(milliseconds(95));
+  std::atomic<bool> stop{false};
+  std::atomic<std::size_t> next_node{0};
+  std::atomic<int> answered{0};
+  std::atomic<int> blocked{0};
+  std::atomic<int> other{0};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 10; ++i) {
+    callers.emplace_back([&, action = i % 2 == 0] {
+      while (!stop) {
+        auto response = fleet.Call(next_node++, action ? "POST" : "GET",
+                                   action ? "/act/x" : "/one/x", "payload");
+        if (response.status == 200) {
+          ++answered;
+        } else if (response.body.find("crashed") != std::string::npos) {
+          ++blocked;
+        } else {
+          ++other;
+        }
+      }
+    });
+  }
+  for (int i = 0; i < 6; ++i) {
+    callers.emplace_back([&, action = i % 2 == 0] {
+      while (!stop) {
+        fleet.CallAndLeave(next_node++, action ? "POST" : "GET", action ? "/act/x" : "/one/x",
+                           milliseconds(1500), milliseconds(60));
+        std::this_thread::sleep_for(milliseconds(40));
+      }
+    });
+  }
+  for (const char* zone : {"a", "b", "a", "b"}) {
+    std::this_thread::sleep_for(milliseconds(700));
+    fleet.CrashZone(zone);
+    std::this_thread::sleep_for(milliseconds(1500));
+    fleet.RestartCrashed();
+  }
+  stop = true;
+  for (std::thread& caller : callers) caller.join();
+  MESSAGE("answered: " << answered.load() << ", otherwise: " << other.load());
+  CHECK(blocked == 0);
+  CHECK(answered > other);
+}
+
 // Guards against a limit that holds for one crashing request at a time.
 TEST_CASE("many requests that crash servers reach few servers each") {
   PlatformFleet fleet(4);
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -174,6 +174,11 @@
     for (auto& server : servers) server.standin->SetCrashDelay(delay);
   }
 
+  /// Sets how long servers take for an answer.
+  void SetAnswerDelay(Duration delay) {
+    for (auto& server : servers) server.standin->SetAnswerDelay(delay);
+  }
+
   /// From now on no request crashes a server.
   void SpareServers() {
     for (auto& server : servers) server.standin->SetCrashMarker("");
