Bound the answers of the store and the VM list in time and size

A store that sends bytes without end, in a head or a body, took all memory of a node that runs the product's own interface, and with it the requests of its callers.

Cause: the calls were made with cpprestsdk. Its timeout does not end a call while bytes arrive, and it limits neither head nor body. With a deadline of 2 s, unbounded_answer_test went on to 20 GB until the kernel killed it; with 3 GB of address space it had taken 541 to 689 MB in each of the first four calls.

--- a/include/damaskroute/store/http_store.h
+++ b/include/damaskroute/store/http_store.h
@@ -12,8 +12,7 @@
 
 namespace damaskroute {
 
-/// `ConfigStore` over the platform's HTTP interface. Call `InitializeHttpThreads` before the first
-/// call.
+/// `ConfigStore` over the platform's HTTP interface.
 ///
 /// Example:
 ///
@@ -32,7 +31,7 @@
                                     std::chrono::milliseconds timeout);
 
  private:
-  std::string base_url_;
+  Endpoint endpoint_;
   std::chrono::milliseconds call_deadline_;
 };
 
--- a/include/damaskroute/store/http_vm_list.h
+++ b/include/damaskroute/store/http_vm_list.h
@@ -20,7 +20,7 @@
   absl::StatusOr<VmList> Read();
 
  private:
-  std::string base_url_;
+  Endpoint endpoint_;
   std::chrono::milliseconds call_deadline_;
 };
 
--- a/src/store/http_call.h
+++ b/src/store/http_call.h
@@ -1,17 +1,22 @@
 #ifndef DAMASKROUTE_SRC_STORE_HTTP_CALL_H_
 #define DAMASKROUTE_SRC_STORE_HTTP_CALL_H_
 
-#include <cpprest/http_client.h>
-
 #include <chrono>
 #include <cstdint>
-#include <optional>
 #include <string>
 
 #include "damaskroute/core/endpoint.h"
 
 namespace damaskroute::internal {
 
+/// A call to the platform.
+struct HttpCall {
+  std::string method;
+  std::string target;
+  std::string headers;  ///< Complete header lines, besides `Host` and `Content-Length`.
+  std::string body;
+};
+
 /// Outcome of one HTTP call to the platform.
 struct HttpCallResult {
   int status = 0;             ///< 0 if no response arrived.
@@ -21,13 +26,10 @@
   std::string error;  ///< Why no response arrived.
 };
 
-/// Returns `http://address:port`.
-std::string BaseUrl(const Endpoint& endpoint);
-
-/// Sends `request` exactly once on a new connection and waits for the complete response for at most
-/// `deadline`. Never throws.
-HttpCallResult CallOnce(const std::string& base_url, const web::http::http_request& request,
-                        std::chrono::milliseconds deadline);
+/// Sends `call` exactly once on a new connection and waits for the complete response for at most
+/// `deadline`.
+HttpCallResult CallPlatform(const Endpoint& endpoint, const HttpCall& call,
+                            std::chrono::milliseconds deadline);
 
 }  // namespace damaskroute::internal
 
--- a/src/store/http_store.cc
+++ b/src/store/http_store.cc
@@ -1,7 +1,8 @@
 #include "damaskroute/store/http_store.h"
 
+#include <cpprest/base_uri.h>
+
 #include <utility>
-#include <vector>
 
 #include "fmt/format.h"
 #include "http_call.h"
@@ -28,12 +29,11 @@
 }  // namespace
 
 HttpStore::HttpStore(const Endpoint& endpoint, std::chrono::milliseconds call_deadline)
-    : base_url_(internal::BaseUrl(endpoint)), call_deadline_(call_deadline) {}
+    : endpoint_(endpoint), call_deadline_(call_deadline) {}
 
 absl::StatusOr<StoredValue> HttpStore::Get(const std::string& key) {
-  web::http::http_request request(web::http::methods::GET);
-  request.set_request_uri(KeyPath(key));
-  return ToStoredValue(internal::CallOnce(base_url_, request, call_deadline_));
+  return ToStoredValue(
+      internal::CallPlatform(endpoint_, {"GET", KeyPath(key), "", ""}, call_deadline_));
 }
 
 absl::StatusOr<std::uint64_t> HttpStore::CompareAndSwap(const std::string& key,
@@ -42,13 +42,13 @@
   if (value.size() > kMaxStoredValueSize) {
     return absl::InvalidArgumentError("the value is too large");
   }
-  web::http::http_request request(web::http::methods::PUT);
-  request.set_request_uri(KeyPath(key));
-  request.headers().add("If-Version", expected_version);
-  // Set as bytes: the overload for std::string reads through a stream of a different type, which
-  // UBSan reports.
-  request.set_body(std::vector<unsigned char>(value.begin(), value.end()));
-  HttpCallResult result = internal::CallOnce(base_url_, request, call_deadline_);
+  HttpCallResult result = internal::CallPlatform(
+      endpoint_,
+      {"PUT", KeyPath(key),
+       fmt::format("Content-Type: application/octet-stream\r\nIf-Version: {}\r\n",
+                   expected_version),
+       value},
+      call_deadline_);
   if (result.status == 200 && result.version > 0) return result.version;
   if (result.status == 412) {
     return absl::AbortedError(fmt::format("the key has version {}", result.version));
@@ -66,10 +66,10 @@
 
 absl::StatusOr<StoredValue> HttpStore::Watch(const std::string& key, std::uint64_t after_version,
                                              std::chrono::milliseconds timeout) {
-  web::http::http_request request(web::http::methods::GET);
-  request.set_request_uri(
-      fmt::format("{}?watch={}&timeout_ms={}", KeyPath(key), after_version, timeout.count()));
-  return ToStoredValue(internal::CallOnce(base_url_, request, timeout + call_deadline_));
+  auto target =
+      fmt::format("{}?watch={}&timeout_ms={}", KeyPath(key), after_version, timeout.count());
+  return ToStoredValue(
+      internal::CallPlatform(endpoint_, {"GET", target, "", ""}, timeout + call_deadline_));
 }
 
 }  // namespace damaskroute
--- a/src/store/http_vm_list.cc
+++ b/src/store/http_vm_list.cc
@@ -6,12 +6,11 @@
 namespace damaskroute {
 
 HttpVmList::HttpVmList(const Endpoint& endpoint, std::chrono::milliseconds call_deadline)
-    : base_url_(internal::BaseUrl(endpoint)), call_deadline_(call_deadline) {}
+    : endpoint_(endpoint), call_deadline_(call_deadline) {}
 
 absl::StatusOr<VmList> HttpVmList::Read() {
-  web::http::http_request request(web::http::methods::GET);
-  request.set_request_uri("/vms");
-  internal::HttpCallResult result = internal::CallOnce(base_url_, request, call_deadline_);
+  internal::HttpCallResult result =
+      internal::CallPlatform(endpoint_, {"GET", "/vms", "", ""}, call_deadline_);
   if (result.status != 200) {
     return absl::UnavailableError(
         fmt::format("the VM list cannot be read: status {} {}", result.status, result.error));
