Bound the memory of all answers that a holder reads at once

On the product's own interface each answer of a backend server is bounded by 8 MB, but all answers together were not: a node with some hundred connections to servers that send long bodies, which its health polls read as well, could hold gigabytes.

Change: the channels of an event loop share a budget of 64 MB, as the clients on the users' platform do. An answer that exceeds it ends its exchange at once, so that the call can go to another server.

--- a/include/damaskroute/node/backend_channel.h
+++ b/include/damaskroute/node/backend_channel.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -13,6 +14,7 @@
 #include "damaskroute/config/backend_server.h"
 #include "damaskroute/crashguard/connection_loss_tracker.h"
 #include "damaskroute/http/backend_client.h"
+#include "damaskroute/http/byte_budget.h"
 #include "damaskroute/node/event_loop.h"
 #include "damaskroute/node/holder_call.h"
 #include "damaskroute/peer/backend_report.h"
@@ -32,11 +34,12 @@
 };
 
 /// A holder's side of one backend server: queue, connections, cold start and health. Belongs to
-/// one event loop.
+/// one event loop. `body_budget` bounds the memory of the answers that are read on the loop.
 class BackendChannel {
  public:
   BackendChannel(EventLoop& loop, const ServiceName& service, BackendServer backend,
-                 WarmthOptions warmth, LatencyQuantiles& latency, BackendChannelHooks hooks);
+                 WarmthOptions warmth, LatencyQuantiles& latency,
+                 std::shared_ptr<ByteBudget> body_budget, BackendChannelHooks hooks);
   ~BackendChannel();
   BackendChannel(const BackendChannel&) = delete;
   BackendChannel& operator=(const BackendChannel&) = delete;
--- a/include/damaskroute/node/holder_loop.h
+++ b/include/damaskroute/node/holder_loop.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "damaskroute/config/service.h"
+#include "damaskroute/http/byte_budget.h"
 #include "damaskroute/node/backend_channel.h"
 #include "damaskroute/scatter/latency_quantiles.h"
 
@@ -48,6 +49,7 @@
   BackendChannelHooks hooks_;
   Incarnation incarnation_;
   const Duration longest_call_;
+  const std::shared_ptr<ByteBudget> body_budget_;
   std::map<ServiceName, std::unique_ptr<LatencyQuantiles>> latencies_;
   std::map<BackendName, std::unique_ptr<BackendChannel>> channels_;
 };
--- a/src/node/backend_channel.cc
+++ b/src/node/backend_channel.cc
@@ -17,17 +17,23 @@
 
 TimePoint Now() { return SteadyClock().Now(); }
 
+BackendClientOptions ClientOptions(std::shared_ptr<ByteBudget> body_budget) {
+  BackendClientOptions options;
+  options.body_budget = std::move(body_budget);
+  return options;
+}
+
 }  // namespace
 
 BackendChannel::BackendChannel(EventLoop& loop, const ServiceName& service, BackendServer backend,
                                WarmthOptions warmth, LatencyQuantiles& latency,
-                               BackendChannelHooks hooks)
+                               std::shared_ptr<ByteBudget> body_budget, BackendChannelHooks hooks)
     : service_(service),
       backend_(std::move(backend)),
       hooks_(std::move(hooks)),
       warmth_(std::move(warmth)),
       queue_(CallQueueSettings{}, latency),
-      client_(loop.context(), backend_.endpoint, 0),
+      client_(loop.context(), backend_.endpoint, 0, ClientOptions(std::move(body_budget))),
       queue_timer_(loop.context()),
       tick_timer_(loop.context()) {
   ArmTick();
--- a/src/node/holder_loop.cc
+++ b/src/node/holder_loop.cc
@@ -8,6 +8,9 @@
 
 constexpr double kUnusedHedgeQuantile = 0.95;
 
+// Limit of the memory of all answers that are read at the same time.
+constexpr std::size_t kMaxHeldBytes = std::size_t{64} << 20;
+
 }  // namespace
 
 HolderLoop::HolderLoop(EventLoop& loop, BackendChannelHooks hooks, Incarnation incarnation,
@@ -15,7 +18,8 @@
     : loop_(loop),
       hooks_(std::move(hooks)),
       incarnation_(incarnation),
-      longest_call_(longest_call) {}
+      longest_call_(longest_call),
+      body_budget_(std::make_shared<ByteBudget>(kMaxHeldBytes)) {}
 
 void HolderLoop::SetLimit(const Limit& limit) {
   auto it = channels_.find(limit.backend.name);
@@ -31,9 +35,9 @@
     warmth.first_nonce = incarnation_;
     warmth.warm_up = limit.warm_up;
     it = channels_
-             .emplace(limit.backend.name,
-                      std::make_unique<BackendChannel>(loop_, limit.service, limit.backend, warmth,
-                                                       LatencyOf(limit.service), hooks_))
+             .emplace(limit.backend.name, std::make_unique<BackendChannel>(
+                                              loop_, limit.service, limit.backend, warmth,
+                                              LatencyOf(limit.service), body_budget_, hooks_))
              .first;
   }
   it->second->SetLimit(limit.share, limit.sequence, limit.accepts_work, limit.first_holder);
--- a/tests/support/floods.h
+++ b/tests/support/floods.h
@@ -41,6 +41,13 @@
 /// Capacity of the socket buffers beyond what the client reads: 6 MB to receive, 4 MB to send.
 inline constexpr std::uint64_t kSocketBufferBytes = 10 << 20;
 
+/// An answer that stops after more than a thirtieth of the budget of all answers.
+inline const std::string kIncomplete =
+    kOk + "Content-Length: 4000000\r\n\r\n" + std::string(std::size_t{3} << 20, 'a');
+
+/// Number of such answers of which at most half fit into the budget.
+inline constexpr std::size_t kIncompleteAnswers = 50;
+
 }  // namespace damaskroute
 
 #endif  // TESTS_SUPPORT_FLOODS_H_
