Count answers of other nodes in the budget for answers

A node without links to the servers passes its requests to other nodes, and read up to 8 MB from each answer outside of the 64 MB that all answers of servers may take together.

Change: the clients of servers and of other nodes share one budget.

--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -20,6 +20,7 @@
 #include "damaskroute/forward/given_up_calls.h"
 #include "damaskroute/forward/peer_selector.h"
 #include "damaskroute/forward/timer_delay.h"
+#include "damaskroute/http/byte_budget.h"
 #include "damaskroute/http/http_server.h"
 #include "damaskroute/node/caller_request.h"
 #include "damaskroute/node/crash_exchange.h"
@@ -162,6 +163,7 @@
   const ForwardProtocol protocol_;
   TimerDelay timer_delay_;
   Random random_;
+  const std::shared_ptr<ByteBudget> body_budget_;
   ForwardingState forwarding_state_;
   ExtraBudgetOptions budget_options_;
   std::unordered_map<ServiceName, ExtraBudget> budgets_;
--- a/include/damaskroute/node/forward_service_options.h
+++ b/include/damaskroute/node/forward_service_options.h
@@ -18,8 +18,8 @@
   std::chrono::milliseconds connect_timeout{60};
   /// Time without a response after which the kernel aborts a connection to a backend server.
   std::chrono::milliseconds unresponsive_timeout{3000};
-  /// Limit for all bodies of servers' responses held in memory, not counting the first 64 KB of
-  /// each. The smallest machines have 260 MB of memory.
+  /// Limit for all bodies of responses of servers and other nodes held in memory, not counting the
+  /// first 64 KB of each. The smallest machines have 260 MB of memory.
   std::size_t max_held_bytes = std::size_t{64} << 20;
   /// Retry-After in refusals while the node has no routes yet or is shutting down.
   std::chrono::milliseconds refusal_retry{300};
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -22,22 +22,25 @@
 }
 
 BackendClientOptions ClientOptions(const ForwardServiceOptions& options,
-                                   const ForwardProtocol& protocol) {
+                                   const ForwardProtocol& protocol,
+                                   std::shared_ptr<ByteBudget> body_budget) {
   BackendClientOptions client;
   client.request_id_header = protocol.request_id;
   client.leaving_header = protocol.leaving;
   client.rate_limit_header = protocol.rate_limit;
   client.keep_headers = true;
-  client.body_budget = std::make_shared<ByteBudget>(options.max_held_bytes);
+  client.body_budget = std::move(body_budget);
   client.skip_mismatched_answers = true;
   client.connect_timeout = options.connect_timeout;
   client.unresponsive_timeout = options.unresponsive_timeout;
   return client;
 }
 
-BackendClientOptions PeerClientOptions(const ForwardServiceOptions& options) {
+BackendClientOptions PeerClientOptions(const ForwardServiceOptions& options,
+                                       std::shared_ptr<ByteBudget> body_budget) {
   BackendClientOptions client;
   client.keep_headers = true;
+  client.body_budget = std::move(body_budget);
   client.connect_timeout = options.connect_timeout;
   client.unresponsive_timeout = options.unresponsive_timeout;
   return client;
@@ -88,9 +91,11 @@
       options_(std::move(options)),
       protocol_(std::move(protocol)),
       random_(options_.seed),
-      forwarding_state_(loop, options_.backends, ClientOptions(options_, protocol_), options_.seed),
+      body_budget_(std::make_shared<ByteBudget>(options_.max_held_bytes)),
+      forwarding_state_(loop, options_.backends, ClientOptions(options_, protocol_, body_budget_),
+                        options_.seed),
       peer_selector_(options_.seed),
-      peer_clients_(loop, PeerClientOptions(options_)),
+      peer_clients_(loop, PeerClientOptions(options_, body_budget_)),
       crash_guard_(MakeCrashGuardSettings()),
       request_guard_(crash_guard_),
       crash_exchange_(loop, crash_guard_, peer_clients_, options_.seed),
--- a/tests/unbounded_message_test.cc
+++ b/tests/unbounded_message_test.cc
@@ -1,5 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <thread>
+#include <vector>
+
 #include "damaskroute/http/backend_client.h"
 #include "damaskroute/http/byte_budget.h"
 #include "tests/support/flood_server.h"
@@ -85,6 +89,45 @@
   CHECK(result->body == "hello");
 }
 
+// Guards against answers of other nodes that together take more memory than the budget.
+TEST_CASE("many large answers of other nodes are aborted before their deadline") {
+  PlatformFixture w;
+  FloodServer peer(w.loop, kIncomplete, "");
+  w.store.Write(
+      platform::kServerPrefix + std::string("i-1"),
+      PlatformFixture::Server::EntryAt(standins::NonEphemeralEndpoint(), "desk", "a", 1, "ready"));
+  w.store.Write(platform::kNodePrefix + std::string("node-2"),
+                fmt::format(R"({{"zone":"b","requests":"{}"}})", FormatEndpoint(peer.endpoint())));
+  REQUIRE(w.StartServing(1));
+  std::atomic<std::size_t> aborted{0};
+  std::vector<std::thread> callers;
+  for (std::size_t i = 0; i < kIncompleteAnswers; ++i) {
+    callers.emplace_back([&w, &aborted, i] {
+      if (w.Get("/one/x", fmt::format("id-{}", i)).status == 502) ++aborted;
+    });
+  }
+  for (std::thread& caller : callers) caller.join();
+  CHECK(aborted >= kIncompleteAnswers / 2);
+}
+
+// Guards against bytes on an idle connection that the node reads, or that become part of an answer.
+TEST_CASE("bytes on an idle connection stay in the socket's buffers") {
+  standins::LoopThread servers;
+  FloodServer server(servers, kOk + "Content-Length: 5\r\n\r\nhello", "a");
+  asio::io_context loop;
+  BackendClient client(loop, server.endpoint(), 1, {});
+  for (int i = 0; i < 3; ++i) {
+    std::optional<ExchangeResult> result;
+    client.Start({"GET / HTTP/1.1\r\n\r\n", seconds(60)},
+                 [&](ExchangeResult ended) { result = std::move(ended); });
+    AwaitResult(loop, result);
+    REQUIRE(result);
+    CHECK(result->body == "hello");
+    loop.run_for(milliseconds(200));
+  }
+  CHECK(server.sent() < 3 * kSocketBufferBytes);
+}
+
 TEST_CASE("callers are served by the other server while one sends without end") {
   for (const Flood& flood : Floods()) {
     CAPTURE(flood.name);
