Notice 200 ms after a call was given up that its server crashed

A request whose caller leaves before it crashes its servers reached more of them than needed, and took harmless requests down with it.

Cause: whether the server is lost was checked once, a second after the call. Until then the request came again at other nodes, three times or more for each crash.

Change: the check is made after 200 ms, and again after a second if it showed nothing. A check needs no connection if an idle one to the server is intact, as before.

--- a/include/damaskroute/forward/given_up_call.h
+++ b/include/damaskroute/forward/given_up_call.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKROUTE_FORWARD_GIVEN_UP_CALL_H_
 #define DAMASKROUTE_FORWARD_GIVEN_UP_CALL_H_
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -18,6 +19,7 @@
   std::string request;  ///< Id of the request.
   TimePoint sent;
   TimePoint ended;
+  std::size_t checks = 0;  ///< Checks of the server since then.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/forward/given_up_calls.h
+++ b/include/damaskroute/forward/given_up_calls.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKROUTE_FORWARD_GIVEN_UP_CALLS_H_
 #define DAMASKROUTE_FORWARD_GIVEN_UP_CALLS_H_
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -20,17 +21,22 @@
 };
 
 /// Calls that were given up. Their connections are closed, so a crash of the server shows only
-/// afterwards: `kCheckDelay` later each call is due for a check.
+/// afterwards: each call is due for a check after each of `kCheckDelays`.
 class GivenUpCalls {
  public:
-  /// Servers that crash need longer than this to restart.
-  static constexpr std::chrono::seconds kCheckDelay{1};
+  /// Times since the end of the call. The first one finds a crash before the request has come again
+  /// many times, the last one a crash that takes longer. Servers that crash need longer to restart.
+  static constexpr std::array kCheckDelays{std::chrono::milliseconds(200),
+                                           std::chrono::milliseconds(1000)};
 
   /// Limit of the remembered calls, about 100 bytes each. The oldest are dropped.
   static constexpr std::size_t kMaxCalls = 4096;
 
   void Add(GivenUpCall call);
 
+  /// Keeps a call that was due for its next check, if there is one.
+  void AddChecked(GivenUpCall call);
+
   /// Removes and returns the calls that are due.
   std::vector<GivenUpCall> TakeDue(TimePoint now);
 
@@ -41,7 +47,8 @@
   static ServerFate FateOf(const GivenUpCall& call);
 
  private:
-  std::deque<GivenUpCall> calls_;  // In the order of `ended`.
+  // By the number of checks, and almost in the order of `ended`.
+  std::array<std::deque<GivenUpCall>, kCheckDelays.size()> calls_;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -181,6 +181,7 @@
   CrashExchange crash_exchange_;
   GivenUpCalls given_up_calls_;
   asio::steady_timer given_up_timer_;
+  TimePoint next_given_up_check_ = TimePoint::max();
 };
 
 }  // namespace damaskroute
--- a/src/forward/given_up_calls.cc
+++ b/src/forward/given_up_calls.cc
@@ -1,25 +1,39 @@
 #include "damaskroute/forward/given_up_calls.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace damaskroute {
 
 void GivenUpCalls::Add(GivenUpCall call) {
-  if (calls_.size() >= kMaxCalls) calls_.pop_front();
-  calls_.push_back(std::move(call));
+  auto& calls = calls_[call.checks];
+  if (calls.size() >= kMaxCalls / calls_.size()) calls.pop_front();
+  calls.push_back(std::move(call));
+}
+
+void GivenUpCalls::AddChecked(GivenUpCall call) {
+  if (++call.checks < calls_.size()) Add(std::move(call));
 }
 
 std::vector<GivenUpCall> GivenUpCalls::TakeDue(TimePoint now) {
   std::vector<GivenUpCall> due;
-  while (next_due() <= now) {
-    due.push_back(std::move(calls_.front()));
-    calls_.pop_front();
+  for (std::size_t checks = 0; checks < calls_.size(); ++checks) {
+    auto& calls = calls_[checks];
+    while (!calls.empty() && calls.front().ended + kCheckDelays[checks] <= now) {
+      due.push_back(std::move(calls.front()));
+      calls.pop_front();
+    }
   }
   return due;
 }
 
 TimePoint GivenUpCalls::next_due() const {
-  return calls_.empty() ? TimePoint::max() : calls_.front().ended + kCheckDelay;
+  TimePoint next = TimePoint::max();
+  for (std::size_t checks = 0; checks < calls_.size(); ++checks) {
+    if (calls_[checks].empty()) continue;
+    next = std::min(next, calls_[checks].front().ended + kCheckDelays[checks]);
+  }
+  return next;
 }
 
 ServerFate GivenUpCalls::FateOf(const GivenUpCall& call) {
--- a/src/node/forward_service_crashes.cc
+++ b/src/node/forward_service_crashes.cc
@@ -132,17 +132,21 @@
 void ForwardService::OnCallGivenUp(const Exchange& exchange,
                                    const std::shared_ptr<Backend>& backend, TimePoint sent) {
   if (exchange.server_survived) return;
-  bool idle = given_up_calls_.next_due() == TimePoint::max();
   given_up_calls_.Add({backend, exchange.keys, exchange.request.id, sent, Now()});
-  if (idle) ScheduleGivenUpChecks();
+  ScheduleGivenUpChecks();
 }
 
 void ForwardService::ScheduleGivenUpChecks() {
   TimePoint due = given_up_calls_.next_due();
   if (due == TimePoint::max()) return;
-  given_up_timer_.expires_at(std::max(due, Now() + kMinCheckInterval));
+  due = std::max<TimePoint>(due, Now() + kMinCheckInterval);
+  if (due >= next_given_up_check_) return;
+  next_given_up_check_ = due;
+  given_up_timer_.expires_at(due);
   given_up_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) CheckGivenUpCalls();
+    if (error) return;
+    next_given_up_check_ = TimePoint::max();
+    CheckGivenUpCalls();
   });
 }
 
@@ -161,7 +165,9 @@
     client->CheckRefused([this, client, calls = std::move(calls)](bool refused) {
       // Defers the client's destruction until this callback, which it runs, has returned.
       asio::post(loop_, [client] {});
-      if (refused) ReportGivenUpLosses(calls);
+      if (refused) return ReportGivenUpLosses(calls);
+      for (const GivenUpCall& call : calls) given_up_calls_.AddChecked(call);
+      ScheduleGivenUpChecks();
     });
   }
   ScheduleGivenUpChecks();
--- a/tests/given_up_calls_test.cc
+++ b/tests/given_up_calls_test.cc
@@ -23,7 +23,7 @@
   auto backend = std::make_shared<Backend>();
   calls.Add(CallTo(backend, 0, 10));
   calls.Add(CallTo(backend, 0, 20));
-  TimePoint due = At(10) + GivenUpCalls::kCheckDelay;
+  TimePoint due = At(10) + GivenUpCalls::kCheckDelays.front();
   CHECK(calls.next_due() == due);
   CHECK(calls.TakeDue(due - milliseconds(1)).empty());
   CHECK(calls.TakeDue(due).size() == 1);
@@ -31,13 +31,33 @@
   CHECK(calls.next_due() == TimePoint::max());
 }
 
+// Guards against a crash that is noticed only after the last check, or never.
+TEST_CASE("a call is checked again until the last check") {
+  GivenUpCalls calls;
+  auto backend = std::make_shared<Backend>();
+  calls.Add(CallTo(backend, 0, 10));
+  for (auto delay : GivenUpCalls::kCheckDelays) {
+    CHECK(calls.next_due() == At(10) + delay);
+    CHECK(calls.TakeDue(At(10) + delay - milliseconds(1)).empty());
+    auto due = calls.TakeDue(At(10) + delay);
+    REQUIRE(due.size() == 1);
+    calls.Add(CallTo(backend, 0, 5000));  // Does not delay the checks of other calls.
+    calls.AddChecked(due.front());
+  }
+  CHECK(calls.next_due() == At(5000) + GivenUpCalls::kCheckDelays.front());
+}
+
 // Guards against memory that grows with the callers that leave.
 TEST_CASE("the number of remembered calls is bounded") {
   GivenUpCalls calls;
   auto backend = std::make_shared<Backend>();
   int count = static_cast<int>(GivenUpCalls::kMaxCalls) + 10;
-  for (int i = 0; i < count; ++i) calls.Add(CallTo(backend, 0, i));
-  CHECK(calls.TakeDue(At(count) + GivenUpCalls::kCheckDelay).size() == GivenUpCalls::kMaxCalls);
+  for (int i = 0; i < count; ++i) {
+    calls.Add(CallTo(backend, 0, i));
+    calls.AddChecked(CallTo(backend, 0, i));
+  }
+  CHECK(calls.TakeDue(At(count) + GivenUpCalls::kCheckDelays.back()).size() ==
+        GivenUpCalls::kMaxCalls);
 }
 
 TEST_CASE("a server whose entry is gone or that lost a connection since is lost") {
