Notice a crash after a call was given up until the server's entry is replaced

Cause: the last check came a second after the call. The crash showed later, when the server's entry was removed or replaced.

Change: two more checks, 2 and 4 s after the call; the loss counts from the end of the call, as the server may have crashed at any time since.

The test of given_up_calls covers the checks.

--- a/include/damaskroute/forward/given_up_calls.h
+++ b/include/damaskroute/forward/given_up_calls.h
@@ -24,10 +24,12 @@
 /// afterwards: each call is due for a check after each of `kCheckDelays`.
 class GivenUpCalls {
  public:
-  /// Times since the end of the call. The first one finds a crash before the request has come again
-  /// many times, the last one a crash that takes longer. Servers that crash need longer to restart.
-  static constexpr std::array kCheckDelays{std::chrono::milliseconds(200),
-                                           std::chrono::milliseconds(1000)};
+  /// Times since the end of the call. The first check finds a crash before the request has come
+  /// again many times. The later ones find a crash that takes longer, or that shows only when the
+  /// server's entry is removed or replaced, because its address accepts connections meanwhile.
+  static constexpr std::array kCheckDelays{
+      std::chrono::milliseconds(200), std::chrono::milliseconds(1000),
+      std::chrono::milliseconds(2000), std::chrono::milliseconds(4000)};
 
   /// Limit of the remembered calls, about 100 bytes each. The oldest are dropped.
   static constexpr std::size_t kMaxCalls = 4096;
--- a/src/node/forward_service_crashes.cc
+++ b/src/node/forward_service_crashes.cc
@@ -180,8 +180,9 @@
     TimePoint known = crash_guard_.LostAt(incarnation, now);
     if (known != TimePoint() && known < call.sent) continue;
     call.backend->lost_at = std::max(call.backend->lost_at, now);
-    request_guard_.OnLoss(call.keys,
-                          {LossId(call.request, incarnation, now), incarnation, call.sent, now});
+    // The server may have crashed, and restarted, at any time since the call ended.
+    request_guard_.OnLoss(call.keys, {LossId(call.request, incarnation, call.ended), incarnation,
+                                      call.sent, call.ended});
     auto record = request_guard_.RecordOf(call.keys);
     LogLine(LogLevel::kWarning, "backend server lost after a call was given up")
         .Field("request", call.request)
--- a/tests/given_up_calls_test.cc
+++ b/tests/given_up_calls_test.cc
@@ -53,8 +53,8 @@
   auto backend = std::make_shared<Backend>();
   int count = static_cast<int>(GivenUpCalls::kMaxCalls) + 10;
   for (int i = 0; i < count; ++i) {
-    calls.Add(CallTo(backend, 0, i));
-    calls.AddChecked(CallTo(backend, 0, i));
+    GivenUpCall call = CallTo(backend, 0, i);
+    for (; call.checks < GivenUpCalls::kCheckDelays.size(); ++call.checks) calls.Add(call);
   }
   CHECK(calls.TakeDue(At(count) + GivenUpCalls::kCheckDelays.back()).size() ==
         GivenUpCalls::kMaxCalls);
