--- a/standins/non_ephemeral_endpoint.cc
+++ b/standins/non_ephemeral_endpoint.cc
@@ -40,31 +40,31 @@
 class PortRange {
  public:
   std::uint16_t Next() {
-    if (used_ == kBlockPorts) {
-      used_ = 0;
-      if (++current_ == blocks_.size() && !ClaimNext()) current_ = 0;
-    }
+    if (blocks_.empty() || used_ == kBlockPorts) StartNextBlock();
     return static_cast<std::uint16_t>(kFirstPort + blocks_[current_] * kBlockPorts + used_++);
   }
 
  private:
-  // With all blocks held, waits until another process ends if this one has none.
-  bool ClaimNext() {
-    do {
-      for (int tried = 0; tried < kBlocks; ++tried) {
-        candidate_ = (candidate_ + 1) % kBlocks;
-        if (!Claim(candidate_)) continue;
-        blocks_.push_back(candidate_);
-        return true;
-      }
-      std::this_thread::yield();
-    } while (blocks_.empty());
+  // Goes through the held blocks again if other processes hold all others.
+  void StartNextBlock() {
+    used_ = 0;
+    while (!ClaimAny() && blocks_.empty()) std::this_thread::yield();
+    current_ = (current_ + 1) % blocks_.size();
+  }
+
+  bool ClaimAny() {
+    for (int tried = 0; tried < kBlocks; ++tried) {
+      candidate_ = (candidate_ + 1) % kBlocks;
+      if (!Claim(candidate_)) continue;
+      blocks_.push_back(candidate_);
+      return true;
+    }
     return false;
   }
 
   std::vector<int> blocks_;
-  std::size_t current_ = static_cast<std::size_t>(-1);  // Index in `blocks_`.
-  int used_ = kBlockPorts;                              // Ports drawn from the current block.
+  std::size_t current_ = 0;  // Index in `blocks_`.
+  int used_ = 0;             // Ports drawn from the current block.
   int candidate_ = static_cast<int>(getpid()) % kBlocks;
 };
 
