--- a/include/damaskroute/node/caller_request.h
+++ b/include/damaskroute/node/caller_request.h
@@ -23,6 +23,9 @@
   std::string body;
   bool has_body = false;             ///< Whether the caller framed a body, even an empty one.
   std::vector<HeaderField> headers;  ///< Headers that are forwarded unchanged.
+  std::string tenant;                ///< Name of the caller's tenant; empty if there is none.
+  /// Value of the Authorization header where tenants have keys; only sent to other nodes.
+  std::string authorization;
   std::optional<std::chrono::milliseconds> caller_timeout;  ///< From the caller's deadline header.
   TimePoint received;
   CallerConnection connection;
--- a/include/damaskroute/node/forward_node_settings.h
+++ b/include/damaskroute/node/forward_node_settings.h
@@ -2,6 +2,7 @@
 #define DAMASKROUTE_NODE_FORWARD_NODE_SETTINGS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -10,6 +11,22 @@
 
 namespace damaskroute {
 
+/// Limits on a tenant's requests that run within a window, over all nodes:
+/// (rate x `window` + burst) x (1 + `overshoot`) + `slack`.
+struct QuotaBounds {
+  std::chrono::milliseconds window{5'000};
+  double overshoot = 0;
+  double slack = 0;
+};
+
+/// Limits on what backend servers of a version under roll-out get, over all nodes.
+struct RolloutBounds {
+  double canary_share = 0.1;  ///< Part of the requests of the service.
+  double canary_slack = 0;    ///< Requests in addition to that part.
+  /// Until the version gets no requests any more after it has failed.
+  std::chrono::milliseconds rollback_bound{5'000};
+};
+
 /// Settings of a `ForwardNode`, filled by the platform's adapter.
 struct ForwardNodeSettings {
   NodeName node;
@@ -19,8 +36,9 @@
   std::string ready_path;
   std::optional<Endpoint> metrics;
   Endpoint store;
-  std::optional<Endpoint> changes;  ///< Port for nodes that follow the store through this one.
-  std::optional<Endpoint> peers;    ///< Port for requests that other nodes cannot serve.
+  std::optional<Endpoint> changes;     ///< Port for nodes that follow the store through this one.
+  std::optional<Endpoint> peers;       ///< Port for requests that other nodes cannot serve.
+  std::optional<Endpoint> quota_port;  ///< UDP port for quotas of tenants; absent without `quota`.
   std::chrono::milliseconds node_lease{30'000};  ///< Lease time of the node's key in the store.
 
   // Time limits and budgets of the deployment.
@@ -35,6 +53,15 @@
   double budget_slack = 50;     ///< Further extra calls per window, over all nodes.
   double cold_overshoot = 1.5;  ///< Factor on the rate of a cold server.
   double cold_slack = 5;        ///< Calls per second in addition to that rate.
+  /// Until no request runs with a key that was withdrawn; absent if this has no strict limit.
+  std::optional<std::chrono::milliseconds> revocation_bound;
+  std::optional<QuotaBounds> quota;      ///< Absent if tenants have no quotas.
+  std::optional<RolloutBounds> rollout;  ///< Absent if roll-outs have no limits.
+
+  // Limits of the machine; absent if unknown.
+  std::optional<double> cpu_quota;  ///< Cores.
+  std::optional<std::size_t> memory_bytes;
+  std::optional<int> max_descriptors;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/node/forward_protocol.h
+++ b/include/damaskroute/node/forward_protocol.h
@@ -12,8 +12,10 @@
   std::string deadline_ms;      ///< Time until the sender's deadline, in milliseconds.
   std::string expected_server;  ///< Id of the server that may run the request.
   std::string not_executed;     ///< In a response: the server did not run the request.
-  std::string server_stamp;     ///< The server's signature of its response.
-  std::string leaving;          ///< In a server's response, with the value 1: it is leaving.
+  std::string tenant;           ///< Name of the tenant whose key the caller sent; set by the node.
+  std::string authorization_scheme;  ///< Scheme of the Authorization header with an API key.
+  std::string server_stamp;          ///< The server's signature of its response.
+  std::string leaving;               ///< In a server's response, with the value 1: it is leaving.
   /// In a server's response: the requests per second, as a decimal number, that it accepts from all
   /// nodes together until a response without this header.
   std::string rate_limit;
--- a/include/damaskroute/node/store_entry.h
+++ b/include/damaskroute/node/store_entry.h
@@ -7,6 +7,7 @@
 
 #include "damaskroute/core/ids.h"
 #include "damaskroute/relay/node_record.h"
+#include "damaskroute/rollout/rollout_order.h"
 #include "damaskroute/routing/backend_entry.h"
 #include "damaskroute/routing/routing_document.h"
 
@@ -19,6 +20,7 @@
   kClosedZone,
   kNode,
   kCrashRecord,
+  kRolloutOrder,
   kOther
 };
 
@@ -45,8 +47,8 @@
 };
 
 /// A decoded value of the store.
-using StoreEntry =
-    std::variant<RoutingDocument, BackendEntry, ClosedZone, LiveNode, StoredCrashRecord>;
+using StoreEntry = std::variant<RoutingDocument, BackendEntry, ClosedZone, LiveNode,
+                                StoredCrashRecord, RolloutOrder>;
 
 }  // namespace damaskroute
 
--- a/include/damaskroute/routing/backend_entry.h
+++ b/include/damaskroute/routing/backend_entry.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string>
 
 #include "damaskroute/core/endpoint.h"
 #include "damaskroute/core/ids.h"
@@ -16,6 +17,7 @@
   ServiceName service;
   Endpoint endpoint;
   ZoneName zone;
+  std::string version;                      ///< Version of its software.
   int slots = 1;                            ///< Requests that it processes concurrently.
   bool draining = false;                    ///< It is leaving and must get no new requests.
   std::chrono::milliseconds warmup_left{};  ///< Remaining cold start when the entry was written.
--- a/include/damaskroute/routing/route.h
+++ b/include/damaskroute/routing/route.h
@@ -22,6 +22,7 @@
   std::chrono::milliseconds timeout{};    ///< Maximum time to an answer.
   std::chrono::milliseconds objective{};  ///< Latency objective; 0 if there is none.
   int priority = 0;                       ///< 0 is the most urgent.
+  bool is_public = false;                 ///< Needs no API key where tenants have keys.
   int max_attempts = 1;                   ///< Backend servers that may run one request, per shard.
   std::vector<WeightedService> targets;   ///< Without shards: services and their shares.
   std::vector<ServiceName> shards;        ///< Services that each query is sent to.
--- a/include/damaskroute/routing/routing_document.h
+++ b/include/damaskroute/routing/routing_document.h
@@ -8,6 +8,7 @@
 #include "damaskroute/http/client_limits.h"
 #include "damaskroute/routing/route.h"
 #include "damaskroute/routing/service_policy.h"
+#include "damaskroute/routing/tenant.h"
 
 namespace damaskroute {
 
@@ -17,6 +18,7 @@
   std::vector<Route> routes;
   std::map<ServiceName, ServicePolicy> services;
   ClientLimits client_limits;
+  std::vector<Tenant> tenants;  ///< Empty if requests need no API keys.
 };
 
 }  // namespace damaskroute
