Blocked requests: end a block at one node after the other

The block ended at all four nodes at the same moment, which every caller had been told as Retry-After: four retries arrived within 60 ms, and each node ran one as a canary. Change: a block ends at the nodes in an order that differs by request, 1 s apart, at most 8 s between the first and the last.

--- a/include/damaskroute/crashguard/crash_guard.h
+++ b/include/damaskroute/crashguard/crash_guard.h
@@ -45,6 +45,13 @@
   /// Two successive losses may be two outages that a harmless request met, so it is tried again
   /// soon; by then servers have restarted, so a third loss has another cause than the first two.
   std::chrono::seconds short_block{5};
+  /// Time between the ends of a block at two nodes that follow each other in the request's order of
+  /// the nodes: the first one learns from its canary whether the request still crashes servers, and
+  /// the others hear of it. Without it, callers that were all told the end of the block had their
+  /// retries crash a server at each of 4 nodes at once.
+  std::chrono::seconds canary_interval{1};
+  /// Limit of the time between the ends at the first and the last node.
+  std::chrono::seconds max_canary_delay{8};
   /// Whether new requests of a service run as canaries after a crash of another request.
   bool canaries_after_crash = true;
 };
@@ -62,6 +69,10 @@
  public:
   explicit CrashGuard(const CrashGuardSettings& settings);
 
+  /// Sets the nodes that share what they know, and the name of this one. Without names, a block
+  /// ends at its nominal time.
+  void SetNodes(const NodeName& self, std::vector<NodeName> names);
+
   /// Returns how a query may run now. After `kCanary`, `OnSuccess` or `OnEnd` must follow.
   CrashMode Check(const ServiceName& service, std::uint64_t fingerprint, TimePoint now);
 
@@ -161,6 +172,7 @@
   bool ReachesBlockThreshold(const Suspect& suspect) const;
   bool ReachesShortBlockThreshold(const Suspect& suspect) const;
   TimePoint BlockedUntil(const Suspect& suspect) const;
+  Duration CanaryDelay(std::uint64_t request) const;
   bool IsBlocked(const Suspect& suspect, TimePoint now) const {
     return now < BlockedUntil(suspect);
   }
@@ -183,6 +195,8 @@
   std::unordered_map<std::uint64_t, TimePoint> lost_;  // Latest loss by incarnation.
   std::set<std::uint64_t> changed_;                    // Keys for `TakeChanges`.
   std::uint64_t next_record_ = 0;                      // Where `Records` continues.
+  NodeName self_;
+  std::vector<NodeName> nodes_;
   // Until when the new requests of a service run as canaries.
   std::unordered_map<ServiceName, TimePoint> services_;
 };
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -141,7 +141,9 @@
   void ApplyNodes() {
     TimePoint now = Now();
     forward_server_.SetNodes(nodes_.Count(now));
-    state().SetNodeNames(nodes_.Counted(now));
+    std::vector<NodeName> names = nodes_.Counted(now);
+    forward_server_.service().crash_guard().SetNodes(node_, names);
+    state().SetNodeNames(std::move(names));
   }
 
   void OnNodesChanged() {
--- a/src/crashguard/crash_guard.cc
+++ b/src/crashguard/crash_guard.cc
@@ -108,13 +108,33 @@
     until = suspect.action_crash + settings_.suspicion_period;
   }
   if (ReachesBlockThreshold(suspect)) {
-    until = std::max(until, suspect.record.LastLoss() + settings_.suspicion_period);
+    until = std::max(until, suspect.record.LastLoss() + settings_.suspicion_period +
+                                CanaryDelay(suspect.record.request));
   } else if (ReachesShortBlockThreshold(suspect)) {
-    until = std::max(until, suspect.record.LastLoss() + settings_.short_block);
+    until = std::max(until, suspect.record.LastLoss() + settings_.short_block +
+                                CanaryDelay(suspect.record.request));
   }
   return until;
 }
 
+void CrashGuard::SetNodes(const NodeName& self, std::vector<NodeName> names) {
+  std::lock_guard lock(mutex_);
+  self_ = self;
+  nodes_ = std::move(names);
+}
+
+// The order of the nodes differs by request, so that no node runs all canaries first.
+Duration CrashGuard::CanaryDelay(std::uint64_t request) const {
+  if (nodes_.size() < 2) return Duration::zero();
+  std::uint64_t own = Hash64(self_, request);
+  auto before = std::count_if(nodes_.begin(), nodes_.end(),
+                              [&](const NodeName& node) { return Hash64(node, request) < own; });
+  auto last = static_cast<std::int64_t>(nodes_.size()) - 1;
+  Duration longest =
+      std::min<Duration>(settings_.canary_interval * last, settings_.max_canary_delay);
+  return longest * std::min<std::int64_t>(before, last) / last;
+}
+
 bool CrashGuard::IsSuspect(const Suspect& suspect, TimePoint now) const {
   if (suspect.action_crash != TimePoint() && now < ForgottenAt(suspect)) return true;
   if (suspect.record.losses.size() < settings_.crashes_to_suspect) return false;
--- a/tests/crash_guard_test.cc
+++ b/tests/crash_guard_test.cc
@@ -4,6 +4,8 @@
 
 #include <memory>
 #include <set>
+#include <string>
+#include <vector>
 
 #include "tests/scatter_fixture.h"
 
@@ -291,6 +293,63 @@
   }
 }
 
+// Guards against a block that ends at all nodes at once. The callers that were told its end came
+// back together, and each of four nodes let the request crash another server.
+TEST_CASE("after a block, the nodes try a request one after the other") {
+  CrashGuardSettings settings = SuccessiveLosses();
+  settings.successive_losses_to_block_briefly = 2;
+  constexpr std::chrono::milliseconds kRetryInterval{400};
+  constexpr int kMaxRetries = 3;  // Once three servers have crashed.
+  for (std::size_t nodes : {4, 12, 118}) {
+    std::vector<NodeName> names;
+    for (std::size_t i = 0; i < nodes; ++i) names.push_back("node-" + std::to_string(i));
+    for (std::uint64_t request = 1; request <= 50; ++request) {
+      ManualClock clock;
+      clock.Advance(minutes(1));
+      std::vector<std::unique_ptr<CrashGuard>> guards;
+      for (const NodeName& name : names) {
+        guards.push_back(std::make_unique<CrashGuard>(settings));
+        guards.back()->SetNodes(name, names);
+      }
+      std::uint64_t id = 0;
+      auto lose = [&](CrashGuard& guard, TimePoint sent, std::uint64_t server) {
+        guard.OnLoss("", request, {server, server, sent, clock.Now()});
+      };
+      TimePoint first = clock.Now();
+      clock.Advance(std::chrono::milliseconds(50));
+      for (std::uint64_t server : {1, 2}) lose(*guards[0], first, server);
+      clock.Advance(CrashRecord::kCommonCauseTime);
+      TimePoint second = clock.Now();
+      clock.Advance(std::chrono::milliseconds(50));
+      lose(*guards[0], second, 3);
+      for (auto& guard : guards)
+        guard->Merge(guards[0]->Records(1, clock.Now()).at(0), clock.Now());
+      // Every caller repeats the request at another node; a loss reaches the others before the next
+      // repeats.
+      int tries = 0;
+      for (int repeat = 0; repeat < 60; ++repeat) {
+        clock.Advance(kRetryInterval);
+        std::vector<CrashGuard*> tried;
+        for (std::size_t i = 0; i < 4; ++i) {
+          CrashGuard& guard = *guards[(i + static_cast<std::size_t>(repeat)) % nodes];
+          if (guard.Check("", request, clock.Now()) == CrashMode::kCanary) tried.push_back(&guard);
+        }
+        TimePoint sent = clock.Now();
+        clock.Advance(std::chrono::milliseconds(50));
+        for (CrashGuard* guard : tried) {
+          ++tries;
+          lose(*guard, sent, 100 + ++id);
+          guard->OnEnd("", request, clock.Now());
+          auto record = guard->RecordOf("", request);
+          for (auto& other : guards) other->Merge(*record, clock.Now());
+        }
+      }
+      CHECK(tries >= 1);  // A harmless request would be served again.
+      CHECK(tries <= kMaxRetries);
+    }
+  }
+}
+
 // Guards against a server that crashes again and again under one name, while the store that would
 // tell the incarnations apart is away.
 TEST_CASE("losses of one incarnation at different times block a request") {
