Check API keys of tenants and the age of the configuration that holds them

Cause: the configuration of new deployments names tenants with keys, which nothing checked, and a key that was withdrawn stayed in use on a node that is cut off or frozen.

--- a/include/damaskroute/http/header_field.h
+++ b/include/damaskroute/http/header_field.h
@@ -15,6 +15,9 @@
   std::string value;
 };
 
+/// Name of the header with a caller's credentials.
+inline constexpr char kAuthorizationHeader[] = "Authorization";
+
 /// Whether both are the same header name, ignoring case.
 inline bool SameHeaderName(std::string_view a, std::string_view b) {
   return absl::EqualsIgnoreCase(absl::string_view(a.data(), a.size()),
--- a/include/damaskroute/node/caller_request.h
+++ b/include/damaskroute/node/caller_request.h
@@ -35,6 +35,10 @@
 /// node sets itself.
 CallerRequest ReadCallerRequest(HttpRequest request, const ForwardProtocol& protocol);
 
+/// Removes the headers of `request` with API keys and the tenant's name, which a caller may not
+/// set, and returns the Authorization headers. To be called where tenants are configured.
+std::vector<HeaderField> TakeCredentials(HttpRequest& request, const ForwardProtocol& protocol);
+
 /// Whether a header is hop-by-hop (RFC 9110, section 7.6.1) or part of the message framing.
 bool IsConnectionHeader(std::string_view name);
 
--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -71,6 +71,9 @@
                [this](std::uint64_t era) {
                  state().OnStoreRestored();
                  node_key_.OnStoreEra(era);
+               },
+               [this] {
+                 if (relay_) relay_->OnCertain();
                }}),
         node_key_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
                   RenderNodeRecord({settings.zone, settings.changes, settings.peers}),
@@ -79,10 +82,12 @@
                        forward_server_.service().crash_guard(), Hash64(settings.node, /*seed=*/2)) {
     forward_server_.SetStoreView({.probe = [this](auto done) { feed_.Probe(std::move(done)); },
                                   .age = [this] { return feed_.age(); },
+                                  .configuration_age = [this] { return feed_.configuration_age(); },
                                   .followed = [this] { return Followed(); }});
     forward_server_.service().SetOnCrashRecords([this] { crash_records_.Update(); });
     if (settings.changes) {
       relay_.emplace(loop, *settings.changes, [this] { return feed_.age(); });
+      relay_->SetCertainUntil([this] { return feed_.changes_certain_until(); });
     }
   }
 
@@ -176,6 +181,9 @@
   void OnWritten(const StoreEntryKey& key, const StoreItem& item, bool after_outage) {
     auto store_entry = platform_.ParseStoreEntry(item);
     if (!store_entry.ok()) {
+      if (key.kind == StoreEntryKind::kRouting) {
+        return OnUnusableConfiguration(item, store_entry.status());
+      }
       LogUnusable(item, store_entry.status());
       // An entry that cannot be decoded counts as removed.
       if (key.kind == StoreEntryKind::kBackend) {
@@ -185,6 +193,8 @@
     }
     if (auto* document = std::get_if<RoutingDocument>(&*store_entry)) {
       forward_server_.InstallRoutes(std::move(*document));
+      feed_.SetConfigurationUsable(true);
+      feed_.SetConfigurationAgeLimited(state().routes()->keys().is_configured());
     } else if (auto* entry = std::get_if<BackendEntry>(&*store_entry)) {
       state().OnBackend(*entry);
     } else if (auto* closed = std::get_if<ClosedZone>(&*store_entry)) {
@@ -203,6 +213,18 @@
     }
   }
 
+  // The last usable configuration stays in effect. Its age grows from now on, as the newer one may
+  // have been meant to withdraw keys.
+  void OnUnusableConfiguration(const StoreItem& item, const absl::Status& error) {
+    feed_.SetConfigurationUsable(false);
+    if (std::exchange(unusable_revision_, item.revision) == item.revision) return;
+    LogLine(LogLevel::kError, "configuration not usable, the last one stays in effect")
+        .Field("key", item.key)
+        .Field("revision", item.revision)
+        .Field("version", state().routes_version())
+        .Field("error", ErrorText(error));
+  }
+
   static void LogUnusable(const StoreItem& item, const absl::Status& error) {
     LogLine(LogLevel::kWarning, "store item not usable")
         .Field("key", item.key)
@@ -211,6 +233,8 @@
   }
 
   void OnRemoved(const StoreEntryKey& key, bool after_outage) {
+    // There is no newer configuration than the last usable one.
+    if (key.kind == StoreEntryKind::kRouting) feed_.SetConfigurationUsable(true);
     if (key.kind == StoreEntryKind::kBackend) {
       state().OnBackendRemoved(key.name, after_outage);
     }
@@ -257,6 +281,7 @@
   const NodeName node_;
   const ZoneName zone_;
   std::map<NodeName, NodeRecord> node_records_;  // Nodes with a key in the store.
+  std::uint64_t unusable_revision_ = 0;          // Of the last configuration that was not usable.
   StoreFeed<typename Platform::StoreCodec> feed_;
   LeasedKey<typename Platform::StoreCodec> node_key_;
   CrashRecordStore<typename Platform::StoreCodec> crash_records_;
--- a/include/damaskroute/node/forward_server.h
+++ b/include/damaskroute/node/forward_server.h
@@ -52,7 +52,10 @@
   /// Handles the loss (`reached` is false) or recovery of the connection to the store.
   void OnStoreReached(bool reached);
 
-  void SetStoreView(StoreView view) { store_ = std::move(view); }
+  void SetStoreView(StoreView view) {
+    store_ = std::move(view);
+    service_.SetConfigurationAge(store_.configuration_age);
+  }
 
   ForwardService& service() { return service_; }
 
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -2,6 +2,7 @@
 #define DAMASKROUTE_NODE_FORWARD_SERVICE_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -82,6 +83,12 @@
   /// Sets a function that is called whenever a backend server could not be reached.
   void SetOnUnreachable(std::function<void()> hook) { on_unreachable_ = std::move(hook); }
 
+  /// Sets the function that returns the age of the configuration, nullopt if it is unknown; see
+  /// `ConfigurationAge`.
+  void SetConfigurationAge(std::function<std::optional<Duration>()> age) {
+    configuration_age_ = std::move(age);
+  }
+
   /// The routes and backend servers by which requests are served.
   ForwardingState& forwarding_state() { return forwarding_state_; }
   const ForwardingState& forwarding_state() const { return forwarding_state_; }
@@ -114,12 +121,19 @@
     bool peer = false;
     int max_attempts = 1;
     bool canary = false;
+    const Tenant* tenant = nullptr;  // Held by the routes in force; null if there is none.
+    bool outdated = false;           // Must not run here, as the configuration is too old.
   };
 
   static CrashGuardSettings MakeCrashGuardSettings();
 
   void Serve(CallerRequest request, std::shared_ptr<CallerPresence> presence, const Route& route,
              const Origin& origin, HttpResponder respond);
+  bool HasTenants() const;
+  std::vector<HeaderField> TakeCredentialsIfNeeded(HttpRequest& request) const;
+  bool IsConfigurationTooOld() const;
+  bool Authorize(CallerRequest& request, std::vector<HeaderField> credentials, const Route& route,
+                 Origin& origin, const HttpResponder& respond);
   bool RefuseIfBlocked(const Exchange& exchange);
   bool BeginGuarded(Exchange& exchange, bool as_canary);
   void TrackCrashes(Exchange& exchange, Backend& backend, const CallResult& result, TimePoint sent,
@@ -173,6 +187,7 @@
   std::set<std::shared_ptr<Exchange>> active_;
   ForwardMetrics metrics_;
   std::function<void()> on_unreachable_;
+  std::function<std::optional<Duration>()> configuration_age_;
   bool aborted_ = false;
   PeerSelector peer_selector_;
   PeerClients peer_clients_;
--- a/include/damaskroute/node/forward_service_options.h
+++ b/include/damaskroute/node/forward_service_options.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "damaskroute/forward/backend_table_options.h"
 
@@ -23,6 +24,8 @@
   std::size_t max_held_bytes = std::size_t{64} << 20;
   /// Retry-After in refusals while the node has no routes yet or is shutting down.
   std::chrono::milliseconds refusal_retry{300};
+  /// Requests with API keys do not run here while the configuration is older; absent for no limit.
+  std::optional<std::chrono::milliseconds> max_configuration_age;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/node/peer_request.h
+++ b/include/damaskroute/node/peer_request.h
@@ -14,9 +14,9 @@
 
 /// What a node states about a request that it passes to another node.
 struct PeerRequestInfo {
-  /// `RouteFingerprint` of the route that it found. The other node serves the request only on the
-  /// same route, so that a version of the routes that one of them does not have yet, or no longer
-  /// has, is not applied.
+  /// `RouteFingerprint` of the route that it found, or `KeyedRouteFingerprint`. The other node
+  /// serves the request only on the same route, so that a version of the routes that one of them
+  /// does not have yet, or no longer has, is not applied.
   std::uint64_t route = 0;
   /// Limit of the backend servers that may run it, per service.
   int attempts = 1;
@@ -36,6 +36,10 @@
 /// Hash of everything that decides how requests on the route are handled.
 std::uint64_t RouteFingerprint(const Route& route);
 
+/// The fingerprint for a request whose keys were checked, as tenants are configured. A node that
+/// does not check keys does not know it, so it does not run the request.
+std::uint64_t KeyedRouteFingerprint(const Route& route);
+
 /// Renders a request that is passed to another node; it ends at `deadline`.
 ExchangeRequest MakePeerRequest(const CallerRequest& request, const PeerRequestInfo& info,
                                 TimePoint deadline, TimePoint now, const ForwardProtocol& protocol);
--- a/include/damaskroute/node/store_view.h
+++ b/include/damaskroute/node/store_view.h
@@ -2,6 +2,7 @@
 #define DAMASKROUTE_NODE_STORE_VIEW_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "damaskroute/core/time.h"
@@ -15,6 +16,8 @@
   std::function<void(std::function<void(bool reached)> done)> probe;
   /// Time since the node's data was last confirmed by the store.
   std::function<Duration()> age;
+  /// Age of the configuration, nullopt if it is unknown; see `ConfigurationAge`.
+  std::function<std::optional<Duration>()> configuration_age;
   /// Describes what the node follows: "the store" or the address of another node.
   std::function<std::string()> followed;
 };
--- a/include/damaskroute/relay/change_relay.h
+++ b/include/damaskroute/relay/change_relay.h
@@ -15,16 +15,26 @@
 
 namespace damaskroute {
 
+/// Age of the configuration at the sender when the request arrived, in microseconds; negative if it
+/// became certain later. See `ConfigurationAge`.
+inline constexpr char kConfigurationAgeHeader[] = "Damask-Configuration-Age-Us";
+
 /// Serves the store's changes to the followers of this node, which read the changes through it
 /// instead of from the store. `GET /changes?era=ERA&after=REVISION&wait=MILLISECONDS` responds as
 /// soon as there are changes, else at the end of the wait, with a `RelayedPage`; 410 if the changes
-/// after that revision are unknown or the log is of another era. Used on its event loop only.
+/// after that revision are unknown or the log is of another era. With `&certain=1`, the response
+/// has `kConfigurationAgeHeader` if the age is known, and is also sent when `OnCertain` is called.
+/// Used on its event loop only.
 class ChangeRelay {
  public:
   /// `age` returns the time since the store last confirmed this node's data.
   ChangeRelay(asio::io_context& loop, const Endpoint& listen, std::function<Duration()> age);
   ~ChangeRelay();
 
+  /// Sets the function that returns the time since boot until which the changes are certain to be
+  /// complete, nullopt if it is unknown.
+  void SetCertainUntil(std::function<std::optional<Duration>()> certain_until);
+
   /// Opens the port. Returns Unavailable if it is in use.
   absl::Status Start();
 
@@ -35,6 +45,9 @@
   void OnAllRead(std::uint64_t revision, std::uint64_t era);
   void OnChanges(const StorePage& page);
 
+  /// The changes are certain to be complete until a later time than before.
+  void OnCertain();
+
  private:
   struct State;
 
--- a/include/damaskroute/routing/routing_document.h
+++ b/include/damaskroute/routing/routing_document.h
@@ -18,6 +18,7 @@
   std::vector<Route> routes;
   std::map<ServiceName, ServicePolicy> services;
   ClientLimits client_limits;
+  bool has_tenants = false;     ///< Whether requests need API keys, even if there are no tenants.
   std::vector<Tenant> tenants;  ///< Empty if requests need no API keys.
 };
 
--- a/include/damaskroute/store/feed_options.h
+++ b/include/damaskroute/store/feed_options.h
@@ -47,6 +47,14 @@
   /// For this long after an outage of the store, missing entries may merely have expired during the
   /// outage.
   std::chrono::milliseconds recovery_window{1000};
+  /// Age of the configuration (see `ConfigurationAge`) that is not to be reached while API keys are
+  /// in use; 0 for no limit.
+  std::chrono::milliseconds max_configuration_age{0};
+  /// Part of that age that is reserved for a call to a slow store, which answers in about 240 ms,
+  /// and for the delays of the event loop.
+  std::chrono::milliseconds slow_call{0};
+  /// Part of that age that is reserved for one call that gets no response.
+  std::chrono::milliseconds lost_call{0};
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/store/feed_schedule.h
+++ b/include/damaskroute/store/feed_schedule.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "damaskroute/core/random.h"
@@ -58,6 +59,10 @@
   void SetEager(bool eager) { eager_ = eager; }
   bool is_eager() const { return eager_; }
 
+  /// Sets when the configuration reaches its maximum age: the next call has to end before, so waits
+  /// and pauses are shortened. Absent if the age has no limit now.
+  void SetRefreshBy(std::optional<TimePoint> refresh_by) { refresh_by_ = refresh_by; }
+
   /// The store no longer has the changes that follow the known revision.
   void OnHistoryLost(TimePoint now);
 
@@ -71,8 +76,9 @@
   /// Sets the number of nodes that may be followed instead of the store; 0 to follow the store.
   void SetRelays(std::size_t relay_count);
 
-  /// A followed node returned its changes, which the store confirmed `age` ago.
-  void OnRelayChanges(std::uint64_t as_of, Duration age, TimePoint now);
+  /// A followed node returned its changes, which the store confirmed `age` ago. `is_certain`: the
+  /// age of its configuration is known and low enough; otherwise the next node is followed.
+  void OnRelayChanges(std::uint64_t as_of, Duration age, TimePoint now, bool is_certain = true);
 
   /// A followed node did not respond, or its data is too old: the next one is followed.
   void OnRelayFailure(TimePoint now);
@@ -103,6 +109,9 @@
  private:
   void OnSuccess(TimePoint now);
   TimePoint PauseUntil() const;
+  std::chrono::milliseconds LimitWait(std::chrono::milliseconds wait, Duration reserve,
+                                      TimePoint now) const;
+  bool IsRefreshDue(TimePoint now) const;
   bool ShouldFollow(TimePoint now) const;
   TimePoint StaleAt() const { return confirmed_at_ + options_.max_relay_age; }
 
@@ -128,6 +137,8 @@
   TimePoint direct_until_;
   bool direct_once_ = false;
   TimePoint confirmed_at_;
+  std::optional<TimePoint> refresh_by_;
+  TimePoint directives_at_;  // When the directives were last read alone.
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/store/store_feed.h
+++ b/include/damaskroute/store/store_feed.h
@@ -2,6 +2,7 @@
 #define DAMASKROUTE_STORE_STORE_FEED_H_
 
 #include <algorithm>
+#include <chrono>
 #include <concepts>
 #include <cstdint>
 #include <functional>
@@ -9,16 +10,20 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
+#include "absl/strings/numbers.h"
 #include "damaskroute/core/asio.h"
 #include "damaskroute/core/boot_clock.h"
 #include "damaskroute/core/error_text.h"
 #include "damaskroute/http/backend_client.h"
+#include "damaskroute/keys/configuration_age.h"
 #include "damaskroute/log/log_line.h"
+#include "damaskroute/relay/change_relay.h"
 #include "damaskroute/relay/relayed_page.h"
 #include "damaskroute/store/feed_schedule.h"
 #include "damaskroute/store/store_page.h"
@@ -66,6 +71,9 @@
   std::function<void(std::uint64_t revision, std::uint64_t era)> on_resync;
   /// The store was restored from an older copy, which began an era. All items are read afterwards.
   std::function<void(std::uint64_t era)> on_restored;
+  /// The delivered changes may be certain to be complete until a later time. Called after
+  /// `on_changes`; may be empty.
+  std::function<void()> on_certain;
 };
 
 /// Follows a store on an event loop: executes the steps of `FeedSchedule`. The changes that it
@@ -78,6 +86,7 @@
       : loop_(loop),
         store_(store),
         codec_(std::move(codec)),
+        options_(options),
         schedule_(options, seed),
         hooks_(std::move(hooks)),
         client_(loop, store, kConnections, ClientOptions(options)),
@@ -88,6 +97,28 @@
 
   void Start() { Step(); }
 
+  /// Whether the newest configuration in the items is usable; see `ConfigurationAge`.
+  void SetConfigurationUsable(bool usable) {
+    changes_age_.SetUsable(usable);
+    directives_age_.SetUsable(usable);
+  }
+
+  /// Whether the age of the configuration has to stay below `FeedOptions::max_configuration_age`.
+  void SetConfigurationAgeLimited(bool limited) { age_limited_ = limited; }
+
+  /// Age of the configuration; nullopt if it is unknown. See `ConfigurationAge`.
+  std::optional<Duration> configuration_age() const {
+    Duration now = TimeSinceBoot();
+    auto by_changes = changes_age_.At(now);
+    auto by_directives = directives_age_.At(now);
+    if (!by_changes || !by_directives) return by_changes ? by_changes : by_directives;
+    return std::min(*by_changes, *by_directives);
+  }
+
+  /// Time since boot until which the changes delivered to `on_changes` are certain to be complete;
+  /// nullopt if it is unknown.
+  std::optional<Duration> changes_certain_until() const { return changes_age_.certain_until(); }
+
   /// Sets the nodes to follow instead of the store, in the order in which they are tried; empty to
   /// follow the store. A call in progress continues.
   void SetRelays(std::vector<Endpoint> relays) {
@@ -123,9 +154,18 @@
     std::chrono::milliseconds wait{};
     std::chrono::milliseconds timeout{};
     TimePoint sent;
+    Duration sent_since_boot{};
     bool connected = false;  // Whether it opened a connection.
   };
 
+  // A request to a followed node.
+  struct FollowCall {
+    std::uint64_t after_revision = 0;
+    TimePoint sent;
+    Duration sent_since_boot{};
+    bool needs_recent = false;  // Asks for the age of the configuration.
+  };
+
   static constexpr int kConnections = 2;
 
   // Opening a connection takes one round trip, 2 to 10 ms between zones.
@@ -146,9 +186,24 @@
     return client;
   }
 
+  // A longer age, which no node states, would overflow.
+  static constexpr std::chrono::microseconds kMaxStatedAge = std::chrono::hours(24 * 365);
+
   static TimePoint Now() { return SteadyClock().Now(); }
 
+  // Whether a response has to prove that the configuration is recent.
+  bool NeedsRecentConfiguration() const {
+    return age_limited_ && options_.max_configuration_age.count() > 0 && changes_age_.is_usable();
+  }
+
+  std::optional<TimePoint> RefreshBy() const {
+    if (!NeedsRecentConfiguration()) return std::nullopt;
+    auto age = configuration_age();
+    return age ? Now() + options_.max_configuration_age - *age : TimePoint();
+  }
+
   void Step() {
+    schedule_.SetRefreshBy(RefreshBy());
     FeedStep step = schedule_.Next(Now());
     if (step.kind == FeedStepKind::kPause) {
       timer_.expires_at(step.until);
@@ -173,16 +228,19 @@
     if (!client) {
       BackendClientOptions options;
       options.connect_timeout = kProbeTimeout;
+      options.keep_headers = options_.max_configuration_age.count() > 0;
       client = std::make_unique<BackendClient>(loop_, relay, /*max_connections=*/1, options);
     }
     ExchangeRequest request;
+    bool needs_recent = NeedsRecentConfiguration();
     request.bytes =
-        fmt::format("GET /changes?era={}&after={}&wait={} HTTP/1.1\r\nHost: {}\r\n\r\n",
-                    schedule_.era(), step.after_revision, step.wait.count(), FormatEndpoint(relay));
+        fmt::format("GET /changes?era={}&after={}&wait={}{} HTTP/1.1\r\nHost: {}\r\n\r\n",
+                    schedule_.era(), step.after_revision, step.wait.count(),
+                    needs_recent ? "&certain=1" : "", FormatEndpoint(relay));
     request.time_left = step.timeout;
-    client->Start(std::move(request), [this, relay, after = step.after_revision,
-                                       sent = Now()](const ExchangeResult& result) {
-      OnRelayChanges(relay, after, sent, result);
+    follow_ = {step.after_revision, Now(), TimeSinceBoot(), needs_recent};
+    client->Start(std::move(request), [this, relay](const ExchangeResult& result) {
+      OnRelayChanges(relay, follow_, result);
       Step();
     });
   }
@@ -195,8 +253,27 @@
     for (auto& [relay, client] : relay_clients_) client->CloseIdleConnections();
   }
 
-  void OnRelayChanges(const Endpoint& relay, std::uint64_t after_revision, TimePoint sent,
-                      const ExchangeResult& result) {
+  // Age of the followed node's configuration when the request reached it; nullopt if it states
+  // none, as nodes of earlier versions.
+  static std::optional<Duration> StatedAge(const ExchangeResult& result) {
+    std::string_view text = HeaderValue(result.headers, kConfigurationAgeHeader);
+    std::int64_t number = 0;
+    if (!absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &number)) {
+      return std::nullopt;
+    }
+    std::chrono::microseconds age(number);
+    if (age < -kMaxStatedAge || age > kMaxStatedAge) return std::nullopt;
+    return age;
+  }
+
+  // Whether the configuration of a followed node is recent enough to follow the node further.
+  bool IsRecentEnough(const FollowCall& call, std::optional<Duration> stated) const {
+    if (!call.needs_recent) return true;
+    return stated && TimeSinceBoot() - call.sent_since_boot + *stated <=
+                         options_.max_configuration_age - options_.slow_call;
+  }
+
+  void OnRelayChanges(const Endpoint& relay, const FollowCall& call, const ExchangeResult& result) {
     CloseIdleConnectionsIfUnanswered(result);
     TimePoint now = Now();
     constexpr int kOk = 200;
@@ -213,10 +290,11 @@
     }
     if (relayed->page.era != schedule_.era()) return schedule_.OnRelayHistoryLost();
     bool after_outage = relayed->page.after_outage || schedule_.is_recovering(now);
-    Duration age = AgeOnArrival(*relayed, sent, now);
+    Duration age = AgeOnArrival(*relayed, call.sent, now);
+    std::optional<Duration> stated = StatedAge(result);
     confirmed_at_ = std::max(confirmed_at_, TimeSinceBoot() - age);
     bool was_lost = schedule_.in_outage();
-    schedule_.OnRelayChanges(relayed->page.as_of, age, now);
+    schedule_.OnRelayChanges(relayed->page.as_of, age, now, IsRecentEnough(call, stated));
     if (was_lost && !schedule_.in_outage()) {
       LogLine(LogLevel::kInfo, "store reached again through a followed node")
           .Field("as_of", relayed->page.as_of);
@@ -225,11 +303,13 @@
     if (!relayed->page.items.empty()) {
       LogLine(LogLevel::kInfo, "changes read from a followed node")
           .Field("node", FormatEndpoint(relay))
-          .Field("after", after_revision)
+          .Field("after", call.after_revision)
           .Field("as_of", relayed->page.as_of);
     }
     DeliverChanges(relayed->page, after_outage, "follow");
+    if (stated) changes_age_.OnFollowedNode(call.sent_since_boot, *stated, TimeSinceBoot());
     hooks_.on_changes(relayed->page);
+    if (hooks_.on_certain) hooks_.on_certain();
   }
 
   // Whether `item` is a directive that is not newer than the last read of all directives.
@@ -279,7 +359,14 @@
     request.bytes = Render(step);
     request.time_left = step.timeout;
     if (step.kind == FeedStepKind::kRead && step.after_key.empty()) keys_.clear();
-    call_ = {.kind = step.kind, .wait = step.wait, .timeout = step.timeout, .sent = Now()};
+    call_ = {.kind = step.kind,
+             .wait = step.wait,
+             .timeout = step.timeout,
+             .sent = Now(),
+             .sent_since_boot = TimeSinceBoot()};
+    if (step.kind == FeedStepKind::kRead && step.after_key.empty()) {
+      read_began_ = call_.sent_since_boot;
+    }
     std::uint64_t connects = client_.connect_count();
     client_.Start(std::move(request), [this](const ExchangeResult& result) {
       OnStoreResponse(result);
@@ -339,7 +426,14 @@
     schedule_.OnChanges(batch, page.as_of, now);
     if (!schedule_.is_behind()) confirmed_at_ = TimeSinceBoot();
     DeliverChanges(page, after_outage, CallName(FeedStepKind::kWatch));
+    // A page that is not the last one does not show the current configuration.
+    if (!schedule_.is_behind() && page.items.empty()) {
+      changes_age_.OnNoChanges(call_.sent_since_boot, call_.wait, TimeSinceBoot());
+    } else if (!schedule_.is_behind()) {
+      changes_age_.OnChanges(call_.sent_since_boot);
+    }
     hooks_.on_changes(page);
+    if (hooks_.on_certain) hooks_.on_certain();
   }
 
   void OnPage(StorePage& page, bool after_outage, TimePoint now) {
@@ -350,6 +444,8 @@
     Deliver(page, after_outage, CallName(FeedStepKind::kRead));
     if (page.has_more) return;
     hooks_.on_full_read(keys_, after_outage);
+    // The pages after the first one are newer, and the changes are watched from the first one on.
+    changes_age_.OnChanges(read_began_);
     hooks_.on_resync(schedule_.revision(), schedule_.era());
   }
 
@@ -362,6 +458,7 @@
     std::vector<std::string> keys;
     for (const StoreItem& item : page.items) keys.push_back(item.key);
     hooks_.on_directives_read(keys);
+    directives_age_.OnChanges(call_.sent_since_boot);
   }
 
   void OnFailure(const absl::Status& error, TimePoint now) {
@@ -391,10 +488,12 @@
   asio::io_context& loop_;
   const Endpoint store_;
   const Codec codec_;
+  const FeedOptions options_;
   FeedSchedule schedule_;
   const StoreFeedHooks hooks_;
   BackendClient client_;
-  StoreCall call_;  // In progress, or the last one.
+  StoreCall call_;     // In progress, or the last one.
+  FollowCall follow_;  // The same, to a followed node.
   BackendClient probe_client_;
   asio::steady_timer timer_;
   std::vector<std::string> keys_;
@@ -402,6 +501,10 @@
   std::map<Endpoint, std::unique_ptr<BackendClient>> relay_clients_;
   Duration confirmed_at_ = TimeSinceBoot();  // Time of the confirmation, since boot.
   std::uint64_t directives_as_of_ = 0;       // Revision at which the directives were read.
+  Duration read_began_{};                    // When the first page of a read was requested.
+  bool age_limited_ = false;
+  ConfigurationAge changes_age_;     // Of the changes that `on_changes` delivers.
+  ConfigurationAge directives_age_;  // Of the directives that were read ahead of changes.
 };
 
 }  // namespace damaskroute
--- a/src/node/caller_request.cc
+++ b/src/node/caller_request.cc
@@ -49,6 +49,16 @@
                      [name](std::string_view known) { return SameHeaderName(name, known); });
 }
 
+std::vector<HeaderField> TakeCredentials(HttpRequest& request, const ForwardProtocol& protocol) {
+  std::vector<HeaderField> credentials;
+  std::erase_if(request.headers, [&](HeaderField& field) {
+    bool is_credential = SameHeaderName(field.name, kAuthorizationHeader);
+    if (is_credential) credentials.push_back(std::move(field));
+    return is_credential || SameHeaderName(field.name, protocol.tenant);
+  });
+  return credentials;
+}
+
 CallerRequest ReadCallerRequest(HttpRequest request, const ForwardProtocol& protocol) {
   CallerRequest result;
   result.id = HeaderValue(request.headers, protocol.request_id);
--- a/src/node/forward_exchange.h
+++ b/src/node/forward_exchange.h
@@ -12,6 +12,9 @@
 
 namespace damaskroute {
 
+/// Why a request with an API key does not run on this node.
+inline constexpr char kOutdatedReason[] = "the node cannot rule out that the API key was withdrawn";
+
 /// One caller's request with its connections.
 struct ForwardService::Exchange {
   Exchange(asio::io_context& loop, ForwardSpec spec, ForwardContext context)
@@ -29,7 +32,9 @@
   std::unordered_map<std::uint32_t, CallInProgress> calls;
   asio::steady_timer timer;
   std::vector<std::pair<BackendName, Duration>> cancelled;  // With call ages, for the log.
-  std::string failures;  // Failed calls and their reasons, for the log.
+  std::string failures;            // Failed calls and their reasons, for the log.
+  const Tenant* tenant = nullptr;  // Held by `routes`; null if there is none.
+  bool outdated = false;           // Must not run here, as the configuration is too old.
   bool from_peer = false;
   bool canary = false;            // Runs as a canary; see `CrashGuard`.
   bool server_survived = false;   // A server answered without an error.
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -24,6 +24,23 @@
 // watch in about 240 ms.
 constexpr milliseconds kMinContactBound{1000};
 
+// The clocks of two machines and the timers of the store may differ by this much in total.
+constexpr milliseconds kClockMargin{100};
+
+// Time between the age at which the feed aims and the greatest age at which requests run. It covers
+// requests that wait for the event loop.
+constexpr milliseconds kAgeMargin{100};
+
+// A slow store answers in about 240 ms, of which two calls are reserved.
+constexpr milliseconds kSlowCall{500};
+
+// The feed does not aim at a lower age, whatever the limit is, as this would need a call to the
+// store several times a second.
+constexpr milliseconds kMinConfigurationAge{500};
+
+// Largest fraction of the configuration's maximum age that is reserved for one kind of call.
+constexpr double kMaxReservedFraction = 0.25;
+
 // A slow store needs about a second to return all items.
 constexpr milliseconds kMinReadTimeout{1000};
 
@@ -102,6 +119,24 @@
 
 }  // namespace
 
+namespace {
+
+void LimitConfigurationAge(milliseconds revocation_bound, FeedOptions& options) {
+  options.max_configuration_age =
+      std::max(revocation_bound - kClockMargin - kAgeMargin, kMinConfigurationAge);
+  milliseconds longest = Scaled(options.max_configuration_age, kMaxReservedFraction);
+  options.slow_call = std::min(kSlowCall, longest);
+  options.lost_call = std::min(options.watch_slack + options.initial_backoff, longest);
+}
+
+// Absent without a limit.
+std::optional<milliseconds> MaxConfigurationAge(const ForwardNodeSettings& settings) {
+  if (!settings.revocation_bound) return std::nullopt;
+  return *settings.revocation_bound - kClockMargin;
+}
+
+}  // namespace
+
 FeedOptions MakeFeedOptions(const ForwardNodeSettings& settings) {
   FeedOptions options;
   auto bound = std::min({settings.config_bound, settings.drain_bound, settings.evacuate_bound});
@@ -122,6 +157,7 @@
   // limit.
   milliseconds longest = bound - recovery_time;
   options.max_relay_age = std::min(limit, longest);
+  if (settings.revocation_bound) LimitConfigurationAge(*settings.revocation_bound, options);
   return options;
 }
 
@@ -134,7 +170,8 @@
                              .cold_overshoot = settings.cold_overshoot,
                              .cold_slack = settings.cold_slack,
                              .entry_bound = settings.drain_bound},
-                .seed = seed},
+                .seed = seed,
+                .max_configuration_age = MaxConfigurationAge(settings)},
                protocol),
       callers_({&loop}, CallerOptions(settings),
                [this](HttpRequest request, HttpResponder respond) {
@@ -284,6 +321,12 @@
   page.Sample("", static_cast<double>(service_.crash_guard().blocked(SteadyClock().Now())));
   page.Family("damaskroute_forward_routes_version", "gauge", "Version of the routes in force.");
   page.Sample("", static_cast<double>(service_.forwarding_state().routes_version()));
+  if (settings_.revocation_bound) {
+    auto age = store_.configuration_age();
+    page.Family("damaskroute_forward_configuration_age_seconds", "gauge",
+                "Age of the configuration at the store; -1 if it is unknown.");
+    page.Sample("", age ? std::chrono::duration<double>(*age).count() : -1);
+  }
   page.Family("damaskroute_forward_connects_total", "counter", "Connections opened to servers.");
   page.Sample("", static_cast<double>(service_.forwarding_state().pool().connect_count()));
   HttpResponse response;
@@ -309,6 +352,11 @@
   WriteText(writer, "followed", store_.followed());
   WriteInteger(writer, "store_confirmed_ms",
                std::chrono::duration_cast<milliseconds>(store_.age()).count());
+  if (settings_.revocation_bound) {
+    auto age = store_.configuration_age();
+    WriteInteger(writer, "configuration_age_ms",
+                 age ? std::chrono::duration_cast<milliseconds>(*age).count() : -1);
+  }
   WriteInteger(writer, "nodes", nodes_);
   WriteInteger(writer, "active_requests", static_cast<std::int64_t>(service_.active()));
   WriteInteger(writer, "routes_version",
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -67,6 +67,11 @@
 constexpr std::chrono::milliseconds kMinRetryAfter{50};
 constexpr std::chrono::milliseconds kMaxRetryAfter{1000};
 
+const char* RefusalOutcome(int status) {
+  if (status == 401) return "unauthorized";
+  return status == 404 ? "not_found" : "turned_away";
+}
+
 const char* OutcomeName(const ForwardAnswer& answer) {
   switch (answer.kind) {
     case AnswerKind::kPassedOn:
@@ -105,6 +110,7 @@
 
 void ForwardService::Handle(HttpRequest http_request, HttpResponder respond) {
   auto presence = http_request.presence;
+  auto credentials = TakeCredentialsIfNeeded(http_request);
   CallerRequest request = ReadCallerRequest(std::move(http_request), protocol_);
   const auto& routes = forwarding_state_.routes();
   if (!routes) {
@@ -112,8 +118,9 @@
   }
   const Route* route = routes->Find(request.host, request.target);
   if (route == nullptr) return RefuseWith(request, 404, "no route matches", respond, {});
-  Serve(std::move(request), std::move(presence), *route,
-        {.peer = false, .max_attempts = route->max_attempts}, std::move(respond));
+  Origin origin{.peer = false, .max_attempts = route->max_attempts};
+  if (!Authorize(request, std::move(credentials), *route, origin, respond)) return;
+  Serve(std::move(request), std::move(presence), *route, origin, std::move(respond));
 }
 
 void ForwardService::Serve(CallerRequest request, std::shared_ptr<CallerPresence> presence,
@@ -133,14 +140,21 @@
   exchange->routes = forwarding_state_.routes();
   exchange->routes_since = forwarding_state_.routes_since();
   exchange->route = &route;
+  exchange->tenant = origin.tenant;
+  exchange->outdated = origin.outdated;
   exchange->from_peer = origin.peer;
   if (RefuseIfBlocked(*exchange)) return;
   bool lacks_servers = LacksServers(exchange->run.spec());
-  if (lacks_servers && exchange->from_peer) {
-    return RefuseToPeer(exchange->request, "too few backend servers are reached", route.name,
-                        exchange->respond);
+  if ((lacks_servers || exchange->outdated) && exchange->from_peer) {
+    return RefuseToPeer(exchange->request,
+                        lacks_servers ? "too few backend servers are reached" : kOutdatedReason,
+                        route.name, exchange->respond);
+  }
+  bool at_peer = (lacks_servers || exchange->outdated) && PassToPeer(exchange, {});
+  if (exchange->outdated && !at_peer) {
+    return RefuseWith(exchange->request, 503, kOutdatedReason, exchange->respond,
+                      RandomRetryAfter(deadline - exchange->request.received));
   }
-  bool at_peer = lacks_servers && PassToPeer(exchange, {});
   if (!at_peer && !BeginGuarded(*exchange, origin.canary)) return;
   if (!at_peer && !AdmitQuery(*exchange)) {
     ReportLosses(*exchange);
@@ -179,12 +193,15 @@
   return std::clamp(time, kMinRetryAfter, kMaxRetryAfter);
 }
 
-// Queries over the same shards share a limit, under which the most urgent route has priority.
+// Queries over the same shards share a limit, under which the most urgent requests have priority:
+// by their tenant's priority, or else their route's.
 bool ForwardService::AdmitQuery(Exchange& exchange) {
   const Route& route = *exchange.route;
   if (route.shards.empty()) return true;
   const QueryPlan& plan = exchange.routes->Plan(route);
-  return exchange.ticket.TryAdmit(limits_[plan.shard_set], plan.urgent, exchange.run, Now());
+  return exchange.ticket.TryAdmit(limits_[plan.shard_set],
+                                  exchange.routes->IsUrgent(route, exchange.tenant), exchange.run,
+                                  Now());
 }
 
 void ForwardService::Refuse(HttpRequest request, const char* reason, const HttpResponder& respond) {
@@ -195,7 +212,7 @@
 void ForwardService::RefuseWith(const CallerRequest& request, int status, const char* reason,
                                 const HttpResponder& respond,
                                 std::chrono::milliseconds retry_after) {
-  ++metrics_.answers[status == 404 ? "not_found" : "turned_away"];
+  ++metrics_.answers[RefusalOutcome(status)];
   LogLine(LogLevel::kInfo, "request refused")
       .Field("request", request.id)
       .Field("host", request.host)
--- a/src/node/forward_service_peers.cc
+++ b/src/node/forward_service_peers.cc
@@ -50,15 +50,19 @@
 
 void ForwardService::HandleFromPeer(HttpRequest http_request, HttpResponder respond) {
   auto presence = http_request.presence;
+  auto credentials = TakeCredentialsIfNeeded(http_request);
   CallerRequest request = ReadCallerRequest(std::move(http_request), protocol_);
   auto info = TakePeerRequestInfo(request);
   const auto& routes = forwarding_state_.routes();
   const Route* route = routes ? routes->Find(request.host, request.target) : nullptr;
-  if (!info || route == nullptr || RouteFingerprint(*route) != info->route) {
-    return RefuseToPeer(request, "the route differs here", {}, respond);
-  }
-  Serve(std::move(request), std::move(presence), *route,
-        {.peer = true, .max_attempts = info->attempts, .canary = info->canary}, std::move(respond));
+  // A node that has no tenants, or is of an earlier version, sends the fingerprint without keys.
+  bool is_same_route = info && route != nullptr &&
+                       (info->route == RouteFingerprint(*route) ||
+                        (HasTenants() && info->route == KeyedRouteFingerprint(*route)));
+  if (!is_same_route) return RefuseToPeer(request, "the route differs here", {}, respond);
+  Origin origin{.peer = true, .max_attempts = info->attempts, .canary = info->canary};
+  if (!Authorize(request, std::move(credentials), *route, origin, respond)) return;
+  Serve(std::move(request), std::move(presence), *route, origin, std::move(respond));
 }
 
 void ForwardService::RefuseFromPeer(HttpRequest request, const HttpResponder& respond) {
@@ -113,7 +117,10 @@
   auto client = peer_clients_.ClientFor(peer->endpoint);
   auto spent = now - exchange->request.received +
                CallerNetworkDelay(exchange->request.connection, exchange->route->objective);
-  PeerRequestInfo info{RouteFingerprint(*exchange->route), exchange->run.attempts_left(),
+  const Route& found = *exchange->route;
+  bool keyed = exchange->routes->keys().is_configured();
+  PeerRequestInfo info{keyed ? KeyedRouteFingerprint(found) : RouteFingerprint(found),
+                       exchange->run.attempts_left(),
                        std::chrono::duration_cast<std::chrono::microseconds>(spent),
                        request_guard_.IsSuspect(exchange->keys, now)};
   exchange->peers.push_back(*peer);
@@ -150,7 +157,8 @@
   } else if (not_run) {
     name = "refused";
     response = MakeForwardRefusal(
-        request, 503, "no node reaches enough backend servers",
+        request, 503,
+        exchange->outdated ? kOutdatedReason : "no node reaches enough backend servers",
         RandomRetryAfter(exchange->run.spec().deadline - request.received), protocol_);
   } else {
     bool timed_out = result.end == ExchangeEnd::kTimedOut;
@@ -158,7 +166,10 @@
     response = MakeForwardRefusal(request, timed_out ? 504 : 502, "another node did not answer", {},
                                   protocol_);
   }
-  if (exchange->run.may_have_run() && PromisesNotRun(response.status)) {
+  // Status 401 is that of another node unless a server signed it.
+  bool is_unauthorized = exchange->routes->keys().is_configured() && response.status == 401 &&
+                         FindHeader(response.headers, protocol_.server_stamp) == nullptr;
+  if (exchange->run.may_have_run() && (PromisesNotRun(response.status) || is_unauthorized)) {
     name = "failed";
     response = MakeForwardRefusal(request, 502, "no other node serves it, and it may have run here",
                                   {}, protocol_);
--- a/src/node/peer_request.cc
+++ b/src/node/peer_request.cc
@@ -43,9 +43,15 @@
     hash = Hash64(target.service, hash ^ std::bit_cast<std::uint64_t>(target.weight));
   }
   for (const ServiceName& shard : route.shards) hash = Hash64(shard, hash);
+  // Nodes of earlier versions do not know public routes, and must get the same hash for others.
+  if (route.is_public) hash = Hash64("public", hash);
   return hash;
 }
 
+std::uint64_t KeyedRouteFingerprint(const Route& route) {
+  return Hash64("keys", RouteFingerprint(route));
+}
+
 ExchangeRequest MakePeerRequest(const CallerRequest& request, const PeerRequestInfo& info,
                                 TimePoint deadline, TimePoint now,
                                 const ForwardProtocol& protocol) {
@@ -62,8 +68,11 @@
   if (request.caller_timeout) {
     append(protocol.deadline_ms, std::to_string(request.caller_timeout->count()));
   }
+  // The other node finds the tenant by the key.
+  if (!request.authorization.empty()) append(kAuthorizationHeader, request.authorization);
   for (const HeaderField& field : request.headers) {
-    if (!IsPeerHeader(field.name)) append(field.name, field.value);
+    bool is_tenant = !request.tenant.empty() && SameHeaderName(field.name, protocol.tenant);
+    if (!is_tenant && !IsPeerHeader(field.name)) append(field.name, field.value);
   }
   if (request.has_body || !request.body.empty()) {
     append("Content-Length", std::to_string(request.body.size()));
--- a/src/relay/change_relay.cc
+++ b/src/relay/change_relay.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/strings/numbers.h"
+#include "damaskroute/core/boot_clock.h"
 #include "damaskroute/relay/change_log.h"
 #include "damaskroute/relay/relayed_page.h"
 
@@ -59,15 +60,22 @@
     std::uint64_t after = 0;
   };
 
+  // When a request arrived, in both clocks.
+  struct Arrival {
+    TimePoint at;
+    std::optional<Duration> since_boot;  // If the follower asks for the age of the configuration.
+  };
+
   struct Waiting {
     Position position;
-    TimePoint since;
+    Arrival arrival;
     HttpResponder respond;
     asio::steady_timer timer;
   };
 
   void Handle(const HttpRequest& request, HttpResponder respond);
-  void Respond(const Position& position, TimePoint since, const HttpResponder& respond) const;
+  void Respond(const Position& position, const Arrival& arrival,
+               const HttpResponder& respond) const;
   std::optional<StorePage> Find(const Position& position) const;
 
   // Removes all waiting requests and runs `answer` on each.
@@ -79,8 +87,23 @@
     }
   }
 
+  // Responds to the followers that ask for the age of the configuration.
+  void RespondWithAge() {
+    for (auto it = waiting.begin(); it != waiting.end();) {
+      auto call = *it;
+      if (!call->arrival.since_boot) {
+        ++it;
+        continue;
+      }
+      it = waiting.erase(it);
+      call->timer.cancel();
+      Respond(call->position, call->arrival, call->respond);
+    }
+  }
+
   asio::io_context& loop;
   std::function<Duration()> age;
+  std::function<std::optional<Duration>()> certain_until;
   std::weak_ptr<State> self;
   ChangeLog log;
   std::set<std::shared_ptr<Waiting>> waiting;
@@ -95,17 +118,18 @@
   }
   Position position{*era, *after};
   auto page = Find(position);
-  TimePoint since = SteadyClock().Now();
-  if (!page || !page->items.empty() || *wait == 0) return Respond(position, since, respond);
+  Arrival arrival{SteadyClock().Now(), std::nullopt};
+  if (NumericParameter(request.target, "certain") == 1) arrival.since_boot = TimeSinceBoot();
+  if (!page || !page->items.empty() || *wait == 0) return Respond(position, arrival, respond);
   auto call = std::make_shared<Waiting>(
-      Waiting{position, since, std::move(respond), asio::steady_timer(loop)});
+      Waiting{position, arrival, std::move(respond), asio::steady_timer(loop)});
   waiting.insert(call);
   auto longest = static_cast<std::uint64_t>(kMaxWait.count());
   call->timer.expires_after(milliseconds(std::min(*wait, longest)));
   call->timer.async_wait([weak = self, call](const boost::system::error_code&) {
     auto state = weak.lock();
     if (state && state->waiting.erase(call) > 0) {
-      state->Respond(call->position, call->since, call->respond);
+      state->Respond(call->position, call->arrival, call->respond);
     }
   });
 }
@@ -114,22 +138,28 @@
   return position.era == log.era() ? log.After(position.after) : std::nullopt;
 }
 
-void ChangeRelay::State::Respond(const Position& position, TimePoint since,
+void ChangeRelay::State::Respond(const Position& position, const Arrival& arrival,
                                  const HttpResponder& respond) const {
   auto page = Find(position);
   if (!page) return respond(Failure(410));
   HttpResponse response;
   response.content_type = "application/octet-stream";
   using std::chrono::microseconds;
-  response.body =
-      EncodeRelayedPage({*std::move(page), std::chrono::duration_cast<microseconds>(age()),
-                         std::chrono::duration_cast<microseconds>(SteadyClock().Now() - since)});
+  response.body = EncodeRelayedPage(
+      {*std::move(page), std::chrono::duration_cast<microseconds>(age()),
+       std::chrono::duration_cast<microseconds>(SteadyClock().Now() - arrival.at)});
+  // Relative to the arrival, so that no time passes unnoticed between reading a clock and sending.
+  auto until = certain_until ? certain_until() : std::nullopt;
+  if (arrival.since_boot && until) {
+    auto age_on_arrival = std::chrono::ceil<microseconds>(*arrival.since_boot - *until);
+    response.headers.push_back({kConfigurationAgeHeader, std::to_string(age_on_arrival.count())});
+  }
   respond(std::move(response));
 }
 
 ChangeRelay::ChangeRelay(asio::io_context& loop, const Endpoint& listen,
                          std::function<Duration()> age)
-    : state_(std::make_shared<State>(State{loop, std::move(age), {}, {}, {}})) {
+    : state_(std::make_shared<State>(State{loop, std::move(age), {}, {}, {}, {}})) {
   state_->self = state_;
   server_.emplace(std::vector<asio::io_context*>{&loop}, RelayOptions(listen),
                   [weak = state_->self](const HttpRequest& request, HttpResponder respond) {
@@ -139,6 +169,10 @@
 
 ChangeRelay::~ChangeRelay() = default;
 
+void ChangeRelay::SetCertainUntil(std::function<std::optional<Duration>()> certain_until) {
+  state_->certain_until = std::move(certain_until);
+}
+
 absl::Status ChangeRelay::Start() { return server_->Start(); }
 
 void ChangeRelay::Stop() {
@@ -156,9 +190,11 @@
   if (!page.items.empty()) AnswerAll();
 }
 
+void ChangeRelay::OnCertain() { state_->RespondWithAge(); }
+
 void ChangeRelay::AnswerAll() {
   state_->RemoveAll(
-      [this](const auto& call) { state_->Respond(call.position, call.since, call.respond); });
+      [this](const auto& call) { state_->Respond(call.position, call.arrival, call.respond); });
 }
 
 }  // namespace damaskroute
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -21,7 +22,9 @@
 
 }  // namespace
 
-RouteTable::RouteTable(RoutingDocument document) : document_(std::move(document)) {
+RouteTable::RouteTable(RoutingDocument document)
+    : document_(std::move(document)), keys_(document_) {
+  for (Tenant& tenant : document_.tenants) std::vector<std::string>().swap(tenant.api_keys);
   for (const Route& route : document_.routes) by_host_[route.host].push_back(&route);
   for (auto& [host, routes] : by_host_) {
     std::stable_sort(routes.begin(), routes.end(), [](const Route* a, const Route* b) {
@@ -39,14 +42,33 @@
     for (const ServiceName& shard : route.shards) plan.shard_set = Hash64(shard, plan.shard_set);
     plan.min_required_parts = MinParts(route);
     plans_.emplace(&route, plan);
-    auto [first, added] = first_priority.try_emplace(plan.shard_set, route.priority);
-    first->second = std::min(first->second, route.priority);
+    int priority = FirstPriority(route);
+    auto [first, added] = first_priority.try_emplace(plan.shard_set, priority);
+    first->second = std::min(first->second, priority);
   }
   for (auto& [route, plan] : plans_) {
-    plan.urgent = route->priority <= first_priority.at(plan.shard_set);
+    plan.first_priority = first_priority.at(plan.shard_set);
+    plan.urgent = route->priority <= plan.first_priority;
   }
 }
 
+// Most urgent priority of the requests on a route. The route's own priority applies to requests
+// without a tenant, which only a public route accepts, and of tenants without a priority.
+int RouteTable::FirstPriority(const Route& route) const {
+  if (!keys_.is_configured()) return route.priority;
+  int first = route.is_public ? route.priority : std::numeric_limits<int>::max();
+  for (const Tenant& tenant : keys_.tenants()) {
+    first = std::min(first, tenant.priority.value_or(route.priority));
+  }
+  return first;
+}
+
+bool RouteTable::IsUrgent(const Route& route, const Tenant* tenant) const {
+  const QueryPlan& plan = Plan(route);
+  if (tenant == nullptr || !tenant->priority) return plan.urgent;
+  return *tenant->priority <= plan.first_priority;
+}
+
 const Route* RouteTable::Find(std::string_view host, std::string_view target) const {
   std::string name(host.substr(0, host.find(':')));
   absl::AsciiStrToLower(&name);
--- a/src/store/feed_schedule.cc
+++ b/src/store/feed_schedule.cc
@@ -16,6 +16,10 @@
 // A followed node is not called if its data would be stale within this time.
 constexpr std::chrono::milliseconds kMinFollowWait{200};
 
+// Minimum time for which a followed node holds a call. It bounds the calls to a node whose own
+// configuration is nearly too old.
+constexpr std::chrono::milliseconds kMinFollowedHold{100};
+
 }  // namespace
 
 FeedStep FeedSchedule::Next(TimePoint now) const {
@@ -30,12 +34,16 @@
     step.kind = FeedStepKind::kFollow;
     step.relay = relay_index_;
     step.wait = std::min(options_.follow_wait, left);
+    if (refresh_by_) {
+      step.wait = std::max(LimitWait(step.wait, options_.slow_call, now),
+                           std::min(kMinFollowedHold, step.wait));
+    }
     step.timeout = step.wait + options_.follow_slack;
     return step;
   }
   step.after_key = after_key_;
   if (reading_) {
-    step.kind = FeedStepKind::kRead;
+    step.kind = IsRefreshDue(now) ? FeedStepKind::kReadDirectives : FeedStepKind::kRead;
     step.timeout = options_.read_timeout;
     return step;
   }
@@ -43,7 +51,9 @@
   // The store must not hold a watch that may be the last of a backlog, so that the end is known at
   // once. Nor must it hold one after a failure: a watch sent just before the end of an outage may
   // never be answered, and only its deadline shows that.
-  if (!behind_ && failures_ == 0) step.wait = options_.watch_wait;
+  if (!behind_ && failures_ == 0) {
+    step.wait = LimitWait(options_.watch_wait, options_.slow_call + options_.lost_call, now);
+  }
   step.timeout =
       step.wait + ExponentialBackoff(options_.watch_slack, failures_, options_.max_watch_slack);
   return step;
@@ -51,8 +61,26 @@
 
 TimePoint FeedSchedule::PauseUntil() const {
   if (!batching_) return retry_at_;
-  return std::max<TimePoint>(
-      retry_at_, changed_at_ + (eager_ ? options_.eager_batch_delay : options_.batch_delay));
+  TimePoint until = changed_at_ + (eager_ ? options_.eager_batch_delay : options_.batch_delay);
+  if (refresh_by_) until = std::min<TimePoint>(until, *refresh_by_ - options_.slow_call);
+  return std::max(retry_at_, until);
+}
+
+// Limits the time for which a call is held so that it ends `reserve` before the configuration
+// reaches its maximum age.
+std::chrono::milliseconds FeedSchedule::LimitWait(std::chrono::milliseconds wait, Duration reserve,
+                                                  TimePoint now) const {
+  if (!refresh_by_) return wait;
+  auto left = std::chrono::floor<std::chrono::milliseconds>(*refresh_by_ - reserve - now);
+  return std::clamp(left, std::chrono::milliseconds(0), wait);
+}
+
+// Whether the directives have to be read between the pages of a read of all items, which may take
+// longer than the configuration may be old. Other pages are read in between in any case.
+bool FeedSchedule::IsRefreshDue(TimePoint now) const {
+  return refresh_by_ && !after_key_.empty() &&
+         now + options_.slow_call + options_.lost_call >= *refresh_by_ &&
+         now >= directives_at_ + options_.slow_call;
 }
 
 bool FeedSchedule::ShouldFollow(TimePoint now) const {
@@ -66,11 +94,12 @@
   failed_relays_ = 0;
 }
 
-void FeedSchedule::OnRelayChanges(std::uint64_t as_of, Duration age, TimePoint now) {
+void FeedSchedule::OnRelayChanges(std::uint64_t as_of, Duration age, TimePoint now,
+                                  bool is_certain) {
   revision_ = std::max(revision_, as_of);
   confirmed_at_ = std::max(confirmed_at_, now - age);
   // A relay that has lost the store keeps responding, with an increasing age.
-  if (now + kMinFollowWait >= StaleAt()) return OnRelayFailure(now);
+  if (!is_certain || now + kMinFollowWait >= StaleAt()) return OnRelayFailure(now);
   failed_relays_ = 0;
   OnSuccess(now);
 }
@@ -110,6 +139,7 @@
 void FeedSchedule::OnDirectives(TimePoint now) {
   OnSuccess(now);
   directives_due_ = false;
+  directives_at_ = now;
 }
 
 void FeedSchedule::OnHistoryLost(TimePoint now) {
