Pass on or refuse with 503 unknown keys while the configuration is too old

Cause: a node whose configuration is too old responded with 401 to keys that may have been added since. Change: such requests go to another node or get 503, as those with known keys.

--- a/include/damaskroute/keys/authentication.h
+++ b/include/damaskroute/keys/authentication.h
@@ -14,6 +14,7 @@
 struct Authentication {
   const Tenant* tenant = nullptr;  ///< Null on a public route without a known key.
   const char* refusal = nullptr;   ///< Reason for a refusal with 401; null if accepted.
+  bool unknown_key = false;        ///< The refusal may be wrong by a newer configuration.
 };
 
 /// Checks the API key in the headers of a request on `route`: `Authorization: SCHEME KEY`, with the
--- a/src/keys/authentication.cc
+++ b/src/keys/authentication.cc
@@ -33,7 +33,7 @@
   auto key = KeyIn(authorization->value, scheme);
   if (!key) return {nullptr, "the header Authorization is malformed"};
   const Tenant* tenant = table.Find(*key);
-  if (tenant == nullptr) return {nullptr, "the API key is not known"};
+  if (tenant == nullptr) return {nullptr, "the API key is not known", /*unknown_key=*/true};
   return {tenant, nullptr};
 }
 
--- a/src/node/forward_exchange.h
+++ b/src/node/forward_exchange.h
@@ -13,7 +13,7 @@
 namespace damaskroute {
 
 /// Why a request with an API key does not run on this node.
-inline constexpr char kOutdatedReason[] = "the node cannot rule out that the API key was withdrawn";
+inline constexpr char kOutdatedReason[] = "the configuration with the API keys is too old";
 
 /// One caller's request with its connections.
 struct ForwardService::Exchange {
--- a/src/node/forward_service_keys.cc
+++ b/src/node/forward_service_keys.cc
@@ -29,7 +29,10 @@
   const KeyTable& keys = forwarding_state_.routes()->keys();
   if (!keys.is_configured()) return true;
   Authentication result = Authenticate(credentials, route, keys, protocol_.authorization_scheme);
-  if (result.refusal != nullptr) {
+  origin.outdated = !route.is_public && IsConfigurationTooOld();
+  // A newer configuration may contain the key.
+  bool is_undecided = result.unknown_key && origin.outdated;
+  if (result.refusal != nullptr && !is_undecided) {
     RefuseWith(request, 401, result.refusal,
                [&](HttpResponse response) {
                  response.headers.push_back({"WWW-Authenticate", protocol_.authorization_scheme});
@@ -44,7 +47,6 @@
     request.tenant = result.tenant->name;
     request.headers.push_back({protocol_.tenant, request.tenant});
   }
-  origin.outdated = !route.is_public && IsConfigurationTooOld();
   return true;
 }
 
