--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -22,6 +22,7 @@
 #include "damaskroute/node/forward_node_settings.h"
 #include "damaskroute/node/forward_server.h"
 #include "damaskroute/node/node_count.h"
+#include "damaskroute/node/quota_exchange.h"
 #include "damaskroute/node/store_entry.h"
 #include "damaskroute/relay/change_relay.h"
 #include "damaskroute/relay/relay_choice.h"
@@ -73,7 +74,8 @@
                  node_key_.OnStoreEra(era);
                }}),
         node_key_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
-                  RenderNodeRecord({settings.zone, settings.changes, settings.peers}),
+                  RenderNodeRecord(
+                      {settings.zone, settings.changes, settings.peers, settings.quota_port}),
                   settings.node_lease, Hash64(settings.node, /*seed=*/1)),
         crash_records_(loop, feed_.client(), settings.store, platform_.Codec(),
                        forward_server_.service().crash_guard(), Hash64(settings.node, /*seed=*/2)) {
@@ -84,14 +86,28 @@
     if (settings.changes) {
       relay_.emplace(loop, *settings.changes, [this] { return feed_.age(); });
     }
+    if (settings.quota && settings.quota_port) {
+      quotas_.emplace(loop, node_, *settings.quota_port, MakeQuotaIncarnation(node_),
+                      MakeQuotaOptions(*settings.quota, settings.config_bound),
+                      [this] { return QuotaView(); });
+      forward_server_.service().SetQuotas(&*quotas_);
+    }
   }
 
+  // Requests that end while the node is destroyed return no tokens.
+  ~ForwardNode() { forward_server_.service().SetQuotas(nullptr); }
+  ForwardNode(const ForwardNode&) = delete;
+  ForwardNode& operator=(const ForwardNode&) = delete;
+
   /// Opens the ports and begins to follow the store. Returns Unavailable if a port is in use.
   absl::Status Start() {
     if (absl::Status status = forward_server_.Start(); !status.ok()) return status;
     if (relay_) {
       if (absl::Status status = relay_->Start(); !status.ok()) return status;
     }
+    if (quotas_) {
+      if (absl::Status status = quotas_->Start(); !status.ok()) return status;
+    }
     feed_.Start();
     node_key_.Start();
     return absl::OkStatus();
@@ -147,6 +163,15 @@
   void OnNodesChanged() {
     UpdatePeers();
     UpdateRelays();
+    if (quotas_) quotas_->Refresh();
+  }
+
+  QuotaExchange::View QuotaView() const {
+    QuotaExchange::View view{nodes_.Counted(Now()), {}, feed_.age()};
+    for (const auto& [name, record] : node_records_) {
+      if (record.quota_endpoint) view.endpoints.emplace(name, *record.quota_endpoint);
+    }
+    return view;
   }
 
   void UpdatePeers() {
@@ -185,6 +210,7 @@
     }
     if (auto* document = std::get_if<RoutingDocument>(&*store_entry)) {
       forward_server_.InstallRoutes(std::move(*document));
+      if (quotas_ && state().routes()) quotas_->SetTenants(state().routes()->document().tenants);
     } else if (auto* entry = std::get_if<BackendEntry>(&*store_entry)) {
       state().OnBackend(*entry);
     } else if (auto* closed = std::get_if<ClosedZone>(&*store_entry)) {
@@ -261,6 +287,7 @@
   LeasedKey<typename Platform::StoreCodec> node_key_;
   CrashRecordStore<typename Platform::StoreCodec> crash_records_;
   std::optional<ChangeRelay> relay_;
+  std::optional<QuotaExchange> quotas_;
 };
 
 }  // namespace damaskroute
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -29,6 +29,7 @@
 #include "damaskroute/node/forward_service_options.h"
 #include "damaskroute/node/forwarding_state.h"
 #include "damaskroute/node/peer_clients.h"
+#include "damaskroute/node/quota_exchange.h"
 #include "damaskroute/routing/route_table.h"
 #include "damaskroute/routing/weighted_split.h"
 
@@ -69,6 +70,12 @@
   /// extra calls.
   void SetSharedLimits(int nodes, const ExtraBudgetOptions& budget);
 
+  /// Sets where requests of tenants with a quota get their tokens; null if tenants have no quotas.
+  void SetQuotas(QuotaExchange* quotas) { quotas_ = quotas; }
+
+  /// Appends the metrics of the quotas; none if tenants have no quotas.
+  void WriteQuotaMetrics(Exposition& page) const;
+
   /// Aborts all active requests before the process exits.
   void AbortAll();
 
@@ -120,6 +127,13 @@
 
   void Serve(CallerRequest request, std::shared_ptr<CallerPresence> presence, const Route& route,
              const Origin& origin, HttpResponder respond);
+  void Begin(const std::shared_ptr<Exchange>& exchange, bool as_canary);
+  bool AwaitQuota(const std::shared_ptr<Exchange>& exchange, bool as_canary);
+  void OnQuotaVerdict(const std::shared_ptr<Exchange>& exchange, bool as_canary,
+                      const QuotaVerdict& verdict);
+  void CancelQuotaWait(Exchange& exchange);
+  void ReturnQuota(Exchange& exchange);
+  void ReturnQuotaIfNotRun(Exchange& exchange, int status);
   bool RefuseIfBlocked(const Exchange& exchange);
   bool BeginGuarded(Exchange& exchange, bool as_canary);
   void TrackCrashes(Exchange& exchange, Backend& backend, const CallResult& result, TimePoint sent,
@@ -174,6 +188,7 @@
   ForwardMetrics metrics_;
   std::function<void()> on_unreachable_;
   bool aborted_ = false;
+  QuotaExchange* quotas_ = nullptr;
   PeerSelector peer_selector_;
   PeerClients peer_clients_;
   CrashGuard crash_guard_;
--- a/include/damaskroute/node/quota_exchange.h
+++ b/include/damaskroute/node/quota_exchange.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -29,6 +30,9 @@
 /// `join_delay`: time within which all nodes know that a node has joined.
 QuotaOptions MakeQuotaOptions(const QuotaBounds& bounds, std::chrono::milliseconds join_delay);
 
+/// A random number for a process of `node`; not 0.
+std::uint64_t MakeQuotaIncarnation(const NodeName& node);
+
 /// Counts of a `QuotaExchange` since its start.
 struct QuotaCounters {
   std::uint64_t granted = 0;
@@ -100,6 +104,7 @@
   void ReceiveAll();
   void ArmTimer();
   void ArmRefresh();
+  void LogSuspects();
 
   const NodeName node_;
   const Endpoint listen_;
@@ -116,6 +121,7 @@
   std::unordered_map<std::uint64_t, OnVerdict> waiters_;
   std::uint64_t next_waiter_ = 1;
   bool executing_ = false;
+  std::string logged_suspects_;
   QuotaCounters counters_;
   asio::ip::udp::socket socket_;
   asio::steady_timer timer_;
--- a/include/damaskroute/quota/quota_client.h
+++ b/include/damaskroute/quota/quota_client.h
@@ -3,7 +3,6 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -69,6 +68,9 @@
   /// Requests that wait for a token.
   std::size_t waiting() const;
 
+  /// Possible coordinators that do not answer, in ascending order.
+  std::vector<NodeName> Suspects() const;
+
   /// Tenants with state in this class.
   std::size_t tenants() const { return tenants_.size(); }
 
@@ -79,8 +81,8 @@
   };
 
   struct TenantState {
-    std::deque<Waiter> waiters;
-    std::deque<Duration> stock;  // Expiry of each token.
+    std::vector<Waiter> waiters;
+    std::vector<Duration> stock;  // Expiry of each token.
     std::size_t asked = 0;       // Tokens for waiters, in requests without a reply.
     Duration next_ask{};
     Duration empty_until{};  // The coordinator has no token before.
--- a/include/damaskroute/relay/node_record.h
+++ b/include/damaskroute/relay/node_record.h
@@ -18,6 +18,8 @@
   std::optional<Endpoint> relay_endpoint;
   /// Where other nodes can send requests that they cannot serve themselves.
   std::optional<Endpoint> peer_endpoint;
+  /// Where the node receives datagrams about quotas of tenants.
+  std::optional<Endpoint> quota_endpoint;
 
   friend bool operator==(const NodeRecord&, const NodeRecord&) = default;
 };
--- a/src/node/forward_exchange.h
+++ b/src/node/forward_exchange.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -37,6 +38,9 @@
   std::vector<Peer> peers;        // To which the request was passed; the last is current.
   std::shared_ptr<BackendClient> peer_client;  // Null unless a peer has the request.
   std::uint64_t peer_call = 0;
+  bool awaits_quota = false;            // Waits for a token, and has not begun.
+  std::uint64_t quota_waiter = 0;       // Number of the wait.
+  std::optional<Duration> quota_token;  // Expiry of the token, until the request has run.
 };
 
 }  // namespace damaskroute
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -286,6 +286,7 @@
   page.Sample("", static_cast<double>(service_.forwarding_state().routes_version()));
   page.Family("damaskroute_forward_connects_total", "counter", "Connections opened to servers.");
   page.Sample("", static_cast<double>(service_.forwarding_state().pool().connect_count()));
+  service_.WriteQuotaMetrics(page);
   HttpResponse response;
   response.content_type = "text/plain; version=0.0.4";
   response.body = page.text();
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -135,17 +135,22 @@
   exchange->route = &route;
   exchange->from_peer = origin.peer;
   if (RefuseIfBlocked(*exchange)) return;
+  if (!AwaitQuota(exchange, origin.canary)) Begin(exchange, origin.canary);
+}
+
+void ForwardService::Begin(const std::shared_ptr<Exchange>& exchange, bool as_canary) {
   bool lacks_servers = LacksServers(exchange->run.spec());
   if (lacks_servers && exchange->from_peer) {
-    return RefuseToPeer(exchange->request, "too few backend servers are reached", route.name,
-                        exchange->respond);
+    return RefuseToPeer(exchange->request, "too few backend servers are reached",
+                        exchange->route->name, exchange->respond);
   }
   bool at_peer = lacks_servers && PassToPeer(exchange, {});
-  if (!at_peer && !BeginGuarded(*exchange, origin.canary)) return;
+  if (!at_peer && !BeginGuarded(*exchange, as_canary)) return ReturnQuota(*exchange);
   if (!at_peer && !AdmitQuery(*exchange)) {
+    ReturnQuota(*exchange);
     ReportLosses(*exchange);
     return RefuseWith(exchange->request, 503, "too many queries", exchange->respond,
-                      RandomRetryAfter(deadline - exchange->request.received));
+                      RandomRetryAfter(exchange->run.spec().deadline - exchange->request.received));
   }
   active_.insert(exchange);
   if (exchange->presence) {
@@ -345,6 +350,7 @@
 
 void ForwardService::Complete(const std::shared_ptr<Exchange>& exchange, HttpResponse response) {
   if (exchange->presence) exchange->presence->on_disconnect = nullptr;
+  ReturnQuotaIfNotRun(*exchange, response.status);
   exchange->respond(std::move(response));
   active_.erase(exchange);
 }
@@ -358,9 +364,12 @@
       .Field("request", exchange->request.id)
       .Field("route", exchange->route->name)
       .Field("waited_us", Microseconds(Now() - exchange->request.received));
-  if (at_peer) {
+  if (exchange->awaits_quota) {
+    CancelQuotaWait(*exchange);
+  } else if (at_peer) {
     CancelPeerCall(*exchange);
   } else {
+    if (exchange->run.counts().calls == 0) ReturnQuota(*exchange);
     Execute(exchange, exchange->run.Abandon(Now()));
     ReportLosses(*exchange);
     exchange->ticket.Release(exchange->run, Now());
@@ -374,7 +383,11 @@
   aborted_ = true;
   auto active = active_;
   for (const auto& exchange : active) {
-    if (exchange->peer_client) {
+    if (exchange->awaits_quota) {
+      CancelQuotaWait(*exchange);
+      Complete(exchange,
+               MakeForwardRefusal(exchange->request, 503, "the node ends", {}, protocol_));
+    } else if (exchange->peer_client) {
       CancelPeerCall(*exchange);
       Complete(exchange,
                MakeForwardRefusal(exchange->request, 502, "the node ends", {}, protocol_));
--- a/src/node/quota_exchange.cc
+++ b/src/node/quota_exchange.cc
@@ -2,9 +2,13 @@
 
 #include <algorithm>
 #include <chrono>
+#include <random>
+#include <set>
 #include <utility>
 
 #include "damaskroute/core/boot_clock.h"
+#include "damaskroute/core/hash.h"
+#include "damaskroute/log/log_line.h"
 #include "damaskroute/node/forward_node_settings.h"
 #include "damaskroute/node/node_count.h"
 #include "fmt/format.h"
@@ -42,6 +46,12 @@
   return options;
 }
 
+std::uint64_t MakeQuotaIncarnation(const NodeName& node) {
+  std::random_device device;
+  std::uint64_t random = std::uint64_t{device()} << 32 | device();
+  return Hash64(node, random ^ static_cast<std::uint64_t>(TimeSinceBoot().count())) | 1;
+}
+
 QuotaExchange::QuotaExchange(asio::io_context& loop, NodeName node, Endpoint listen,
                              std::uint64_t incarnation, const QuotaOptions& options,
                              std::function<View()> view)
@@ -266,8 +276,21 @@
     if (error || alive.expired()) return;
     refresh_armed_ = false;
     Refresh();
+    LogSuspects();
     ArmRefresh();
   });
 }
 
+void QuotaExchange::LogSuspects() {
+  std::string names;
+  for (const NodeName& name : client_.Suspects()) names += name + "; ";
+  if (names == logged_suspects_) return;
+  logged_suspects_ = names;
+  LogLine(
+      names.empty() ? LogLevel::kInfo : LogLevel::kWarning,
+      names.empty() ? "all coordinators of quotas answer" : "coordinators of quotas do not answer")
+      .Field("nodes", names)
+      .Field("unanswered", counters_.unanswered);
+}
+
 }  // namespace damaskroute
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -254,12 +254,12 @@
 }
 
 void QuotaClient::Serve(QuotaId tenant, TenantState& state, Duration now) {
-  while (!state.stock.empty() && state.stock.front() <= now) state.stock.pop_front();
+  while (!state.stock.empty() && state.stock.front() <= now) state.stock.erase(state.stock.begin());
   while (!state.stock.empty() && !state.waiters.empty()) {
     actions_.verdicts.push_back(
         {state.waiters.front().id, QuotaOutcome::kGranted, state.stock.front()});
-    state.waiters.pop_front();
-    state.stock.pop_front();
+    state.waiters.erase(state.waiters.begin());
+    state.stock.erase(state.stock.begin());
   }
   if (state.waiters.empty()) waiting_.erase(tenant);
 }
@@ -322,7 +322,7 @@
 void QuotaClient::FailFront(QuotaId tenant, TenantState& state, QuotaOutcome outcome,
                             milliseconds retry_after, Duration now) {
   std::uint64_t waiter = state.waiters.front().id;
-  state.waiters.pop_front();
+  state.waiters.erase(state.waiters.begin());
   if (state.waiters.empty()) waiting_.erase(tenant);
   if (TakeOwn(tenant, now)) {
     actions_.verdicts.push_back({waiter, QuotaOutcome::kGranted, now + options_.grant_validity});
@@ -426,6 +426,12 @@
   return std::max(next, now + kTick);
 }
 
+std::vector<NodeName> QuotaClient::Suspects() const {
+  std::vector<NodeName> names;
+  for (const auto& [node, next_probe] : suspects_) names.push_back(node);
+  return names;
+}
+
 std::size_t QuotaClient::waiting() const {
   std::size_t count = 0;
   for (QuotaId tenant : waiting_) count += tenants_.at(tenant).waiters.size();
--- a/src/relay/node_record.cc
+++ b/src/relay/node_record.cc
@@ -16,6 +16,7 @@
   WriteText(writer, "zone", record.zone);
   if (record.relay_endpoint) WriteText(writer, "changes", FormatEndpoint(*record.relay_endpoint));
   if (record.peer_endpoint) WriteText(writer, "requests", FormatEndpoint(*record.peer_endpoint));
+  if (record.quota_endpoint) WriteText(writer, "quotas", FormatEndpoint(*record.quota_endpoint));
   writer.EndObject();
   return buffer.GetString();
 }
@@ -30,8 +31,9 @@
   if (!zone) return absl::InvalidArgumentError("the node record has no zone");
   NodeRecord record;
   record.zone = *std::move(zone);
-  for (auto [name, field] : {std::pair("changes", &record.relay_endpoint),
-                             std::pair("requests", &record.peer_endpoint)}) {
+  for (auto [name, field] :
+       {std::pair("changes", &record.relay_endpoint), std::pair("requests", &record.peer_endpoint),
+        std::pair("quotas", &record.quota_endpoint)}) {
     if (FindJsonMember(document, name) == nullptr) continue;
     auto address = FindJsonString(document, name);
     if (!address) return absl::InvalidArgumentError("an address in the node record is no string");
--- a/tests/quota_simulation_test.cc
+++ b/tests/quota_simulation_test.cc
@@ -98,7 +98,9 @@
     network.faults = {0.02 * random.NextDouble(), 0.02, milliseconds(1 + random.Below(40))};
     network.return_rate = 0.05;
     constexpr seconds kEnd{100};
-    network.Load("a", 90, seconds(1), kEnd, AnyNode(network));
+    for (int storm = 0; storm < 10; ++storm) {
+      network.Load("a", 300, seconds(10 * storm), seconds(10 * storm + 4), AnyNode(network));
+    }
     network.Load("b", 50, seconds(1), kEnd, AnyNode(network));
     network.Load("c", 400, seconds(1), kEnd, AnyNode(network));
     for (int fault = 0; fault < 60; ++fault) {
@@ -174,6 +176,34 @@
   }
 }
 
+TEST_CASE("a coordinator that dies or freezes after a burst takes the burst with it") {
+  // Guards against new coordinators that begin with full buckets, and against two coordinators of
+  // one share.
+  std::vector<Tenant> tenants{MakeTenant("t", 20, 200)};
+  std::size_t slot = QuotaTable::SlotOf(QuotaIdOf("t"));
+  for (bool dies : {true, false}) {
+    CAPTURE(dies);
+    QuotaNetwork network(25, 8, tenants);
+    for (int storm = 1; storm <= 4; ++storm) {
+      Duration at = seconds(25 * storm);
+      network.Load("t", 1'000, at, at + seconds(6), AnyNode(network));
+      network.At(at + milliseconds(400), [&network, slot, dies] {
+        for (std::size_t i = 0; i < network.size(); ++i) {
+          auto& node = network.node(i);
+          if (!node.alive ||
+              node.coordinator->FractionOf(slot, network.now() + node.clock_offset) < 0.5) {
+            continue;
+          }
+          dies ? network.Kill(i) : network.Freeze(i, milliseconds(1'500));
+        }
+      });
+    }
+    network.RunUntil(seconds(110));
+    CheckBounds(network, tenants);
+    CHECK(network.MaxInWindow("t", kWindow) > 200);
+  }
+}
+
 TEST_CASE("the bound holds while the number of nodes grows") {
   // Guards against shares of nodes that others do not count yet, also at nodes that are cut off
   // from the store.
