--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -91,6 +91,8 @@
                       MakeQuotaOptions(*settings.quota, settings.config_bound),
                       [this] { return QuotaView(); });
       forward_server_.service().SetQuotas(&*quotas_);
+    } else if (settings.quota) {
+      LogLine(LogLevel::kWarning, "quotas not applied: no port for them");
     }
   }
 
--- a/src/node/forward_service_quota.cc
+++ b/src/node/forward_service_quota.cc
@@ -9,8 +9,6 @@
 namespace damaskroute {
 namespace {
 
-TimePoint Now() { return SteadyClock().Now(); }
-
 // Whether the status states that the request has not run.
 bool PromisesNotRun(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
--- a/tests/quota_exchange_test.cc
+++ b/tests/quota_exchange_test.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -24,7 +25,7 @@
     for (int i = 0; i < count; ++i) {
       NodeName name = "n" + std::to_string(i);
       view.counted.push_back(name);
-      view.endpoints[name] = NonEphemeralEndpoint();
+      view.endpoints[name] = standins::NonEphemeralEndpoint();
       nodes.push_back(std::make_unique<QuotaExchange>(loop, name, view.endpoints[name],
                                                       MakeQuotaIncarnation(name), options,
                                                       [this] { return view; }));
