Merge quotas: charge a request at the node that can tell its tenant

Cause: a node whose configuration is too old passes keyed requests on before it knows the tenant, and the other node took every passed request as charged. Change: such a request says that it is not charged.

--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -30,6 +30,7 @@
 #include "damaskroute/node/forward_service_options.h"
 #include "damaskroute/node/forwarding_state.h"
 #include "damaskroute/node/peer_clients.h"
+#include "damaskroute/node/quota_exchange.h"
 #include "damaskroute/routing/route_table.h"
 #include "damaskroute/routing/weighted_split.h"
 
@@ -70,6 +71,12 @@
   /// extra calls.
   void SetSharedLimits(int nodes, const ExtraBudgetOptions& budget);
 
+  /// Sets where requests of tenants with a quota get their tokens; null if tenants have no quotas.
+  void SetQuotas(QuotaExchange* quotas) { quotas_ = quotas; }
+
+  /// Appends the metrics of the quotas; none if tenants have no quotas.
+  void WriteQuotaMetrics(Exposition& page) const;
+
   /// Aborts all active requests before the process exits.
   void AbortAll();
 
@@ -122,6 +129,7 @@
     int max_attempts = 1;
     bool canary = false;
     const Tenant* tenant = nullptr;  // Held by the routes in force; null if there is none.
+    bool uncharged = false;          // The other node has not charged it to a quota.
     bool outdated = false;           // Must not run here, as the configuration is too old.
   };
 
@@ -134,6 +142,13 @@
   bool IsConfigurationTooOld() const;
   bool Authorize(CallerRequest& request, std::vector<HeaderField> credentials, const Route& route,
                  Origin& origin, const HttpResponder& respond);
+  void Begin(const std::shared_ptr<Exchange>& exchange, bool as_canary);
+  bool AwaitQuota(const std::shared_ptr<Exchange>& exchange, bool as_canary);
+  void OnQuotaVerdict(const std::shared_ptr<Exchange>& exchange, bool as_canary,
+                      const QuotaVerdict& verdict);
+  void CancelQuotaWait(Exchange& exchange);
+  void ReturnQuota(Exchange& exchange);
+  void ReturnQuotaIfNotRun(Exchange& exchange, int status);
   bool RefuseIfBlocked(const Exchange& exchange);
   bool BeginGuarded(Exchange& exchange, bool as_canary);
   void TrackCrashes(Exchange& exchange, Backend& backend, const CallResult& result, TimePoint sent,
@@ -189,6 +204,7 @@
   std::function<void()> on_unreachable_;
   std::function<std::optional<Duration>()> configuration_age_;
   bool aborted_ = false;
+  QuotaExchange* quotas_ = nullptr;
   PeerSelector peer_selector_;
   PeerClients peer_clients_;
   CrashGuard crash_guard_;
--- a/src/node/forward_exchange.h
+++ b/src/node/forward_exchange.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -34,6 +35,7 @@
   std::vector<std::pair<BackendName, Duration>> cancelled;  // With call ages, for the log.
   std::string failures;            // Failed calls and their reasons, for the log.
   const Tenant* tenant = nullptr;  // Held by `routes`; null if there is none.
+  bool uncharged = false;          // Of another node, which has not charged it to a quota.
   bool outdated = false;           // Must not run here, as the configuration is too old.
   bool from_peer = false;
   bool canary = false;            // Runs as a canary; see `CrashGuard`.
@@ -42,6 +44,9 @@
   std::vector<Peer> peers;        // To which the request was passed; the last is current.
   std::shared_ptr<BackendClient> peer_client;  // Null unless a peer has the request.
   std::uint64_t peer_call = 0;
+  bool awaits_quota = false;            // Waits for a token, and has not begun.
+  std::uint64_t quota_waiter = 0;       // Number of the wait.
+  std::optional<Duration> quota_token;  // Expiry of the token, until the request has run.
 };
 
 }  // namespace damaskroute
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -142,24 +142,31 @@
   exchange->route = &route;
   exchange->tenant = origin.tenant;
   exchange->outdated = origin.outdated;
+  exchange->uncharged = origin.uncharged;
   exchange->from_peer = origin.peer;
   if (RefuseIfBlocked(*exchange)) return;
+  if (!AwaitQuota(exchange, origin.canary)) Begin(exchange, origin.canary);
+}
+
+void ForwardService::Begin(const std::shared_ptr<Exchange>& exchange, bool as_canary) {
   bool lacks_servers = LacksServers(exchange->run.spec());
   if ((lacks_servers || exchange->outdated) && exchange->from_peer) {
+    ReturnQuota(*exchange);
     return RefuseToPeer(exchange->request,
                         lacks_servers ? "too few backend servers are reached" : kOutdatedReason,
-                        route.name, exchange->respond);
+                        exchange->route->name, exchange->respond);
   }
   bool at_peer = (lacks_servers || exchange->outdated) && PassToPeer(exchange, {});
   if (exchange->outdated && !at_peer) {
     return RefuseWith(exchange->request, 503, kOutdatedReason, exchange->respond,
-                      RandomRetryAfter(deadline - exchange->request.received));
+                      RandomRetryAfter(exchange->run.spec().deadline - exchange->request.received));
   }
-  if (!at_peer && !BeginGuarded(*exchange, origin.canary)) return;
+  if (!at_peer && !BeginGuarded(*exchange, as_canary)) return ReturnQuota(*exchange);
   if (!at_peer && !AdmitQuery(*exchange)) {
+    ReturnQuota(*exchange);
     ReportLosses(*exchange);
     return RefuseWith(exchange->request, 503, "too many queries", exchange->respond,
-                      RandomRetryAfter(deadline - exchange->request.received));
+                      RandomRetryAfter(exchange->run.spec().deadline - exchange->request.received));
   }
   active_.insert(exchange);
   if (exchange->presence) {
@@ -362,6 +369,7 @@
 
 void ForwardService::Complete(const std::shared_ptr<Exchange>& exchange, HttpResponse response) {
   if (exchange->presence) exchange->presence->on_disconnect = nullptr;
+  ReturnQuotaIfNotRun(*exchange, response.status);
   exchange->respond(std::move(response));
   active_.erase(exchange);
 }
@@ -375,9 +383,12 @@
       .Field("request", exchange->request.id)
       .Field("route", exchange->route->name)
       .Field("waited_us", Microseconds(Now() - exchange->request.received));
-  if (at_peer) {
+  if (exchange->awaits_quota) {
+    CancelQuotaWait(*exchange);
+  } else if (at_peer) {
     CancelPeerCall(*exchange);
   } else {
+    if (exchange->run.counts().calls == 0) ReturnQuota(*exchange);
     Execute(exchange, exchange->run.Abandon(Now()));
     ReportLosses(*exchange);
     exchange->ticket.Release(exchange->run, Now());
@@ -391,7 +402,11 @@
   aborted_ = true;
   auto active = active_;
   for (const auto& exchange : active) {
-    if (exchange->peer_client) {
+    if (exchange->awaits_quota) {
+      CancelQuotaWait(*exchange);
+      Complete(exchange,
+               MakeForwardRefusal(exchange->request, 503, "the node ends", {}, protocol_));
+    } else if (exchange->peer_client) {
       CancelPeerCall(*exchange);
       Complete(exchange,
                MakeForwardRefusal(exchange->request, 502, "the node ends", {}, protocol_));
--- a/src/node/forward_service_peers.cc
+++ b/src/node/forward_service_peers.cc
@@ -60,7 +60,10 @@
                        (info->route == RouteFingerprint(*route) ||
                         (HasTenants() && info->route == KeyedRouteFingerprint(*route)));
   if (!is_same_route) return RefuseToPeer(request, "the route differs here", {}, respond);
-  Origin origin{.peer = true, .max_attempts = info->attempts, .canary = info->canary};
+  Origin origin{.peer = true,
+                .max_attempts = info->attempts,
+                .canary = info->canary,
+                .uncharged = info->uncharged};
   if (!Authorize(request, std::move(credentials), *route, origin, respond)) return;
   Serve(std::move(request), std::move(presence), *route, origin, std::move(respond));
 }
@@ -122,7 +125,7 @@
   PeerRequestInfo info{keyed ? KeyedRouteFingerprint(found) : RouteFingerprint(found),
                        exchange->run.attempts_left(),
                        std::chrono::duration_cast<std::chrono::microseconds>(spent),
-                       request_guard_.IsSuspect(exchange->keys, now)};
+                       request_guard_.IsSuspect(exchange->keys, now), exchange->outdated};
   exchange->peers.push_back(*peer);
   exchange->peer_client = client;
   peer_selector_.OnSent(*peer);
