Spread the retries of refused requests over free times

Cause: callers with more than 6.7 s left all got a Retry-After of 1 s and returned together, and the Retry-After was a part of the whole time-out also if some of it had passed.

--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -19,6 +19,7 @@
 #include "damaskroute/forward/forward_run.h"
 #include "damaskroute/forward/given_up_calls.h"
 #include "damaskroute/forward/peer_selector.h"
+#include "damaskroute/forward/retry_after_policy.h"
 #include "damaskroute/forward/tenant_admission.h"
 #include "damaskroute/forward/timer_delay.h"
 #include "damaskroute/http/byte_budget.h"
@@ -162,7 +163,7 @@
   static ServerSet ServersOf(const Exchange& exchange);
   void RecordLoad(const Exchange& exchange, const ForwardAnswer& answer);
   void OnTurnedAway(const Exchange& exchange, TimePoint now);
-  std::chrono::milliseconds RetryAfter(const Exchange& exchange);
+  std::chrono::milliseconds RetryAfter(const Exchange& exchange, TimePoint now);
   std::ptrdiff_t CountReachableShards(const Route& route) const;
   void WriteRoutes(JsonWriter& writer) const;
   void OnCallerGone(const std::shared_ptr<Exchange>& exchange);
@@ -181,6 +182,7 @@
   std::unordered_map<std::uint64_t, OverloadLimit> limits_;  // By set of shards.
   std::unordered_map<std::string, RouteLatency> latencies_;  // By route.
   TenantAdmission tenant_admission_;
+  RetryAfterPolicy retry_after_;
   std::set<std::shared_ptr<Exchange>> active_;
   ForwardMetrics metrics_;
   std::function<void()> on_unreachable_;
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -88,6 +88,7 @@
       forwarding_state_(loop, options_.backends, ClientOptions(options_, protocol_, body_budget_),
                         options_.seed),
       tenant_admission_(options_.seed),
+      retry_after_(options_.seed),
       peer_selector_(options_.seed),
       peer_clients_(loop, PeerClientOptions(options_, body_budget_)),
       crash_guard_(MakeCrashGuardSettings()),
--- a/src/node/forward_service_load.cc
+++ b/src/node/forward_service_load.cc
@@ -19,13 +19,6 @@
 // Distinguishes a service from a set of shards in the hash.
 constexpr std::uint64_t kServiceSeed = 1;
 
-// Retry-After for callers refused because a limit was reached, as a fraction of the caller's
-// timeout. Callers honour up to a third of it.
-constexpr double kMinRetryAfterFraction = 0.15;
-constexpr double kMaxRetryAfterFraction = 0.3;
-constexpr std::chrono::milliseconds kMinRetryAfter{50};
-constexpr std::chrono::milliseconds kMaxRetryAfter{1000};
-
 }  // namespace
 
 bool ForwardService::Admit(Exchange& exchange) {
@@ -77,19 +70,19 @@
 }
 
 void ForwardService::RefuseOverload(const Exchange& exchange) {
+  TimePoint now = Now();
+  auto retry_after = RetryAfter(exchange, now);
   tenant_admission_.OnRefused(exchange.request.tenant);
   bool query = !exchange.route->shards.empty();
   RefuseWith(exchange.request, 503, query ? "too many queries" : "too many requests",
-             exchange.respond, RetryAfter(exchange));
+             exchange.respond, retry_after);
 }
 
-// Randomizes the delay, so that the callers of a load spike do not all return at the same time.
-std::chrono::milliseconds ForwardService::RetryAfter(const Exchange& exchange) {
-  double fraction = kMinRetryAfterFraction +
-                    (kMaxRetryAfterFraction - kMinRetryAfterFraction) * random_.NextDouble();
-  Duration caller_timeout = exchange.run.spec().deadline - exchange.request.received;
-  auto time = std::chrono::duration_cast<std::chrono::milliseconds>(caller_timeout * fraction);
-  return std::clamp(time, kMinRetryAfter, kMaxRetryAfter);
+std::chrono::milliseconds ForwardService::RetryAfter(const Exchange& exchange, TimePoint now) {
+  auto objective = exchange.route->objective;
+  Duration time_left = exchange.run.spec().deadline - now -
+                       CallerNetworkDelay(exchange.request.connection, objective);
+  return retry_after_.Choose(time_left, objective, now);
 }
 
 // Queries are recorded when they start. A plain request finds out at its servers whether there is
--- a/src/node/forward_service_peers.cc
+++ b/src/node/forward_service_peers.cc
@@ -150,7 +150,7 @@
   } else if (not_run) {
     name = "refused";
     response = MakeForwardRefusal(request, 503, "no node reaches enough backend servers",
-                                  RetryAfter(*exchange), protocol_);
+                                  RetryAfter(*exchange, Now()), protocol_);
   } else {
     bool timed_out = result.end == ExchangeEnd::kTimedOut;
     name = timed_out ? "timed_out" : "failed";
