Admit requests repeated before their Retry-After only with room to spare

Cause: callers that repeat a refused query at once have several tries for each of a caller that waits as it was told, and take its places (docs/decisions/0006).

Change: EarlyRepeats remembers the refused requests by their key.

--- a/include/damaskroute/forward/tenant_admission.h
+++ b/include/damaskroute/forward/tenant_admission.h
@@ -22,6 +22,7 @@
   ServerSet servers = 0;
   const TenantName& tenant;  ///< Empty if the request has none.
   int route_priority = 0;
+  bool early_repeat = false;  ///< Sent again before the time that a refusal stated.
 };
 
 /// Decides by tenant which requests may run where servers have too little capacity. Without
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -15,6 +15,7 @@
 #include "damaskroute/crashguard/request_crash_guard.h"
 #include "damaskroute/forward/admission_ticket.h"
 #include "damaskroute/forward/caller_network_delay.h"
+#include "damaskroute/forward/early_repeats.h"
 #include "damaskroute/forward/extra_budget.h"
 #include "damaskroute/forward/forward_run.h"
 #include "damaskroute/forward/given_up_calls.h"
@@ -157,7 +158,7 @@
   void RefuseWith(const CallerRequest& request, int status, const char* reason,
                   const HttpResponder& respond, std::chrono::milliseconds retry_after);
   bool Admit(Exchange& exchange);
-  bool AdmitByTenant(Exchange& exchange, TimePoint now);
+  bool AdmitByTenant(Exchange& exchange, bool early_repeat, TimePoint now);
   bool AdmitQuery(Exchange& exchange, bool urgent, bool only_if_spare, TimePoint now);
   void RefuseOverload(const Exchange& exchange);
   static ServerSet ServersOf(const Exchange& exchange);
@@ -183,6 +184,7 @@
   std::unordered_map<std::string, RouteLatency> latencies_;  // By route.
   TenantAdmission tenant_admission_;
   RetryAfterPolicy retry_after_;
+  EarlyRepeats early_repeats_;
   std::set<std::shared_ptr<Exchange>> active_;
   ForwardMetrics metrics_;
   std::function<void()> on_unreachable_;
--- a/src/forward/tenant_admission.cc
+++ b/src/forward/tenant_admission.cc
@@ -26,7 +26,7 @@
   }
   auto own = priorities_.find(request.tenant);
   int priority = own == priorities_.end() ? request.route_priority : own->second;
-  double usual = use_.UsualFraction(request.tenant, now);
+  double usual = request.early_repeat ? 0 : use_.UsualFraction(request.tenant, now);
   return share->second.Admit(request.tenant, priority, usual, now);
 }
 
--- a/src/node/forward_service_load.cc
+++ b/src/node/forward_service_load.cc
@@ -23,20 +23,23 @@
 
 bool ForwardService::Admit(Exchange& exchange) {
   TimePoint now = Now();
+  bool early_repeat = early_repeats_.IsEarly(exchange.keys.exact, now);
   tenant_admission_.SetRoutes(exchange.routes);
-  if (tenant_admission_.has_tenants()) return AdmitByTenant(exchange, now);
+  if (tenant_admission_.has_tenants()) return AdmitByTenant(exchange, early_repeat, now);
   if (exchange.route->shards.empty()) return true;
-  return AdmitQuery(exchange, exchange.routes->Plan(*exchange.route).urgent, false, now);
+  return AdmitQuery(exchange, exchange.routes->Plan(*exchange.route).urgent, early_repeat, now);
 }
 
-bool ForwardService::AdmitByTenant(Exchange& exchange, TimePoint now) {
+bool ForwardService::AdmitByTenant(Exchange& exchange, bool early_repeat, TimePoint now) {
   FairShareDecision decision = tenant_admission_.Admit({.servers = ServersOf(exchange),
                                                         .tenant = exchange.request.tenant,
-                                                        .route_priority = exchange.route->priority},
+                                                        .route_priority = exchange.route->priority,
+                                                        .early_repeat = early_repeat},
                                                        now);
   bool only_if_spare = decision == FairShareDecision::kAdmitIfSpare;
   // Without a limit it is not known whether a service has capacity to spare.
   if (exchange.route->shards.empty()) return !only_if_spare;
+  only_if_spare = only_if_spare || early_repeat;
   bool first = decision == FairShareDecision::kAdmitFirst;
   if (AdmitQuery(exchange, first, only_if_spare, now)) {
     tenant_admission_.OnServed(ServersOf(exchange), now);
@@ -72,6 +75,7 @@
 void ForwardService::RefuseOverload(const Exchange& exchange) {
   TimePoint now = Now();
   auto retry_after = RetryAfter(exchange, now);
+  early_repeats_.OnRefused(exchange.keys.exact, now + retry_after, now);
   tenant_admission_.OnRefused(exchange.request.tenant);
   bool query = !exchange.route->shards.empty();
   RefuseWith(exchange.request, 503, query ? "too many queries" : "too many requests",
