Do not count requests without enough time as a lack of capacity

Cause: a refused plain request lowers the shares of all tenants of its service. Requests with a very short deadline are refused whatever the others get, so the shares would shrink to their minimum.

Change: a refusal only counts if the request had twice the mean latency of its route's calls.

Result: tests/tenant_load_node_test.cc passes; the case itself has no test yet.

--- a/src/node/forward_service_load.cc
+++ b/src/node/forward_service_load.cc
@@ -16,6 +16,10 @@
 // Number of tenants in the metrics.
 constexpr std::size_t kMaxTenantsInMetrics = 20;
 
+// Time in which a plain request can be served, as a multiple of the mean latency of its route's
+// calls.
+constexpr int kNeededLatencies = 2;
+
 // Distinguishes a service from a set of shards in the hash.
 constexpr std::uint64_t kServiceSeed = 1;
 
@@ -98,8 +102,13 @@
   if (!exchange.route->shards.empty()) return;
   TimePoint now = Now();
   if (!refused) return tenant_admission_.OnServed(ServersOf(exchange), now);
-  // A service without a reachable server has no capacity that could be divided.
-  if (!LacksServers(exchange.run.spec())) OnTurnedAway(exchange, now);
+  // A request that had too little time, or whose service has no reachable server, does not show
+  // that capacity is missing. Counted, it would lower the shares of others, which changes nothing
+  // for it.
+  const ForwardSpec& spec = exchange.run.spec();
+  Duration needed = kNeededLatencies * latencies_.at(exchange.route->name).mean();
+  bool had_time = spec.deadline - exchange.request.received >= needed;
+  if (had_time && !LacksServers(spec)) OnTurnedAway(exchange, now);
 }
 
 void ForwardService::WriteTenantMetrics(Exposition& page) const {
