Refuse queries at once that a small node cannot work on in time

Cause: a query of 90 calls takes about 75 ms of a node with 0.12 core. With more queries than its processor time allows, such a node answers all of them late, while nodes of 0.5 core could serve them.

Change: ProcessorLimit counts the estimated work of the queries in progress at limits.cpuQuota. A further query is refused if it could not be answered within its objective and the node's timers are late. Nodes with less than a third of a core reserve more time for merging. Without a known quota, for a query that is alone and while timers fire in time nothing changes.

--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -20,6 +20,7 @@
 #include "damaskroute/forward/forward_run.h"
 #include "damaskroute/forward/given_up_calls.h"
 #include "damaskroute/forward/peer_selector.h"
+#include "damaskroute/forward/processor_limit.h"
 #include "damaskroute/forward/retry_after_policy.h"
 #include "damaskroute/forward/tenant_admission.h"
 #include "damaskroute/forward/timer_delay.h"
@@ -96,6 +97,9 @@
   /// Appends the metrics of tenants to `page`; nothing without tenants.
   void WriteTenantMetrics(Exposition& page) const;
 
+  /// Number of queries that were refused because this node had too little processor time.
+  std::uint64_t busy_refusals() const { return busy_refusals_; }
+
   std::size_t active() const { return active_.size(); }
   const ForwardMetrics& metrics() const { return metrics_; }
   const CrashGuard& crash_guard() const { return crash_guard_; }
@@ -160,6 +164,7 @@
   bool Admit(Exchange& exchange);
   bool AdmitByTenant(Exchange& exchange, bool early_repeat, TimePoint now);
   bool AdmitQuery(Exchange& exchange, bool urgent, bool only_if_spare, TimePoint now);
+  void ReleaseLimits(Exchange& exchange, TimePoint now);
   void RefuseOverload(const Exchange& exchange);
   static ServerSet ServersOf(const Exchange& exchange);
   void RecordLoad(const Exchange& exchange, const ForwardAnswer& answer);
@@ -182,9 +187,11 @@
   std::unordered_map<std::string, WeightedSplit> splits_;    // By route.
   std::unordered_map<std::uint64_t, OverloadLimit> limits_;  // By set of shards.
   std::unordered_map<std::string, RouteLatency> latencies_;  // By route.
+  ProcessorLimit processor_limit_;
   TenantAdmission tenant_admission_;
   RetryAfterPolicy retry_after_;
   EarlyRepeats early_repeats_;
+  std::uint64_t busy_refusals_ = 0;
   std::set<std::shared_ptr<Exchange>> active_;
   ForwardMetrics metrics_;
   std::function<void()> on_unreachable_;
--- a/include/damaskroute/node/forward_service_options.h
+++ b/include/damaskroute/node/forward_service_options.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "damaskroute/forward/backend_table_options.h"
 
@@ -13,6 +14,7 @@
 struct ForwardServiceOptions {
   BackendTableOptions backends;
   std::uint64_t seed = 0;
+  std::optional<double> cpu_quota;  ///< Processor time of this node in cores; absent if unknown.
   /// Time limit for opening a connection to a backend server. Covers several round trips between
   /// zones and 6 ms in the server, but no retransmission of a lost packet.
   std::chrono::milliseconds connect_timeout{60};
--- a/src/node/forward_exchange.h
+++ b/src/node/forward_exchange.h
@@ -26,6 +26,7 @@
   const Route* route = nullptr;
   ForwardRun run;
   AdmissionTicket ticket;
+  std::size_t processor_calls = 0;  // Of a query that `ProcessorLimit` counts.
   std::unordered_map<std::uint32_t, CallInProgress> calls;
   asio::steady_timer timer;
   std::vector<std::pair<BackendName, Duration>> cancelled;  // With call ages, for the log.
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -134,7 +134,8 @@
                              .cold_overshoot = settings.cold_overshoot,
                              .cold_slack = settings.cold_slack,
                              .entry_bound = settings.drain_bound},
-                .seed = seed},
+                .seed = seed,
+                .cpu_quota = settings.cpu_quota},
                protocol),
       callers_({&loop}, CallerOptions(settings),
                [this](HttpRequest request, HttpResponder respond) {
@@ -270,6 +271,11 @@
   Exposition page;
   service_.metrics().WriteTo(page);
   service_.WriteTenantMetrics(page);
+  if (settings_.cpu_quota) {
+    page.Family("damaskroute_forward_busy_refusals_total", "counter",
+                "Queries refused because this node had too little processor time.");
+    page.Sample("", static_cast<double>(service_.busy_refusals()));
+  }
   page.Family("damaskroute_forward_active_requests", "gauge", "Requests that are served now.");
   page.Sample("", static_cast<double>(service_.active()));
   page.Family("damaskroute_forward_backends", "gauge", "Backend servers that are known.");
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -87,6 +87,7 @@
       body_budget_(std::make_shared<ByteBudget>(options_.max_held_bytes)),
       forwarding_state_(loop, options_.backends, ClientOptions(options_, protocol_, body_budget_),
                         options_.seed),
+      processor_limit_(options_.cpu_quota),
       tenant_admission_(options_.seed),
       retry_after_(options_.seed),
       peer_selector_(options_.seed),
@@ -151,7 +152,9 @@
 }
 
 Duration ForwardService::ReservedTime(const Route& route, const CallerRequest& request) const {
-  return CallerNetworkDelay(request.connection, route.objective) + timer_delay_.allowance();
+  Duration merge_time = processor_limit_.ExtraMergeTime(route.shards.size());
+  return CallerNetworkDelay(request.connection, route.objective) + timer_delay_.allowance() +
+         std::min<Duration>(merge_time, route.objective / 4);
 }
 
 ForwardSpec ForwardService::MakeSpec(const Route& route, const ForwardTimes& times) {
@@ -284,7 +287,7 @@
 
 void ForwardService::Respond(const std::shared_ptr<Exchange>& exchange, ForwardAnswer answer) {
   exchange->timer.cancel();
-  exchange->ticket.Release(exchange->run, Now());
+  ReleaseLimits(*exchange, Now());
   ReportLosses(*exchange);
   if (MayPassToPeer(*exchange, answer, Now()) && PassToPeer(exchange, {})) return;
   RecordLoad(*exchange, answer);
@@ -342,7 +345,7 @@
   } else {
     Execute(exchange, exchange->run.Abandon(Now()));
     ReportLosses(*exchange);
-    exchange->ticket.Release(exchange->run, Now());
+    ReleaseLimits(*exchange, Now());
   }
   active_.erase(exchange);
   // Sending this response makes the server close the connection.
--- a/src/node/forward_service_load.cc
+++ b/src/node/forward_service_load.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "damaskroute/core/hash.h"
 #include "damaskroute/log/log_line.h"
@@ -58,7 +59,22 @@
                                 TimePoint now) {
   OverloadLimit& limit = limits_[exchange.routes->Plan(*exchange.route).shard_set];
   if (only_if_spare && !limit.HasSpareRoom()) return false;
-  return exchange.ticket.TryAdmit(limit, urgent, exchange.run, now);
+  const ForwardSpec& spec = exchange.run.spec();
+  std::size_t calls = spec.services.size();
+  Duration time_left = std::min(spec.answer_by, spec.deadline) - now;
+  if (!processor_limit_.Allows(calls, time_left, timer_delay_.allowance(), now)) {
+    ++busy_refusals_;
+    return false;
+  }
+  if (!exchange.ticket.TryAdmit(limit, urgent, exchange.run, now)) return false;
+  processor_limit_.OnStarted(calls, now);
+  exchange.processor_calls = calls;
+  return true;
+}
+
+void ForwardService::ReleaseLimits(Exchange& exchange, TimePoint now) {
+  exchange.ticket.Release(exchange.run, now);
+  processor_limit_.OnEnded(std::exchange(exchange.processor_calls, 0));
 }
 
 ServerSet ForwardService::ServersOf(const Exchange& exchange) {
