--- a/tests/tenant_load_node_test.cc
+++ b/tests/tenant_load_node_test.cc
@@ -50,6 +50,16 @@
   CHECK(PlatformFixture::Await([&] { return fixture.Get("/one/x", "id-3").status == 200; }));
 }
 
+// Guards against clients that lower the shares of all tenants by requests that cannot be served.
+TEST_CASE("a request with too little time does not count as a lack of capacity") {
+  PlatformFixture fixture;
+  fixture.store.Write(platform::kConfigKey, ConfigWithTenant(2));
+  fixture.AddServer("i-1", "desk");
+  REQUIRE(fixture.StartServing(1));
+  CHECK(fixture.Get("/one/x", "id-1", /*deadline_ms=*/1).status >= 500);
+  CHECK(Metrics(fixture).find(std::string(kGauge) + " 0") != std::string::npos);
+}
+
 // Guards against state and metrics of tenants in deployments that have none.
 TEST_CASE("without tenants a service whose servers shed calls is not limited by tenant") {
   PlatformFixture fixture;
