Merge decisions under load

Cause: the keys part and the load part each decide which query is urgent. Change: the tenant's priority decides before requests are turned away, the shares of tenants afterwards.

--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -60,13 +60,6 @@
   return text;
 }
 
-// Retry-After for callers refused because a limit was reached, as a fraction of the caller's
-// timeout. Callers honour up to a third of it.
-constexpr double kMinRetryAfterFraction = 0.15;
-constexpr double kMaxRetryAfterFraction = 0.3;
-constexpr std::chrono::milliseconds kMinRetryAfter{50};
-constexpr std::chrono::milliseconds kMaxRetryAfter{1000};
-
 const char* RefusalOutcome(int status) {
   if (status == 401) return "unauthorized";
   return status == 404 ? "not_found" : "turned_away";
@@ -99,6 +92,9 @@
       body_budget_(std::make_shared<ByteBudget>(options_.max_held_bytes)),
       forwarding_state_(loop, options_.backends, ClientOptions(options_, protocol_, body_budget_),
                         options_.seed),
+      processor_limit_(options_.cpu_quota),
+      tenant_admission_(options_.seed),
+      retry_after_(options_.seed),
       peer_selector_(options_.seed),
       peer_clients_(loop, PeerClientOptions(options_, body_budget_)),
       crash_guard_(MakeCrashGuardSettings()),
@@ -159,14 +155,13 @@
   bool at_peer = (lacks_servers || exchange->outdated) && PassToPeer(exchange, {});
   if (exchange->outdated && !at_peer) {
     return RefuseWith(exchange->request, 503, kOutdatedReason, exchange->respond,
-                      RandomRetryAfter(exchange->run.spec().deadline - exchange->request.received));
+                      RetryAfter(*exchange, Now()));
   }
   if (!at_peer && !BeginGuarded(*exchange, as_canary)) return ReturnQuota(*exchange);
-  if (!at_peer && !AdmitQuery(*exchange)) {
+  if (!at_peer && !Admit(*exchange)) {
     ReturnQuota(*exchange);
     ReportLosses(*exchange);
-    return RefuseWith(exchange->request, 503, "too many queries", exchange->respond,
-                      RandomRetryAfter(exchange->run.spec().deadline - exchange->request.received));
+    return RefuseOverload(*exchange);
   }
   active_.insert(exchange);
   if (exchange->presence) {
@@ -178,7 +173,9 @@
 }
 
 Duration ForwardService::ReservedTime(const Route& route, const CallerRequest& request) const {
-  return CallerNetworkDelay(request.connection, route.objective) + timer_delay_.allowance();
+  Duration merge_time = processor_limit_.ExtraMergeTime(route.shards.size());
+  return CallerNetworkDelay(request.connection, route.objective) + timer_delay_.allowance() +
+         std::min<Duration>(merge_time, route.objective / 4);
 }
 
 ForwardSpec ForwardService::MakeSpec(const Route& route, const ForwardTimes& times) {
@@ -192,25 +189,6 @@
   return MakePlainSpec(route, service, times);
 }
 
-// Randomizes the delay, so that the callers of a load spike do not all return at the same time.
-std::chrono::milliseconds ForwardService::RandomRetryAfter(Duration caller_timeout) {
-  double fraction = kMinRetryAfterFraction +
-                    (kMaxRetryAfterFraction - kMinRetryAfterFraction) * random_.NextDouble();
-  auto time = std::chrono::duration_cast<std::chrono::milliseconds>(caller_timeout * fraction);
-  return std::clamp(time, kMinRetryAfter, kMaxRetryAfter);
-}
-
-// Queries over the same shards share a limit, under which the most urgent requests have priority:
-// by their tenant's priority, or else their route's.
-bool ForwardService::AdmitQuery(Exchange& exchange) {
-  const Route& route = *exchange.route;
-  if (route.shards.empty()) return true;
-  const QueryPlan& plan = exchange.routes->Plan(route);
-  return exchange.ticket.TryAdmit(limits_[plan.shard_set],
-                                  exchange.routes->IsUrgent(route, exchange.tenant), exchange.run,
-                                  Now());
-}
-
 void ForwardService::Refuse(HttpRequest request, const char* reason, const HttpResponder& respond) {
   RefuseWith(ReadCallerRequest(std::move(request), protocol_), 503, reason, respond,
              options_.refusal_retry);
@@ -330,9 +308,10 @@
 
 void ForwardService::Respond(const std::shared_ptr<Exchange>& exchange, ForwardAnswer answer) {
   exchange->timer.cancel();
-  exchange->ticket.Release(exchange->run, Now());
+  ReleaseLimits(*exchange, Now());
   ReportLosses(*exchange);
   if (MayPassToPeer(*exchange, answer, Now()) && PassToPeer(exchange, {})) return;
+  RecordLoad(*exchange, answer);
   const char* outcome = OutcomeName(answer);
   std::string cancelled_calls = CancelledCalls(*exchange);
   Duration latency = Now() - exchange->request.received;
@@ -391,7 +370,7 @@
     if (exchange->run.counts().calls == 0) ReturnQuota(*exchange);
     Execute(exchange, exchange->run.Abandon(Now()));
     ReportLosses(*exchange);
-    exchange->ticket.Release(exchange->run, Now());
+    ReleaseLimits(*exchange, Now());
   }
   active_.erase(exchange);
   // Sending this response makes the server close the connection.
--- a/src/node/forward_service_peers.cc
+++ b/src/node/forward_service_peers.cc
@@ -162,7 +162,7 @@
     response = MakeForwardRefusal(
         request, 503,
         exchange->outdated ? kOutdatedReason : "no node reaches enough backend servers",
-        RandomRetryAfter(exchange->run.spec().deadline - request.received), protocol_);
+        RetryAfter(*exchange, Now()), protocol_);
   } else {
     bool timed_out = result.end == ExchangeEnd::kTimedOut;
     name = timed_out ? "timed_out" : "failed";
--- a/src/node/forward_service_quota.cc
+++ b/src/node/forward_service_quota.cc
@@ -10,6 +10,8 @@
 namespace damaskroute {
 namespace {
 
+TimePoint Now() { return SteadyClock().Now(); }
+
 // Whether the status states that the request has not run.
 bool PromisesNotRun(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -47,10 +49,9 @@
     return Begin(exchange, as_canary);
   }
   bool over_quota = verdict.outcome == QuotaOutcome::kOverQuota;
-  Duration timeout = exchange->run.spec().deadline - exchange->request.received;
   RefuseWith(exchange->request, over_quota ? 429 : 503,
              over_quota ? "the quota of the tenant is used up" : "the quota cannot be checked now",
-             exchange->respond, over_quota ? verdict.retry_after : RandomRetryAfter(timeout));
+             exchange->respond, over_quota ? verdict.retry_after : RetryAfter(*exchange, Now()));
 }
 
 void ForwardService::CancelQuotaWait(Exchange& exchange) {
