A backend response without a valid status ends its call as invalid

Cause: statuses below 200 counted as interim, so a response with 000, 099 or 101 was skipped and the call was held until its deadline (504); 600 and 999 were passed to clients and could be part of what nodes pass on.

Change: ResponseReader accepts 100 to 599 without 101 (statuses that are not three digits were invalid before). Any other one ends the exchange as kBadAnswer, like bytes that are not HTTP: it may have run, and is retried where that is allowed. All calls to servers (plain, actions, queries, health checks), other nodes, the store and the VM list read responses with it. At most four interim responses are skipped, as before.

--- a/src/http/response_reader.cc
+++ b/src/http/response_reader.cc
@@ -20,6 +20,13 @@
   return parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() ? value : fallback;
 }
 
+// Whether this is the status of a final or an interim response. 101 is neither, because it would
+// end the use of HTTP on the connection. The parser accepts any three digits.
+bool IsAcceptedStatus(int status) {
+  constexpr int kSwitchingProtocols = 101;
+  return status >= 100 && status < 600 && status != kSwitchingProtocols;
+}
+
 // Returns nothing for a negative or invalid rate.
 std::optional<double> ParseRate(std::string_view text) {
   double rate = 0;
@@ -41,7 +48,10 @@
   return std::move(result_);
 }
 
-void ResponseReader::on_response_impl(int code, Text, int, Error&) { result_.status = code; }
+void ResponseReader::on_response_impl(int code, Text, int, Error& error) {
+  if (!IsAcceptedStatus(code)) error = boost::beast::http::error::bad_status;
+  result_.status = code;
+}
 
 void ResponseReader::ReadKeepAlive(std::string_view value) {
   constexpr std::string_view kTimeout = "timeout=";
