--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -88,7 +88,8 @@
                                   .followed = [this] { return Followed(); }});
     forward_server_.service().SetOnCrashRecords([this] { crash_records_.Update(); });
     if (settings.changes) {
-      relay_.emplace(loop, *settings.changes, [this] { return feed_.age(); });
+      relay_.emplace(
+          loop, *settings.changes, [this] { return feed_.age(); }, forward_server_.relay_limits());
       relay_->SetCertainUntil([this] { return feed_.changes_certain_until(); });
     }
     if (settings.quota && settings.quota_port) {
--- a/include/damaskroute/relay/change_relay.h
+++ b/include/damaskroute/relay/change_relay.h
@@ -27,8 +27,15 @@
 /// Used on its event loop only.
 class ChangeRelay {
  public:
+  /// Limits for the followers.
+  struct Limits {
+    std::shared_ptr<ClientMemory> memory;  ///< Of this process; null for an account of its own.
+    std::size_t max_connections = 2048;
+  };
+
   /// `age` returns the time since the store last confirmed this node's data.
-  ChangeRelay(asio::io_context& loop, const Endpoint& listen, std::function<Duration()> age);
+  ChangeRelay(asio::io_context& loop, const Endpoint& listen, std::function<Duration()> age,
+              const Limits& limits);
   ~ChangeRelay();
 
   /// Sets the function that returns the time since boot until which the changes are certain to be
