--- a/src/node/caller_request.cc
+++ b/src/node/caller_request.cc
@@ -51,9 +51,9 @@
 
 std::vector<HeaderField> TakeCredentials(HttpRequest& request, const ForwardProtocol& protocol) {
   std::vector<HeaderField> credentials;
-  std::erase_if(request.headers, [&](HeaderField& field) {
+  std::erase_if(request.headers, [&](const HeaderField& field) {
     bool is_credential = SameHeaderName(field.name, kAuthorizationHeader);
-    if (is_credential) credentials.push_back(std::move(field));
+    if (is_credential) credentials.push_back(field);
     return is_credential || SameHeaderName(field.name, protocol.tenant);
   });
   return credentials;
