--- a/include/damaskroute/node/forward_metrics.h
+++ b/include/damaskroute/node/forward_metrics.h
@@ -15,8 +15,8 @@
 /// Counters and latencies of the forwarding path of one node.
 struct ForwardMetrics {
   /// Answers by outcome: `passed_on`, `merged`, `partial`, `refused`, `failed`, `timed_out`,
-  /// `abandoned`, `not_found`, `turned_away`, `at_peer` (answered by another node),
-  /// `not_servable` (refused to another node).
+  /// `abandoned`, `not_found`, `turned_away`, `unauthorized` (401), `at_peer` (answered by another
+  /// node), `not_servable` (refused to another node).
   std::map<std::string, std::uint64_t> answers;
   std::map<std::string, std::uint64_t> failed_calls;  ///< By failure reason.
   ForwardCounts counts;
--- a/include/damaskroute/routing/routing_document.h
+++ b/include/damaskroute/routing/routing_document.h
@@ -19,7 +19,7 @@
   std::map<ServiceName, ServicePolicy> services;
   ClientLimits client_limits;
   bool has_tenants = false;     ///< Whether requests need API keys, even if there are no tenants.
-  std::vector<Tenant> tenants;  ///< Empty if requests need no API keys.
+  std::vector<Tenant> tenants;  ///< Without their keys in a `RouteTable`.
 };
 
 }  // namespace damaskroute
