--- a/include/damaskroute/forward/backend_eligibility.h
+++ b/include/damaskroute/forward/backend_eligibility.h
@@ -22,6 +22,7 @@
   kBackoffRequested,  ///< It requested a backoff (Retry-After).
   kDraining,          ///< Leaving, by its entry or one of its responses.
   kMisdirected,       ///< Another server has its address.
+  kOtherVersion,      ///< Its version gets no calls now, because of a rollout.
 };
 
 /// Whether a server may be called.
--- a/include/damaskroute/forward/backend_table.h
+++ b/include/damaskroute/forward/backend_table.h
@@ -16,6 +16,7 @@
 #include "damaskroute/forward/backend_eligibility.h"
 #include "damaskroute/forward/backend_table_options.h"
 #include "damaskroute/forward/reporting_servers.h"
+#include "damaskroute/forward/version_gate.h"
 #include "damaskroute/forward/zone_reachability.h"
 #include "damaskroute/routing/route_table.h"
 
@@ -57,6 +58,10 @@
   /// Removes a server. Calls in progress continue.
   void Remove(const BackendName& id);
 
+  /// Sets what decides which versions get calls; null, as at first, for no restriction. Must
+  /// outlive this object.
+  void SetVersionGate(const VersionGate* gate) { version_gate_ = gate; }
+
   /// Sets the zones that receive no calls.
   void SetClosedZones(std::set<ZoneName> zones) { closed_zones_ = std::move(zones); }
   const std::set<ZoneName>& closed_zones() const { return closed_zones_; }
@@ -145,6 +150,14 @@
   std::size_t CountRateLimited() const;
 
  private:
+  BackendChoice ChooseAmong(const ServiceName& service,
+                            const std::vector<std::shared_ptr<Backend>>& tried,
+                            const CallTimes& times, const VersionPreference& versions,
+                            TimePoint now);
+  bool AllowsVersion(const Backend& backend, TimePoint now) const {
+    return version_gate_ == nullptr ||
+           version_gate_->Allows(backend.entry.service, backend.entry.version, now);
+  }
   std::shared_ptr<Backend> MakeBackend(const BackendEntry& entry) const;
   void OnMayHaveRestarted(Backend& backend, TimePoint now);
   static bool AllowsCall(const Backend& backend, const CallTimes& times, TimePoint now);
@@ -159,6 +172,7 @@
   const BackendTableOptions options_;
   const std::uint64_t seed_;
   Random random_;
+  const VersionGate* version_gate_ = nullptr;
   std::shared_ptr<const RouteTable> routes_;
   int nodes_ = 1;
   std::vector<NodeName> node_names_;
--- a/include/damaskroute/forward/call_result.h
+++ b/include/damaskroute/forward/call_result.h
@@ -22,6 +22,11 @@
   kLost,         ///< No complete response. The request may have run.
 };
 
+/// Whether the server may have run the request.
+inline bool MayHaveRun(CallEnd end) {
+  return end == CallEnd::kAnswered || end == CallEnd::kServerError || end == CallEnd::kLost;
+}
+
 /// Result of one call to a backend server.
 struct CallResult {
   CallEnd end = CallEnd::kUnreachable;
--- a/src/forward/backend_eligibility.cc
+++ b/src/forward/backend_eligibility.cc
@@ -30,6 +30,8 @@
       return "no: it is leaving";
     case BackendEligibility::kMisdirected:
       return "no: another server has its address";
+    case BackendEligibility::kOtherVersion:
+      return "no: its version gets no calls now";
   }
   return "yes";
 }
--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -165,6 +165,7 @@
   if (backend.misdirected) return BackendEligibility::kMisdirected;
   if (backend.entry.draining || backend.leaving) return BackendEligibility::kDraining;
   if (closed_zones_.contains(backend.entry.zone)) return BackendEligibility::kClosedZone;
+  if (!AllowsVersion(backend, now)) return BackendEligibility::kOtherVersion;
   if (now < backend.backoff_until) return BackendEligibility::kBackoffRequested;
   if (call_stats.outstanding() >= backend.max_outstanding) return BackendEligibility::kBusy;
   if (!backend.cold.Allows(now)) return BackendEligibility::kColdLimit;
@@ -213,10 +214,26 @@
 BackendChoice BackendTable::Choose(const ServiceName& service,
                                    const std::vector<std::shared_ptr<Backend>>& tried,
                                    const CallTimes& times, TimePoint now) {
+  if (version_gate_ != nullptr) {
+    bool repeated = times.hedge || !tried.empty();
+    VersionPreference versions = version_gate_->PreferenceFor(service, repeated, now);
+    if (versions.version != nullptr) {
+      BackendChoice choice = ChooseAmong(service, tried, times, versions, now);
+      if (choice.backend && choice.rank < BackendRank::kUnreachable) return choice;
+    }
+  }
+  return ChooseAmong(service, tried, times, {}, now);
+}
+
+BackendChoice BackendTable::ChooseAmong(const ServiceName& service,
+                                        const std::vector<std::shared_ptr<Backend>>& tried,
+                                        const CallTimes& times, const VersionPreference& versions,
+                                        TimePoint now) {
   BackendChoice best;
   double best_cost = 0;
   for (const auto& server : ServersOf(service)) {
     if (Contains(tried, server.get())) continue;
+    if (!versions.IsPreferred(server->entry.version)) continue;
     BackendEligibility eligibility = EligibilityOf(*server, now);
     if (!IsEligible(eligibility) || !AllowsCall(*server, times, now)) continue;
     BackendRank rank = RankOf(*server, eligibility, times, now);
@@ -332,8 +349,9 @@
 
 std::ptrdiff_t BackendTable::CountReachable(const ServiceName& service, TimePoint now) const {
   const auto& servers = ServersOf(service);
-  return std::count_if(servers.begin(), servers.end(),
-                       [&](const auto& server) { return IsReachable(*server, now); });
+  return std::count_if(servers.begin(), servers.end(), [&](const auto& server) {
+    return IsReachable(*server, now) && AllowsVersion(*server, now);
+  });
 }
 
 const std::vector<std::shared_ptr<Backend>>& BackendTable::ServersOf(
--- a/src/forward/forward_run.cc
+++ b/src/forward/forward_run.cc
@@ -47,10 +47,6 @@
   return CallObservation::kFailure;
 }
 
-bool MayHaveRun(CallEnd end) {
-  return end == CallEnd::kAnswered || end == CallEnd::kServerError || end == CallEnd::kLost;
-}
-
 }  // namespace
 
 ForwardRun::ForwardRun(ForwardSpec spec, ForwardContext context)
