Read and write rollouts in the store, and count calls by version

Cause: the decisions on rollouts need the store's orders, records and reports. Change: RolloutStore writes record and status in one transaction with the revisions of the record and of the order as conditions, and each node's report on the revision of that report. ForwardService counts calls and responses by version. Nothing runs, is written or is shown while the store has no order and no record.

--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -22,6 +22,7 @@
 #include "damaskroute/node/forward_node_settings.h"
 #include "damaskroute/node/forward_server.h"
 #include "damaskroute/node/node_count.h"
+#include "damaskroute/node/rollout_store.h"
 #include "damaskroute/node/store_entry.h"
 #include "damaskroute/relay/change_relay.h"
 #include "damaskroute/relay/relay_choice.h"
@@ -34,7 +35,7 @@
 /// the meaning of the store's keys and values. It only translates and makes no decisions.
 template <typename T>
 concept NodePlatform = WatchedStoreCodec<typename T::StoreCodec> &&
-    LeaseCodec<typename T::StoreCodec> &&
+    LeaseCodec<typename T::StoreCodec> && RolloutCodec<typename T::StoreCodec> &&
     requires(const T& platform, std::string_view key, const StoreItem& item) {
   { platform.Protocol() } -> std::same_as<ForwardProtocol>;
   { platform.Codec() } -> std::same_as<typename T::StoreCodec>;
@@ -70,13 +71,21 @@
                },
                [this](std::uint64_t era) {
                  state().OnStoreRestored();
+                 rollouts_.OnStoreRestored();
                  node_key_.OnStoreEra(era);
                }}),
         node_key_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
                   RenderNodeRecord({settings.zone, settings.changes, settings.peers}),
                   settings.node_lease, Hash64(settings.node, /*seed=*/1)),
         crash_records_(loop, feed_.client(), settings.store, platform_.Codec(),
-                       forward_server_.service().crash_guard(), Hash64(settings.node, /*seed=*/2)) {
+                       forward_server_.service().crash_guard(), Hash64(settings.node, /*seed=*/2)),
+        rollouts_(loop, feed_.client(), settings.store, platform_.Codec(), settings.node,
+                  forward_server_.service(),
+                  {.store_age = [this] { return feed_.age(); },
+                   .on_item = [this](const StoreItem& item) { OnRolloutItem(item); },
+                   .on_urgency_changed = [this] { UpdateEagerness(); }}) {
+    forward_server_.service().rollouts().SetOptions(
+        MakeRolloutOptions(settings, MakeFeedOptions(settings)));
     forward_server_.SetStoreView({.probe = [this](auto done) { feed_.Probe(std::move(done)); },
                                   .age = [this] { return feed_.age(); },
                                   .followed = [this] { return Followed(); }});
@@ -127,7 +136,7 @@
     for (const StoreItem& item : items) {
       StoreEntryKey key = platform_.ParseKey(item.key);
       if (item.removed) {
-        OnRemoved(key, after_outage);
+        OnRemoved(key, item.revision, after_outage);
       } else if (key.kind != StoreEntryKind::kOther) {
         OnWritten(key, item, after_outage);
       }
@@ -135,13 +144,37 @@
     forwarding_state.EndBatch();
     ApplyNodes();
     if (!items.empty()) OnNodesChanged();
-    feed_.SetEager(forwarding_state.ExpectsReturningServers(Now()));
+    rollouts_.OnBackendsChanged();
+    UpdateEagerness();
+  }
+
+  void UpdateEagerness() {
+    feed_.SetEager(state().ExpectsReturningServers(Now()) || rollouts_.IsUrgent());
+  }
+
+  // A key of a rollout as it is now, from a response to a conditional write.
+  void OnRolloutItem(const StoreItem& item) {
+    StoreEntryKey key = platform_.ParseKey(item.key);
+    if (key.kind != StoreEntryKind::kRolloutRecord && key.kind != StoreEntryKind::kRolloutReport) {
+      return;  // Orders come in their order from the feed.
+    }
+    if (!item.removed) return OnWritten(key, item, /*after_outage=*/false);
+    if (key.kind == StoreEntryKind::kRolloutReport) {
+      rollouts_.OnOwnReportMissing(key.name);
+    }
   }
 
   void ApplyNodes() {
     TimePoint now = Now();
     forward_server_.SetNodes(nodes_.Count(now));
     state().SetNodeNames(nodes_.Counted(now));
+    ApplyNodesToRollouts(now);
+  }
+
+  void ApplyNodesToRollouts(TimePoint now) {
+    std::set<NodeName> live;
+    for (const auto& [name, record] : node_records_) live.insert(name);
+    forward_server_.service().rollouts().SetNodes(live, nodes_.Counted(now));
   }
 
   void OnNodesChanged() {
@@ -181,6 +214,9 @@
       if (key.kind == StoreEntryKind::kBackend) {
         state().OnBackendRemoved(key.name, after_outage);
       }
+      if (key.kind == StoreEntryKind::kRolloutOrder) {
+        rollouts_.OnOrderUnusable(key.name, item.revision);
+      }
       return;
     }
     if (auto* document = std::get_if<RoutingDocument>(&*store_entry)) {
@@ -194,6 +230,12 @@
       node_records_.insert_or_assign(node->node, node->record);
     } else if (auto* crash = std::get_if<StoredCrashRecord>(&*store_entry)) {
       OnCrashRecord(key, item, crash->page);
+    } else if (auto* order = std::get_if<RolloutOrder>(&*store_entry)) {
+      rollouts_.OnOrder(key.name, *order, item.revision);
+    } else if (auto* record = std::get_if<RolloutRecord>(&*store_entry)) {
+      rollouts_.OnRecord(key.name, *record, item.revision);
+    } else if (auto* report = std::get_if<RolloutReport>(&*store_entry)) {
+      rollouts_.OnReport(key.name, key.node, *report, item.revision);
     }
   }
 
@@ -210,7 +252,10 @@
         .Field("error", ErrorText(error));
   }
 
-  void OnRemoved(const StoreEntryKey& key, bool after_outage) {
+  void OnRemoved(const StoreEntryKey& key, std::uint64_t revision, bool after_outage) {
+    if (key.kind == StoreEntryKind::kRolloutOrder) rollouts_.OnOrderRemoved(key.name);
+    if (key.kind == StoreEntryKind::kRolloutRecord) rollouts_.OnRecordRemoved(key.name, revision);
+    if (key.kind == StoreEntryKind::kRolloutReport) rollouts_.OnReportRemoved(key.name, key.node);
     if (key.kind == StoreEntryKind::kBackend) {
       state().OnBackendRemoved(key.name, after_outage);
     }
@@ -225,19 +270,26 @@
 
   void OnDirectivesRead(const std::vector<std::string>& keys) {
     std::set<ZoneName> zones;
+    std::set<ServiceName> orders;
     for (const std::string& text : keys) {
       StoreEntryKey key = platform_.ParseKey(text);
       if (key.kind == StoreEntryKind::kClosedZone) zones.insert(key.name);
+      if (key.kind == StoreEntryKind::kRolloutOrder) orders.insert(key.name);
     }
     state().OnAllClosedZones(zones);
+    rollouts_.OnAllOrders(orders);
   }
 
   void OnAllRead(const std::vector<std::string>& keys, bool after_outage) {
     std::set<BackendName> backends;
     std::set<ZoneName> zones;
     std::set<NodeName> nodes;
+    std::set<ServiceName> orders;
+    std::set<ServiceName> records;
     for (const std::string& text : keys) {
       StoreEntryKey key = platform_.ParseKey(text);
+      if (key.kind == StoreEntryKind::kRolloutOrder) orders.insert(key.name);
+      if (key.kind == StoreEntryKind::kRolloutRecord) records.insert(key.name);
       if (key.kind == StoreEntryKind::kBackend) backends.insert(key.name);
       if (key.kind == StoreEntryKind::kClosedZone) zones.insert(key.name);
       if (key.kind == StoreEntryKind::kNode) nodes.insert(key.name);
@@ -248,6 +300,7 @@
     std::erase_if(node_records_, [&](const auto& entry) { return !nodes.contains(entry.first); });
     ApplyNodes();
     OnNodesChanged();
+    rollouts_.OnAllRead(orders, records);
   }
 
   const Platform platform_;
@@ -260,6 +313,7 @@
   StoreFeed<typename Platform::StoreCodec> feed_;
   LeasedKey<typename Platform::StoreCodec> node_key_;
   CrashRecordStore<typename Platform::StoreCodec> crash_records_;
+  RolloutStore<typename Platform::StoreCodec> rollouts_;
   std::optional<ChangeRelay> relay_;
 };
 
--- a/include/damaskroute/node/forward_server.h
+++ b/include/damaskroute/node/forward_server.h
@@ -23,6 +23,9 @@
 /// Options for following the store with which the time limits in `settings` are met.
 FeedOptions MakeFeedOptions(const ForwardNodeSettings& settings);
 
+/// Options of the rollouts for a deployment. `feed`: how the node follows the store.
+RolloutOptions MakeRolloutOptions(const ForwardNodeSettings& settings, const FeedOptions& feed);
+
 /// The ports of a node for callers, readiness checks and metrics, and its start and shutdown. Must
 /// only be used on its event loop.
 class ForwardServer {
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -22,6 +22,7 @@
 #include "damaskroute/forward/timer_delay.h"
 #include "damaskroute/http/byte_budget.h"
 #include "damaskroute/http/http_server.h"
+#include "damaskroute/metrics/exposition.h"
 #include "damaskroute/node/caller_request.h"
 #include "damaskroute/node/crash_exchange.h"
 #include "damaskroute/node/forward_metrics.h"
@@ -29,6 +30,7 @@
 #include "damaskroute/node/forward_service_options.h"
 #include "damaskroute/node/forwarding_state.h"
 #include "damaskroute/node/peer_clients.h"
+#include "damaskroute/rollout/rollout_table.h"
 #include "damaskroute/routing/route_table.h"
 #include "damaskroute/routing/weighted_split.h"
 
@@ -90,11 +92,27 @@
   /// as members of the current JSON object.
   void WriteState(JsonWriter& writer, TimePoint now) const;
 
+  /// Adds the metrics of rollouts, if there are any.
+  void WriteRolloutMetrics(Exposition& page) const;
+
   std::size_t active() const { return active_.size(); }
   const ForwardMetrics& metrics() const { return metrics_; }
   const CrashGuard& crash_guard() const { return crash_guard_; }
   CrashGuard& crash_guard() { return crash_guard_; }
 
+  /// The rollouts, which are decided elsewhere. Empty unless the store has an order or a record.
+  RolloutTable& rollouts() { return rollouts_; }
+  const RolloutTable& rollouts() const { return rollouts_; }
+
+  /// From now on, the rollouts decide which versions get calls.
+  void EnableVersions() { forwarding_state_.backends().SetVersionGate(&rollouts_); }
+
+  /// Versions of the servers of a service that have an entry and do not leave.
+  std::set<std::string> VersionsOf(const ServiceName& service) const;
+
+  /// Number of calls in progress to servers of a service that have another version.
+  std::int64_t CountOpenCalls(const ServiceName& service, const std::string& version) const;
+
   /// Sets a function that is called whenever requests may have been blocked.
   void SetOnCrashRecords(std::function<void()> on_change) {
     crash_exchange_.SetOnChange(std::move(on_change));
@@ -128,6 +146,10 @@
   void ReportLosses(Exchange& exchange);
   void OnCallGivenUp(const Exchange& exchange, const std::shared_ptr<Backend>& backend,
                      TimePoint sent);
+  void CountRolloutCall(const Backend& backend);
+  void TrackRollout(const Exchange& exchange, const Backend& backend, bool failed, Duration latency,
+                    TimePoint now);
+  void WriteRollouts(JsonWriter& writer) const;
   void ScheduleGivenUpChecks();
   void CheckGivenUpCalls();
   void ReportGivenUpLosses(const std::vector<GivenUpCall>& calls);
@@ -164,6 +186,7 @@
   TimerDelay timer_delay_;
   Random random_;
   const std::shared_ptr<ByteBudget> body_budget_;
+  RolloutTable rollouts_;
   ForwardingState forwarding_state_;
   ExtraBudgetOptions budget_options_;
   std::unordered_map<ServiceName, ExtraBudget> budgets_;
--- a/include/damaskroute/node/store_entry.h
+++ b/include/damaskroute/node/store_entry.h
@@ -8,6 +8,8 @@
 #include "damaskroute/core/ids.h"
 #include "damaskroute/relay/node_record.h"
 #include "damaskroute/rollout/rollout_order.h"
+#include "damaskroute/rollout/rollout_record.h"
+#include "damaskroute/rollout/rollout_report.h"
 #include "damaskroute/routing/backend_entry.h"
 #include "damaskroute/routing/routing_document.h"
 
@@ -21,13 +23,17 @@
   kNode,
   kCrashRecord,
   kRolloutOrder,
+  kRolloutRecord,
+  kRolloutReport,
   kOther
 };
 
-/// A decoded key of the store: its kind and the name of the backend server, zone, node or request.
+/// A decoded key of the store: its kind and the name of the backend server, zone, node, service or
+/// request.
 struct StoreEntryKey {
   StoreEntryKind kind = StoreEntryKind::kOther;
   std::string name;
+  NodeName node;  ///< That published a report on a rollout.
 };
 
 /// An operator directive: no new requests are sent to a zone.
@@ -48,7 +54,7 @@
 
 /// A decoded value of the store.
 using StoreEntry = std::variant<RoutingDocument, BackendEntry, ClosedZone, LiveNode,
-                                StoredCrashRecord, RolloutOrder>;
+                                StoredCrashRecord, RolloutOrder, RolloutRecord, RolloutReport>;
 
 }  // namespace damaskroute
 
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -125,6 +125,17 @@
   return options;
 }
 
+// A node sees a change after the pause that collects changes and one call to a store that takes 240
+// ms.
+RolloutOptions MakeRolloutOptions(const ForwardNodeSettings& settings, const FeedOptions& feed) {
+  RolloutBounds bounds = settings.rollout.value_or(RolloutBounds());
+  RolloutOptions options;
+  options.canary_share = bounds.canary_share;
+  options.canary_slack = bounds.canary_slack;
+  options.notice_delay = feed.batch_delay + milliseconds(300);
+  return options;
+}
+
 ForwardServer::ForwardServer(asio::io_context& loop, const ForwardNodeSettings& settings,
                              const ForwardProtocol& protocol, std::uint64_t seed)
     : settings_(settings),
@@ -284,6 +295,7 @@
   page.Sample("", static_cast<double>(service_.crash_guard().blocked(SteadyClock().Now())));
   page.Family("damaskroute_forward_routes_version", "gauge", "Version of the routes in force.");
   page.Sample("", static_cast<double>(service_.forwarding_state().routes_version()));
+  service_.WriteRolloutMetrics(page);
   page.Family("damaskroute_forward_connects_total", "counter", "Connections opened to servers.");
   page.Sample("", static_cast<double>(service_.forwarding_state().pool().connect_count()));
   HttpResponse response;
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -1,6 +1,7 @@
 #include "damaskroute/node/forward_service.h"
 
 #include <algorithm>
+#include <random>
 #include <type_traits>
 #include <utility>
 #include <vector>
@@ -92,6 +93,7 @@
       protocol_(std::move(protocol)),
       random_(options_.seed),
       body_budget_(std::make_shared<ByteBudget>(options_.max_held_bytes)),
+      rollouts_(options_.backends.local_node, std::random_device()()),
       forwarding_state_(loop, options_.backends, ClientOptions(options_, protocol_, body_budget_),
                         options_.seed),
       peer_selector_(options_.seed),
@@ -218,6 +220,7 @@
       exchange->calls.erase(found);
       call.client->Cancel(call.id);
       OnCallGivenUp(*exchange, call.backend, call.sent);
+      TrackRollout(*exchange, *call.backend, /*failed=*/false, Now() - call.sent, Now());
       if (exchange->cancelled.size() < kMaxLoggedCalls) {
         exchange->cancelled.emplace_back(call.backend->entry.id, Now() - call.sent);
       }
@@ -235,6 +238,7 @@
   call.client = forwarding_state_.pool().ClientFor(send.backend);
   call.backend = send.backend;
   call.sent = now;
+  CountRolloutCall(*send.backend);
   // Shared ownership keeps the client alive during the call if it is removed from the pool.
   call.id = call.client->Start(
       MakeForwardCall(exchange->request, send.backend->entry.id, exchange->run.spec().deadline, now,
@@ -251,6 +255,9 @@
         CallResult call_result = ClassifyForwardCall(exchange->request, std::move(result),
                                                      exchange->run.spec().query, protocol_);
         TrackCrashes(*exchange, *backend, call_result, sent, ended);
+        if (MayHaveRun(call_result.end)) {
+          TrackRollout(*exchange, *backend, call_result.end != CallEnd::kAnswered, latency, ended);
+        }
         if (call_result.end == CallEnd::kLost && !call_result.connection_lost) {
           OnCallGivenUp(*exchange, backend, sent);
         }
--- a/src/node/forward_service_state.cc
+++ b/src/node/forward_service_state.cc
@@ -55,6 +55,7 @@
     writer.EndObject();
   }
   writer.EndArray();
+  WriteRollouts(writer);
 }
 
 void ForwardService::WriteRoutes(JsonWriter& writer) const {
