--- a/tests/quota_exchange_test.cc
+++ b/tests/quota_exchange_test.cc
@@ -11,6 +11,7 @@
 
 #include "damaskroute/core/boot_clock.h"
 #include "damaskroute/node/forward_node_settings.h"
+#include "fmt/format.h"
 #include "standins/non_ephemeral_endpoint.h"
 
 namespace damaskroute {
@@ -58,7 +59,7 @@
   Exchanges exchanges(3);
   std::vector<Tenant> tenants;
   for (int i = 0; i < 8; ++i) {
-    tenants.push_back({.name = "t" + std::to_string(i), .rate_per_s = 20, .burst = 1});
+    tenants.push_back({.name = fmt::format("t{}", i), .rate_per_s = 20, .burst = 1});
   }
   for (auto& node : exchanges.nodes) node->SetTenants(tenants);
   CHECK(exchanges.nodes[0]->HasQuota("t0"));
--- a/tests/quota_network.h
+++ b/tests/quota_network.h
@@ -2,6 +2,7 @@
 #define TESTS_QUOTA_NETWORK_H_
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,6 +17,7 @@
 #include "damaskroute/quota/quota_client.h"
 #include "damaskroute/quota/quota_codec.h"
 #include "damaskroute/quota/quota_coordinator.h"
+#include "fmt/format.h"
 
 namespace damaskroute {
 
@@ -64,7 +66,7 @@
 
   void Add() {
     Node& node = *nodes_.emplace_back(std::make_unique<Node>());
-    node.name = "node-" + std::to_string(nodes_.size() - 1);
+    node.name = fmt::format("node-{}", nodes_.size() - 1);
     node.clock_offset = std::chrono::seconds(100 + random_.Below(100'000));
   }
 
--- a/tests/quota_simulation_test.cc
+++ b/tests/quota_simulation_test.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cmath>
 
+#include "fmt/format.h"
 #include "quota_network.h"
 
 namespace damaskroute {
@@ -252,7 +253,7 @@
 TEST_CASE("5,000 tenants cost few bytes and little state") {
   // Guards against messages per tenant and node.
   std::vector<Tenant> tenants;
-  for (int i = 0; i < 5'000; ++i) tenants.push_back(MakeTenant("t" + std::to_string(i), 5, 5));
+  for (int i = 0; i < 5'000; ++i) tenants.push_back(MakeTenant(fmt::format("t{}", i), 5, 5));
   for (int nodes : {25, 118}) {
     QuotaNetwork network(nodes, 2, tenants);
     network.RunUntil(seconds(10));
