Quotas: coordinators that stop gracefully hand over without a pause

Cause: a restart of a coordinator stopped its tenants for up to a lease period. Change: a leaving coordinator asks in its replies not to renew leases, and grants until they are over.

--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -129,6 +129,7 @@
   /// Shuts down gracefully; `done` is called when the process may exit.
   void Stop(std::function<void()> done) {
     if (relay_) relay_->Stop();
+    if (quotas_) quotas_->Leave();
     forward_server_.Stop(std::move(done));
   }
 
--- a/include/damaskroute/node/quota_exchange.h
+++ b/include/damaskroute/node/quota_exchange.h
@@ -68,6 +68,9 @@
   /// Binds the socket. Returns Unavailable if that fails.
   absl::Status Start();
 
+  /// Prepares the end of the process: other nodes take over its coordination.
+  void Leave() { coordinator_.Leave(); }
+
   /// Sets the quotas of a new configuration.
   void SetTenants(const std::vector<Tenant>& tenants);
 
--- a/include/damaskroute/quota/quota_client.h
+++ b/include/damaskroute/quota/quota_client.h
@@ -68,7 +68,7 @@
   /// Requests that wait for a token.
   std::size_t waiting() const;
 
-  /// Possible coordinators that do not answer, in ascending order.
+  /// Possible coordinators that do not answer or are leaving, in ascending order.
   std::vector<NodeName> Suspects() const;
 
   /// Tenants with state in this class.
@@ -83,7 +83,7 @@
   struct TenantState {
     std::vector<Waiter> waiters;
     std::vector<Duration> stock;  // Expiry of each token.
-    std::size_t asked = 0;       // Tokens for waiters, in requests without a reply.
+    std::size_t asked = 0;        // Tokens for waiters, in requests without a reply.
     Duration next_ask{};
     Duration empty_until{};  // The coordinator has no token before.
     Duration last_use{};
@@ -124,7 +124,7 @@
   void SendStampRequest(const NodeName& to, std::size_t index);
   void BackOff(Slot& slot, const NodeName& to, Duration now);
   void OnHeard(const NodeName& node, Duration now);
-  void Suspect(const NodeName& node, Duration now);
+  void Suspect(const NodeName& node, Duration now, bool leaving = false);
   void Serve(QuotaId tenant, TenantState& state, Duration now);
   void SendAsk(QuotaId tenant, TenantState& state, Duration now);
   bool TakeOwn(QuotaId tenant, Duration now);
@@ -155,7 +155,11 @@
     int unanswered = 0;  // Requests for tokens since then.
   };
   std::unordered_map<NodeName, Contact> contacts_;
-  std::map<NodeName, Duration> suspects_;  // Nodes that do not answer; next probe.
+  struct Avoided {
+    Duration next_probe{};
+    bool leaving = false;  // Answers requests for tokens until its leases are over.
+  };
+  std::map<NodeName, Avoided> suspects_;  // Nodes that get no leases.
   Duration next_forget_{};
   QuotaActions actions_;
 };
--- a/include/damaskroute/quota/quota_coordinator.h
+++ b/include/damaskroute/quota/quota_coordinator.h
@@ -30,6 +30,10 @@
   /// Sets the counted nodes, in ascending order. Leases of other nodes are not accepted.
   void SetNodes(std::vector<NodeName> nodes);
 
+  /// Asks the nodes in all replies to renew no leases, so that they lease to others before this
+  /// process ends. Renewals that are under way are accepted, as their senders rely on them.
+  void Leave() { leaving_ = true; }
+
   QuotaLeaseReply OnLease(const QuotaLease& lease, Duration now);
   QuotaGrant OnAsk(const QuotaAsk& ask, Duration now);
 
@@ -68,6 +72,7 @@
   const QuotaOptions options_;
   std::shared_ptr<const QuotaTable> table_ = std::make_shared<QuotaTable>();
   std::vector<NodeName> nodes_;
+  bool leaving_ = false;
   std::array<Slot, QuotaTable::kSlots> slots_;
   std::unordered_map<NodeName, Granted> granted_;
   Duration next_forget_{};
--- a/include/damaskroute/quota/quota_message.h
+++ b/include/damaskroute/quota/quota_message.h
@@ -31,6 +31,7 @@
   std::uint64_t incarnation = 0;  ///< Copied from the lease.
   std::uint8_t slot = 0;
   bool accepted = false;    ///< Whether the share is now leased.
+  bool leaving = false;     ///< The coordinator ends soon; its leases are not to be renewed.
   std::uint64_t stamp = 0;  ///< For the next lease.
 
   friend bool operator==(const QuotaLeaseReply&, const QuotaLeaseReply&) = default;
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -116,8 +116,10 @@
 }
 
 NodeName QuotaClient::AskTarget(const Slot& slot) const {
-  bool holder_answers = !slot.holder.empty() && !suspects_.contains(slot.holder);
-  return holder_answers ? slot.holder : TargetOf(slot);
+  if (slot.holder.empty()) return TargetOf(slot);
+  auto found = suspects_.find(slot.holder);
+  bool answers = found == suspects_.end() || found->second.leaving;
+  return answers ? slot.holder : TargetOf(slot);
 }
 
 void QuotaClient::DriveSlot(std::size_t index, Duration now) {
@@ -185,18 +187,24 @@
   Suspect(to, now);
 }
 
-void QuotaClient::Suspect(const NodeName& node, Duration now) {
-  suspects_.try_emplace(node, now + kProbeInterval);
+void QuotaClient::Suspect(const NodeName& node, Duration now, bool leaving) {
+  suspects_.try_emplace(node, Avoided{now + kProbeInterval}).first->second.leaving = leaving;
 }
 
 void QuotaClient::OnHeard(const NodeName& node, Duration now) {
-  suspects_.erase(node);
+  auto found = suspects_.find(node);
+  if (found != suspects_.end() && !found->second.leaving) suspects_.erase(found);
   contacts_[node] = {now, 0};
 }
 
 void QuotaClient::OnLeaseReply(const QuotaLeaseReply& reply, Duration now) {
   if (reply.incarnation != incarnation_ || reply.slot >= slots_.size()) return;
   OnHeard(reply.coordinator_node, now);
+  if (reply.leaving) {
+    Suspect(reply.coordinator_node, now, /*leaving=*/true);
+    return DriveSlot(reply.slot, now);
+  }
+  suspects_.erase(reply.coordinator_node);  // Of a process that left and has a successor.
   Slot& slot = slots_[reply.slot];
   DriveSlot(reply.slot, now);
   if (slot.holder.empty()) {
@@ -357,9 +365,9 @@
 }
 
 void QuotaClient::ProbeSuspects(Duration now) {
-  for (auto& [node, next] : suspects_) {
-    if (now < next) continue;
-    next = now + kProbeInterval;
+  for (auto& [node, avoided] : suspects_) {
+    if (now < avoided.next_probe) continue;
+    avoided.next_probe = now + kProbeInterval;
     SendStampRequest(node, 0);
   }
 }
@@ -408,7 +416,7 @@
   if (!waiting_.empty() || !asks_.empty()) return now + kTick;
   if (table_->empty()) return Duration::max();
   Duration next = Duration::max();
-  for (const auto& [node, probe] : suspects_) next = std::min(next, probe);
+  for (const auto& [node, avoided] : suspects_) next = std::min(next, avoided.next_probe);
   for (std::size_t i = 0; i < slots_.size(); ++i) {
     const Slot& slot = slots_[i];
     if (!slot.holder.empty()) next = std::min(next, slot.leased_until);
@@ -428,7 +436,7 @@
 
 std::vector<NodeName> QuotaClient::Suspects() const {
   std::vector<NodeName> names;
-  for (const auto& [node, next_probe] : suspects_) names.push_back(node);
+  for (const auto& [node, avoided] : suspects_) names.push_back(node);
   return names;
 }
 
--- a/src/quota/quota_codec.cc
+++ b/src/quota/quota_codec.cc
@@ -98,6 +98,7 @@
     fields(message.incarnation);
     fields(message.slot);
     fields(message.accepted);
+    fields(message.leaving);
     fields(message.stamp);
   } else if constexpr (std::is_same_v<T, QuotaAsk>) {
     fields(message.node);
--- a/src/quota/quota_coordinator.cc
+++ b/src/quota/quota_coordinator.cc
@@ -78,6 +78,7 @@
   Slot& slot = slots_[lease.slot];
   EndLeases(slot, now);
   milliseconds period(lease.period_ms);
+  reply.leaving = leaving_;
   bool usable = lease.coordinator == incarnation_ && lease.nodes > 0 && period <= kMaxPeriod &&
                 lease.stamp <= reply.stamp &&
                 std::binary_search(nodes_.begin(), nodes_.end(), lease.node);
--- a/tests/quota_coordinator_test.cc
+++ b/tests/quota_coordinator_test.cc
@@ -104,7 +104,7 @@
 TEST_CASE("messages are read as they were written, and cut ones are not") {
   // Guards against fields that one side forgets, and reads beyond the end.
   QuotaLease lease{"node", 1, 2, 3, 4, 5, 6, 0xfedc'ba98'7654'3210};
-  QuotaLeaseReply reply{"c", 1, 2, 3, true, 4};
+  QuotaLeaseReply reply{"c", 1, 2, 3, true, false, 4};
   QuotaAsk ask{std::string(255, 'n'), 1, 2, 3, 65'535, 5};
   QuotaGrant grant{"", 1, 2, true, 3, 4};
   for (const QuotaMessage& message : std::vector<QuotaMessage>{lease, reply, ask, grant}) {
--- a/tests/quota_simulation_test.cc
+++ b/tests/quota_simulation_test.cc
@@ -205,6 +205,29 @@
   }
 }
 
+TEST_CASE("planned restarts of coordinators refuse few requests within the quota") {
+  // Guards against pauses of a lease period whenever a node is restarted for an upgrade.
+  std::vector<Tenant> tenants{MakeTenant("t", 40, 20)};
+  std::size_t slot = QuotaTable::SlotOf(QuotaIdOf("t"));
+  QuotaNetwork network(25, 14, tenants);
+  network.Load("t", 28, seconds(10), seconds(50), AnyNode(network));
+  for (Duration at : {seconds(20), seconds(35)}) {
+    network.At(at, [&network, slot] {
+      for (std::size_t i = 0; i < network.size(); ++i) {
+        auto& node = network.node(i);
+        Duration local = network.now() + node.clock_offset;
+        if (node.coordinator->FractionOf(slot, local) < 0.5) continue;
+        node.coordinator->Leave();
+        network.At(network.now() + seconds(4), [&network, i] { network.Start(i); });
+      }
+    });
+  }
+  network.RunUntil(seconds(51));
+  auto served = network.Count("t", QuotaOutcome::kGranted, {}, seconds(51));
+  CHECK(static_cast<double>(served) >= 0.99 * static_cast<double>(network.requests["t"]));
+  CheckBounds(network, tenants);
+}
+
 TEST_CASE("the bound holds while the number of nodes grows") {
   // Guards against shares of nodes that others do not count yet, also at nodes that are cut off
   // from the store.
