Quotas: restarted nodes use their shares before the delay of new nodes

Change: a node whose key is in the store before it writes it counts as joined; it still waits for the leases of its predecessor. Result: the new test fails before (25 nodes) and passes after.

--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -211,7 +211,7 @@
   }
 
   QuotaExchange::View QuotaView() const {
-    QuotaExchange::View view{nodes_.Counted(Now()), {}, feed_.age()};
+    QuotaExchange::View view{nodes_.Counted(Now()), {}, feed_.age(), key_found_};
     for (const auto& [name, record] : node_records_) {
       if (record.quota_endpoint) view.endpoints.emplace(name, *record.quota_endpoint);
     }
@@ -268,6 +268,7 @@
     } else if (auto* closed = std::get_if<ClosedZone>(&*store_entry)) {
       state().OnZoneClosed(closed->zone, item.revision);
     } else if (auto* node = std::get_if<LiveNode>(&*store_entry)) {
+      if (node->node == node_ && !node_key_.write_sent()) key_found_ = true;
       nodes_.Add(node->node);
       node_records_.insert_or_assign(node->node, node->record);
     } else if (auto* crash = std::get_if<StoredCrashRecord>(&*store_entry)) {
@@ -366,7 +367,8 @@
   const NodeName node_;
   const ZoneName zone_;
   std::map<NodeName, NodeRecord> node_records_;  // Nodes with a key in the store.
-  std::uint64_t unusable_revision_ = 0;          // Of the last configuration that was not usable.
+  bool key_found_ = false;  // A predecessor of this process has written the node's key.
+  std::uint64_t unusable_revision_ = 0;  // Of the last configuration that was not usable.
   StoreFeed<typename Platform::StoreCodec> feed_;
   LeasedKey<typename Platform::StoreCodec> node_key_;
   CrashRecordStore<typename Platform::StoreCodec> crash_records_;
--- a/include/damaskroute/node/quota_exchange.h
+++ b/include/damaskroute/node/quota_exchange.h
@@ -55,6 +55,7 @@
     std::vector<NodeName> counted;           ///< In ascending order.
     std::map<NodeName, Endpoint> endpoints;  ///< Of those that take part.
     Duration age{};                          ///< Time since the store confirmed it.
+    bool joined_before = false;              ///< See `QuotaClient::SetJoinedBefore`.
   };
 
   using OnVerdict = std::function<void(const QuotaVerdict&)>;
--- a/include/damaskroute/quota/quota_client.h
+++ b/include/damaskroute/quota/quota_client.h
@@ -41,6 +41,11 @@
   void SetNodes(const std::vector<NodeName>& counted, const std::vector<NodeName>& reachable,
                 std::size_t min_nodes, Duration confirmed, Duration now);
 
+  /// The key of this node was in the store before this process wrote it, so a predecessor has
+  /// joined and the others count the node already. Without this, a node that was restarted used
+  /// none of its shares for the time in which the others learn of a new node.
+  void SetJoinedBefore() { joined_before_ = true; }
+
   /// Extends the time for which the list of nodes is confirmed.
   void Confirm(Duration confirmed) { confirmed_ = std::max(confirmed_, confirmed); }
 
@@ -142,6 +147,8 @@
   std::shared_ptr<const QuotaTable> table_ = std::make_shared<QuotaTable>();
   std::size_t nodes_ = 1;
   std::chrono::milliseconds period_{1'000};
+  bool joined_before_ = false;
+  bool was_counted_ = false;
   bool counted_ = false;  // Whether the own node is counted.
   Duration counted_since_{};
   Duration confirmed_{};
--- a/src/node/quota_exchange.cc
+++ b/src/node/quota_exchange.cc
@@ -118,6 +118,7 @@
     addresses_.emplace(name, asio::ip::udp::endpoint(address, endpoint.port));
     reachable.push_back(name);
   }
+  if (view.joined_before) client_.SetJoinedBefore();
   coordinator_.SetNodes(counted_);
   client_.SetNodes(counted_, reachable, min_nodes_, Duration::zero(), now);
   Execute();
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -80,7 +80,12 @@
   Confirm(confirmed);
   nodes_ = std::max({counted.size(), min_nodes, std::size_t{1}});
   bool is_counted = std::find(counted.begin(), counted.end(), node_) != counted.end();
-  if (is_counted && !counted_) counted_since_ = now;
+  if (is_counted && !counted_) {
+    counted_since_ = now;
+    // Only for the first time: a node whose key was lost later may no longer be counted.
+    if (joined_before_ && !was_counted_) counted_since_ -= options_.join_delay;
+    was_counted_ = true;
+  }
   counted_ = is_counted;
   period_ = QuotaOptions::PeriodFor(nodes_);
   for (std::size_t i = 0; i < slots_.size(); ++i) {
--- a/tests/quota_network.h
+++ b/tests/quota_network.h
@@ -45,6 +45,7 @@
     Duration frozen_until{};
     Duration store_contact{};
     Duration key_expires{};
+    bool key_found = false;  // The key was in the store when the process started.
     Duration next_timer = Duration::max();
     std::uint64_t process = 0;
   };
@@ -78,6 +79,7 @@
     node.frozen_until = Duration::zero();
     node.count = {};
     node.listed.clear();
+    node.key_found = node.key_expires > now_;
     node.client = std::make_unique<QuotaClient>(node.name, node.process, options, LocalTime(node));
     node.coordinator = std::make_unique<QuotaCoordinator>(node.name, node.process, options);
     Configure(index, tenants_);
@@ -233,6 +235,7 @@
     auto counted = node.count.Counted(TimePoint(now_));
     std::size_t min_nodes =
         now_ - node.store_contact > options.join_delay ? NodeCount::kMinNodes : 1;
+    if (node.key_found) node.client->SetJoinedBefore();
     node.coordinator->SetNodes(counted);
     node.client->SetNodes(counted, {node.listed.begin(), node.listed.end()}, min_nodes,
                           node.store_contact + node.clock_offset, LocalTime(node));
--- a/tests/quota_simulation_test.cc
+++ b/tests/quota_simulation_test.cc
@@ -205,6 +205,31 @@
   }
 }
 
+TEST_CASE("restarted nodes use their shares before the delay of new nodes") {
+  // Guards against refusals for the whole join delay after many nodes were killed at once: on a day
+  // of the bench, nearly all requests of tenants with quotas got 503 for 3.5 s.
+  std::vector<Tenant> tenants{MakeTenant("t", 60, 20)};
+  for (int nodes : {25, 118}) {
+    CAPTURE(nodes);
+    QuotaNetwork network(nodes, 15, tenants);
+    // A new process may take part after a lease period and the life of a grant, and it reads the
+    // store within a second.
+    Duration ready = seconds(31) + QuotaOptions::PeriodFor(static_cast<std::size_t>(nodes)) +
+                     network.options.grant_validity + milliseconds(300);
+    network.Load("t", 36, seconds(10), ready + seconds(1), AnyNode(network));
+    network.At(seconds(30), [&] {
+      for (std::size_t i = 0; i < network.size(); ++i) network.Start(i);
+    });
+    network.RunUntil(ready);
+    auto before = network.requests["t"];
+    network.RunUntil(ready + seconds(1));
+    auto served = network.Count("t", QuotaOutcome::kGranted, ready, ready + seconds(1));
+    CHECK(static_cast<double>(served) >=
+          0.95 * static_cast<double>(network.requests["t"] - before));
+    CheckBounds(network, tenants);
+  }
+}
+
 TEST_CASE("planned restarts of coordinators refuse few requests within the quota") {
   // Guards against pauses of a lease period whenever a node is restarted for an upgrade.
   std::vector<Tenant> tenants{MakeTenant("t", 40, 20)};
