Quotas: write the node's key after the first read, which shows a predecessor's

Cause: the key was written while the first read was on its way, so a restarted node could not tell its predecessor's key from its own and waited as if it had joined. Change: with quotas, the key is written after the first complete read.

--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -126,7 +126,8 @@
       if (absl::Status status = quotas_->Start(); !status.ok()) return status;
     }
     feed_.Start();
-    node_key_.Start();
+    // With quotas, the first read shows whether a predecessor has written the node's key.
+    if (!quotas_) StartNodeKey();
     return absl::OkStatus();
   }
 
@@ -189,6 +190,11 @@
     }
   }
 
+  void StartNodeKey() {
+    if (std::exchange(node_key_started_, true)) return;
+    node_key_.Start();
+  }
+
   void ApplyNodes() {
     TimePoint now = Now();
     forward_server_.SetNodes(nodes_.Count(now));
@@ -268,7 +274,7 @@
     } else if (auto* closed = std::get_if<ClosedZone>(&*store_entry)) {
       state().OnZoneClosed(closed->zone, item.revision);
     } else if (auto* node = std::get_if<LiveNode>(&*store_entry)) {
-      if (node->node == node_ && !node_key_.write_sent()) key_found_ = true;
+      if (node->node == node_ && !node_key_started_) key_found_ = true;
       nodes_.Add(node->node);
       node_records_.insert_or_assign(node->node, node->record);
     } else if (auto* crash = std::get_if<StoredCrashRecord>(&*store_entry)) {
@@ -358,6 +364,7 @@
     ApplyNodes();
     OnNodesChanged();
     rollouts_.OnAllRead(orders, records);
+    StartNodeKey();
   }
 
   const Platform platform_;
@@ -367,6 +374,7 @@
   const NodeName node_;
   const ZoneName zone_;
   std::map<NodeName, NodeRecord> node_records_;  // Nodes with a key in the store.
+  bool node_key_started_ = false;
   bool key_found_ = false;  // A predecessor of this process has written the node's key.
   std::uint64_t unusable_revision_ = 0;  // Of the last configuration that was not usable.
   StoreFeed<typename Platform::StoreCodec> feed_;
--- a/include/damaskroute/store/leased_key.h
+++ b/include/damaskroute/store/leased_key.h
@@ -53,9 +53,6 @@
 
   void Start() { Step(); }
 
-  /// Whether a call that writes the key was sent.
-  bool write_sent() const { return write_sent_; }
-
   /// The store stated its era, in a response to any call. In a new era the key is written again.
   void OnStoreEra(std::uint64_t era) {
     if (!UpdateEra(era) || calling_) return;
@@ -82,7 +79,6 @@
     request.bytes = Render(step);
     request.time_left = kCallTimeout;
     calling_ = true;
-    if (step.kind == LeaseStepKind::kWrite) write_sent_ = true;
     client_.Start(std::move(request), [this, kind = step.kind,
                                        sent_era = era_](const ExchangeResult& result) {
       calling_ = false;
@@ -147,7 +143,6 @@
   asio::steady_timer timer_;
   std::uint64_t era_ = 0;
   bool calling_ = false;
-  bool write_sent_ = false;
 };
 
 }  // namespace damaskroute
