--- a/include/damaskroute/node/forward_node_settings.h
+++ b/include/damaskroute/node/forward_node_settings.h
@@ -8,17 +8,10 @@
 
 #include "damaskroute/core/endpoint.h"
 #include "damaskroute/core/ids.h"
+#include "damaskroute/quota/quota_bounds.h"
 
 namespace damaskroute {
 
-/// Limits on a tenant's requests that run within a window, over all nodes:
-/// (rate x `window` + burst) x (1 + `overshoot`) + `slack`.
-struct QuotaBounds {
-  std::chrono::milliseconds window{5'000};
-  double overshoot = 0;
-  double slack = 0;
-};
-
 /// Limits on what backend servers of a version under roll-out get, over all nodes.
 struct RolloutBounds {
   double canary_share = 0.1;  ///< Part of the requests of the service.
--- a/include/damaskroute/quota/quota_bucket.h
+++ b/include/damaskroute/quota/quota_bucket.h
@@ -9,8 +9,8 @@
 /// Token bucket of a fraction of a tenant's quota. Times are of the boot clock and ascend.
 class QuotaBucket {
  public:
-  /// Begins empty. `extra_depth`: tokens that a bucket of the whole quota holds beyond the burst.
-  QuotaBucket(QuotaLimit limit, double extra_depth, double fraction, Duration now);
+  /// Begins empty.
+  QuotaBucket(QuotaLimit limit, double fraction, Duration now);
 
   /// Changes the limit; tokens above the new maximum are dropped.
   void SetLimit(QuotaLimit limit, Duration now);
@@ -35,7 +35,6 @@
   void Settle(Duration now);
 
   QuotaLimit limit_;
-  double extra_depth_;
   double fraction_;
   double level_ = 0;  // At `at_`.
   Duration at_;
--- a/include/damaskroute/quota/quota_options.h
+++ b/include/damaskroute/quota/quota_options.h
@@ -6,14 +6,13 @@
 #include <cstddef>
 
 #include "damaskroute/core/time.h"
+#include "damaskroute/quota/quota_bounds.h"
 
 namespace damaskroute {
 
 /// Times and amounts of the quota protocol. All nodes must have the same bounds.
 struct QuotaOptions {
-  /// Tokens that a bucket of the whole quota holds in addition to the burst; see
-  /// `MakeQuotaOptions`.
-  double extra_depth = 10;
+  QuotaBounds bounds;
   /// Until an unused grant expires.
   std::chrono::milliseconds grant_validity{500};
   /// How long a request waits for a grant.
--- a/include/damaskroute/quota/quota_table.h
+++ b/include/damaskroute/quota/quota_table.h
@@ -2,12 +2,15 @@
 #define DAMASKROUTE_QUOTA_QUOTA_TABLE_H_
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "damaskroute/quota/quota_bounds.h"
+#include "damaskroute/quota/quota_limit.h"
 #include "damaskroute/routing/tenant.h"
 
 namespace damaskroute {
@@ -18,14 +21,6 @@
 /// Hash of a tenant's name, the same on all nodes.
 QuotaId QuotaIdOf(std::string_view tenant);
 
-/// Quota of one tenant over all nodes.
-struct QuotaLimit {
-  double rate_per_s = 0;
-  double burst = 0;
-
-  friend bool operator==(const QuotaLimit&, const QuotaLimit&) = default;
-};
-
 /// The quotas of one version of the configuration. Tenants without a quota are not in it. The
 /// tenants are divided into `kSlots` slots, each of which has one coordinator at a time.
 class QuotaTable {
@@ -35,7 +30,9 @@
   static std::size_t SlotOf(QuotaId id) { return id % kSlots; }
 
   QuotaTable() = default;
-  explicit QuotaTable(const std::vector<Tenant>& tenants);
+  /// See `QuotaLimitOf` for `bounds` and `grant_validity`.
+  QuotaTable(const std::vector<Tenant>& tenants, const QuotaBounds& bounds,
+             std::chrono::milliseconds grant_validity);
 
   /// Null if the tenant has no quota.
   const QuotaLimit* Find(QuotaId id) const;
--- a/src/node/quota_exchange.cc
+++ b/src/node/quota_exchange.cc
@@ -27,10 +27,6 @@
 // Two statements of the store's age that differ by less refer to the same confirmation.
 constexpr milliseconds kSameConfirmation{2};
 
-// Part of the slack that a bucket holds beyond the burst. The rest covers nodes that joined and are
-// not counted yet.
-constexpr double kSlackFraction = 0.5;
-
 constexpr milliseconds kMinGrantValidity{60};
 constexpr milliseconds kMaxGrantValidity{500};
 
@@ -39,7 +35,7 @@
 // Grants that are used late add the rate of their validity to a window.
 QuotaOptions MakeQuotaOptions(const QuotaBounds& bounds, milliseconds join_delay) {
   QuotaOptions options;
-  options.extra_depth = kSlackFraction * bounds.slack;
+  options.bounds = bounds;
   options.grant_validity = std::clamp(duration_cast<milliseconds>(bounds.window * bounds.overshoot),
                                       kMinGrantValidity, kMaxGrantValidity);
   options.join_delay = join_delay;
@@ -80,7 +76,8 @@
 }
 
 void QuotaExchange::SetTenants(const std::vector<Tenant>& tenants) {
-  auto table = std::make_shared<const QuotaTable>(tenants);
+  auto table =
+      std::make_shared<const QuotaTable>(tenants, options_.bounds, options_.grant_validity);
   if (!has_quotas_ && table->empty()) return;
   has_quotas_ = !table->empty();
   Refresh();
--- a/src/quota/quota_bucket.cc
+++ b/src/quota/quota_bucket.cc
@@ -17,11 +17,11 @@
 
 }  // namespace
 
-QuotaBucket::QuotaBucket(QuotaLimit limit, double extra_depth, double fraction, Duration now)
-    : limit_(limit), extra_depth_(extra_depth), fraction_(fraction), at_(now) {}
+QuotaBucket::QuotaBucket(QuotaLimit limit, double fraction, Duration now)
+    : limit_(limit), fraction_(fraction), at_(now) {}
 
 // A bucket of the whole quota must hold at least one token.
-double QuotaBucket::Depth() const { return std::max(limit_.burst + extra_depth_, 1.0); }
+double QuotaBucket::Depth() const { return std::max(limit_.burst, 1.0); }
 
 void QuotaBucket::Settle(Duration now) {
   if (now > at_) {
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -351,7 +351,7 @@
   const QuotaLimit* limit = table_->Find(tenant);
   if (limit == nullptr || !slot.holder.empty() || !MayLease(now)) return false;
   if (now - confirmed_ > kMaxViewAge) return false;
-  auto [found, created] = slot.own.try_emplace(tenant, *limit, options_.extra_depth, Share(), now);
+  auto [found, created] = slot.own.try_emplace(tenant, *limit, Share(), now);
   QuotaBucket& bucket = found->second;
   Duration idle_since = std::max(slot.own_since, started_ + period_);
   if (created && now > idle_since) bucket.Credit(Share(), now - idle_since);
--- a/src/quota/quota_coordinator.cc
+++ b/src/quota/quota_coordinator.cc
@@ -65,7 +65,7 @@
   auto index = static_cast<std::size_t>(&slot - slots_.data());
   if (slot.buckets.size() < table_->slot(index).size()) {
     for (const auto& [id, limit] : table_->slot(index)) {
-      slot.buckets.try_emplace(id, limit, options_.extra_depth, slot.fraction, now);
+      slot.buckets.try_emplace(id, limit, slot.fraction, now);
     }
   }
   for (auto& [id, bucket] : slot.buckets) bucket.SetFraction(slot.fraction, now);
--- a/src/quota/quota_table.cc
+++ b/src/quota/quota_table.cc
@@ -4,18 +4,18 @@
 #include <cmath>
 
 #include "damaskroute/core/hash.h"
+#include "damaskroute/quota/quota_limit_of.h"
 
 namespace damaskroute {
 
 QuotaId QuotaIdOf(std::string_view tenant) { return Hash64(tenant); }
 
-QuotaTable::QuotaTable(const std::vector<Tenant>& tenants) {
+QuotaTable::QuotaTable(const std::vector<Tenant>& tenants, const QuotaBounds& bounds,
+                       std::chrono::milliseconds grant_validity) {
   for (const Tenant& tenant : tenants) {
     if (!std::isfinite(tenant.rate_per_s) || tenant.rate_per_s <= 0) continue;
     QuotaId id = QuotaIdOf(tenant.name);
-    slots_[SlotOf(id)].insert_or_assign(
-        id, QuotaLimit{tenant.rate_per_s,
-                       std::isfinite(tenant.burst) && tenant.burst > 0 ? tenant.burst : 0});
+    slots_[SlotOf(id)].insert_or_assign(id, QuotaLimitOf(tenant, bounds, grant_validity));
   }
 }
 
