--- a/tests/support/relay_reader.h
+++ b/tests/support/relay_reader.h
@@ -18,7 +18,8 @@
   RelayReader(PlatformFixture& world, const NodeName& node_name, std::function<Duration()> age)
       : loop(world.loop), name(node_name), endpoint(standins::NonEphemeralEndpoint()) {
     loop.Run([&] {
-      relay = std::make_unique<ChangeRelay>(loop.io(), endpoint, std::move(age));
+      relay =
+          std::make_unique<ChangeRelay>(loop.io(), endpoint, std::move(age), ChangeRelay::Limits());
       (void)relay->Start();
       relay->OnAllRead(1, /*era=*/1);
     });
