Keys: a configuration with a used version counts as unusable

A configuration whose version was not newer than that in effect was dropped, while the age of the configuration went on as if it had been applied. A key that it withdrew was accepted without limit.

Before, the new case of key_revocation_test fails: a request with the withdrawn key runs after the bound.

--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -58,6 +58,7 @@
         forward_server_(loop, settings, platform_.Protocol(), Hash64(settings.node)),
         node_(settings.node),
         zone_(settings.zone),
+        bounds_revocation_(settings.revocation_bound.has_value()),
         feed_(loop, settings.store, platform_.Codec(), MakeFeedOptions(settings),
               Hash64(settings.node),
               {[this](const auto& items, bool after_outage) { OnItems(items, after_outage); },
@@ -71,6 +72,8 @@
                  if (relay_) relay_->OnAllRead(revision, era);
                },
                [this](std::uint64_t era) {
+                 configuration_revision_.reset();
+                 unusable_revision_ = 0;
                  state().OnStoreRestored();
                  rollouts_.OnStoreRestored();
                  node_key_.OnStoreEra(era);
@@ -259,7 +262,13 @@
       return;
     }
     if (auto* document = std::get_if<RoutingDocument>(&*store_entry)) {
-      forward_server_.InstallRoutes(std::move(*document));
+      Revision version = document->version;
+      bool installed = forward_server_.InstallRoutes(std::move(*document));
+      if (IsWronglyNumbered(item, version, installed)) {
+        return OnUnusableConfiguration(
+            item, absl::FailedPreconditionError(
+                      "the version is not newer than that of another configuration in effect"));
+      }
       feed_.SetConfigurationUsable(true);
       feed_.SetConfigurationAgeLimited(state().routes()->keys().is_configured());
       if (quotas_ && state().routes()) quotas_->SetTenants(state().routes()->document().tenants);
@@ -288,6 +297,27 @@
     }
   }
 
+  // Whether a configuration that was written after the one in effect, and differs from it, was not
+  // installed because of its version. It may have been meant to withdraw keys. After a restore, the
+  // first configuration of the new era may have a lower version, as it is that of the older copy.
+  bool IsWronglyNumbered(const StoreItem& item, Revision version, bool installed) {
+    if (!bounds_revocation_ || !state().routes()) return false;
+    std::uint64_t hash = Hash64(item.value);
+    if (installed) {
+      configuration_hash_ = hash;
+      configuration_revision_ = item.revision;
+      return false;
+    }
+    bool has_keys = state().routes()->keys().is_configured();
+    bool is_same_version = version == state().routes_version();
+    if (has_keys && is_same_version && hash != configuration_hash_) return true;
+    if (!configuration_revision_) configuration_revision_ = item.revision;
+    bool is_later = item.revision > *configuration_revision_;
+    if (has_keys && !is_same_version && is_later) return true;
+    if (is_same_version && is_later) configuration_revision_ = item.revision;
+    return false;
+  }
+
   // The last usable configuration stays in effect. Its age grows from now on, as the newer one may
   // have been meant to withdraw keys.
   void OnUnusableConfiguration(const StoreItem& item, const absl::Status& error) {
@@ -369,6 +399,10 @@
   std::map<NodeName, NodeRecord> node_records_;  // Nodes with a key in the store.
   bool key_found_ = false;  // A predecessor of this process has written the node's key.
   std::uint64_t unusable_revision_ = 0;  // Of the last configuration that was not usable.
+  const bool bounds_revocation_;
+  std::uint64_t configuration_hash_ = 0;  // Of the value that is in effect.
+  // Of the newest write of the configuration in effect; nullopt if not read since a restore.
+  std::optional<std::uint64_t> configuration_revision_;
   StoreFeed<typename Platform::StoreCodec> feed_;
   LeasedKey<typename Platform::StoreCodec> node_key_;
   CrashRecordStore<typename Platform::StoreCodec> crash_records_;
--- a/include/damaskroute/node/forward_server.h
+++ b/include/damaskroute/node/forward_server.h
@@ -42,7 +42,8 @@
   /// Applies the settings that may change while the node runs.
   void Apply(const ForwardNodeSettings& settings);
 
-  void InstallRoutes(RoutingDocument document);
+  /// Returns false, without any effect, if the version is not newer than the active one.
+  bool InstallRoutes(RoutingDocument document);
 
   /// Sets the nodes to which requests are passed that this one cannot serve.
   void SetPeers(std::vector<Peer> peers) { service_.SetPeers(std::move(peers)); }
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -250,10 +250,10 @@
   SetNodes(nodes_);
 }
 
-void ForwardServer::InstallRoutes(RoutingDocument document) {
+bool ForwardServer::InstallRoutes(RoutingDocument document) {
   ClientLimits limits = document.client_limits;
   bool was_ready = IsReady();
-  if (!service_.forwarding_state().InstallRoutes(std::move(document))) return;
+  if (!service_.forwarding_state().InstallRoutes(std::move(document))) return false;
   callers_.SetClientLimits(limits);
   if (peers_) {
     ClientLimits peer_limits;
@@ -263,6 +263,7 @@
     peers_->SetClientLimits(peer_limits);
   }
   if (!was_ready && IsReady()) LogLine(LogLevel::kInfo, "node ready");
+  return true;
 }
 
 void ForwardServer::SetNodes(int nodes) {
--- a/tests/key_revocation_test.cc
+++ b/tests/key_revocation_test.cc
@@ -98,6 +98,22 @@
   CheckWithdrawn(node);
 }
 
+TEST_CASE("a configuration that is not installed because of its version stops keys") {
+  // Guards against withdrawn keys that stay in use, as the withdrawal has a version given out
+  // before, for example after a restore of the store.
+  for (int version : {2, 1}) {
+    KeyedNode node(kBound);
+    node.store.Write(platform::kConfigKey, KeyedNode::KeyedConfig(2, KeyedNode::kKey));
+    node.AddServers();
+    REQUIRE(node.StartServing(4));
+    REQUIRE(PlatformFixture::Await([&] { return node.RoutesVersion() == 2; }));
+    node.store.Write(platform::kConfigKey, KeyedNode::KeyedConfig(version, kNewKey));
+    CheckNoneRunsAfterBound(node, SteadyClock().Now());
+    node.store.Write(platform::kConfigKey, KeyedNode::KeyedConfig(3, kNewKey));
+    CheckWithdrawn(node);
+  }
+}
+
 // Blocks the event loop of a node, as a stopped process does.
 struct Pause {
   explicit Pause(KeyedNode& node) {
