Quotas: a response of a server keeps the token

A request that another node passed to a server that ran it and answered 429, 408 or 503 was not counted, as the local run had made no call. The token is not returned if the response bears the stamp of a server. No test covers this case.

--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -176,7 +176,7 @@
                       const QuotaVerdict& verdict);
   void CancelQuotaWait(Exchange& exchange);
   void ReturnQuota(Exchange& exchange);
-  void ReturnQuotaIfNotRun(Exchange& exchange, int status);
+  void ReturnQuotaIfNotRun(Exchange& exchange, const HttpResponse& response);
   bool RefuseIfBlocked(const Exchange& exchange);
   bool BeginGuarded(Exchange& exchange, bool as_canary);
   void TrackCrashes(Exchange& exchange, Backend& backend, const CallResult& result, TimePoint sent,
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -364,7 +364,7 @@
 
 void ForwardService::Complete(const std::shared_ptr<Exchange>& exchange, HttpResponse response) {
   if (exchange->presence) exchange->presence->on_disconnect = nullptr;
-  ReturnQuotaIfNotRun(*exchange, response.status);
+  ReturnQuotaIfNotRun(*exchange, response);
   exchange->respond(std::move(response));
   active_.erase(exchange);
 }
--- a/src/node/forward_service_quota.cc
+++ b/src/node/forward_service_quota.cc
@@ -64,8 +64,13 @@
   if (token && quotas_ != nullptr) quotas_->Return(exchange.request.tenant, *token);
 }
 
-void ForwardService::ReturnQuotaIfNotRun(Exchange& exchange, int status) {
-  if (PromisesNotRun(status) && !exchange.run.may_have_run()) ReturnQuota(exchange);
+// A response with a stamp is that of a server, which may have run the request, here or at another
+// node.
+void ForwardService::ReturnQuotaIfNotRun(Exchange& exchange, const HttpResponse& response) {
+  bool from_server = FindHeader(response.headers, protocol_.server_stamp) != nullptr;
+  if (PromisesNotRun(response.status) && !from_server && !exchange.run.may_have_run()) {
+    ReturnQuota(exchange);
+  }
 }
 
 void ForwardService::WriteQuotaMetrics(Exposition& page) const {
