Quotas: bounded state for nodes that are not counted

A coordinator kept the last grants for every name in a datagram. It now keeps those of at most 64 names beyond the number of counted nodes, and grants no extra tokens to names that are not counted.

Before, the new case of quota_coordinator_test fails: 0 instead of 35 of 100 names are refused, and an unknown name gets 6 tokens instead of 1.

--- a/include/damaskroute/quota/quota_coordinator.h
+++ b/include/damaskroute/quota/quota_coordinator.h
@@ -61,6 +61,7 @@
     Duration last{};
   };
 
+  bool IsCounted(const NodeName& node) const;
   void EndLeases(Slot& slot, Duration now);
   void ApplyFraction(Slot& slot, Duration now);
   void Accept(Slot& slot, const QuotaLease& lease, Duration end, Duration now);
--- a/src/quota/quota_coordinator.cc
+++ b/src/quota/quota_coordinator.cc
@@ -23,6 +23,10 @@
 
 constexpr std::chrono::seconds kForgetInterval{10};
 
+// Nodes that are not counted whose last grants are kept. New nodes may ask before they are counted
+// here. The limit bounds the memory that datagrams with arbitrary names can take.
+constexpr std::size_t kMaxUncounted = 64;
+
 // Tokens that are not needed at once are granted while this part of the bucket remains.
 constexpr double kExtraReserve = 0.5;
 
@@ -46,6 +50,10 @@
 
 void QuotaCoordinator::SetNodes(std::vector<NodeName> nodes) { nodes_ = std::move(nodes); }
 
+bool QuotaCoordinator::IsCounted(const NodeName& node) const {
+  return std::binary_search(nodes_.begin(), nodes_.end(), node);
+}
+
 // All leases that ended count as ended with the first of them; that is never too late.
 void QuotaCoordinator::EndLeases(Slot& slot, Duration now) {
   if (now < slot.next_end) return;
@@ -80,8 +88,7 @@
   milliseconds period(lease.period_ms);
   reply.leaving = leaving_;
   bool usable = lease.coordinator == incarnation_ && lease.nodes > 0 && period <= kMaxPeriod &&
-                lease.stamp <= reply.stamp &&
-                std::binary_search(nodes_.begin(), nodes_.end(), lease.node);
+                lease.stamp <= reply.stamp && IsCounted(lease.node);
   if (!usable) return reply;
   Duration end = microseconds(lease.stamp) + period - period * kClockMarginPerMille / 1000;
   if (end <= now) return reply;
@@ -107,6 +114,10 @@
 
 QuotaGrant QuotaCoordinator::OnAsk(const QuotaAsk& ask, Duration now) {
   ForgetOldGrants(now);
+  if (!granted_.contains(ask.node) && !IsCounted(ask.node) &&
+      granted_.size() >= nodes_.size() + kMaxUncounted) {
+    return {node_, ask.incarnation, ask.sequence};  // `responsible` is false.
+  }
   Granted& granted = granted_[ask.node];
   if (granted.incarnation != ask.incarnation) granted = {ask.incarnation, {}, now};
   granted.last = now;
@@ -128,9 +139,9 @@
   QuotaBucket& bucket = found->second;
   grant.responsible = true;
   int taken = bucket.Take(ask.needed, /*reserve=*/0, now);
-  if (taken == ask.needed) {
+  if (taken == ask.needed && IsCounted(ask.node)) {
     taken += bucket.Take(ask.extra, bucket.max_level() * kExtraReserve, now);
-  } else {
+  } else if (taken < ask.needed) {
     auto wait = bucket.NextTokenIn(now);
     // Without a limit to the wait, the lease of a further share may bring a token any time.
     auto retry =
--- a/tests/quota_coordinator_test.cc
+++ b/tests/quota_coordinator_test.cc
@@ -7,6 +7,7 @@
 
 #include "damaskroute/quota/quota_bucket.h"
 #include "damaskroute/quota/quota_codec.h"
+#include "fmt/format.h"
 
 namespace damaskroute {
 namespace {
@@ -86,6 +87,22 @@
   CHECK(rest.retry_ms == 20);
 }
 
+TEST_CASE_FIXTURE(Fixture, "arbitrary names take a bounded part of the memory and no stock") {
+  // Guards against state for each name that a datagram states.
+  CHECK(coordinator.OnLease(Lease("a", seconds(10)), seconds(10)).accepted);
+  CHECK(coordinator.OnLease(Lease("b", seconds(10)), seconds(10)).accepted);
+  Duration now = milliseconds(10'500);
+  auto ask = [&](const NodeName& node, std::uint16_t extra) {
+    return coordinator.OnAsk({node, 1, 1, QuotaIdOf("t"), /*needed=*/1, extra}, now);
+  };
+  CHECK(ask("unknown", 5).granted == 1);
+  int refused = 0;
+  for (int i = 0; i < 100; ++i) refused += ask(fmt::format("x{}", i), 0).responsible ? 0 : 1;
+  CHECK(refused == 35);
+  now = milliseconds(10'900);
+  CHECK(ask("b", 2).granted == 3);
+}
+
 TEST_CASE("a bucket loses what exceeds a lowered limit or fraction, and gains nothing by raises") {
   // Guards against bursts out of nothing when nodes join and leave.
   QuotaBucket bucket({10, 40}, /*extra_depth=*/0, /*fraction=*/1, seconds(0));
