Keys: an unusable configuration that was removed unseen stops no keys

If the configuration is missing in a complete read, there is no newer one than that in effect. The node refused requests with keys until the next write of the configuration.

Before, the new case of key_revocation_test fails: no request with a key is served after a restore to a copy without a configuration.

--- a/include/damaskroute/node/forward_node.h
+++ b/include/damaskroute/node/forward_node.h
@@ -358,11 +358,14 @@
   void OnDirectivesRead(const std::vector<std::string>& keys) {
     std::set<ZoneName> zones;
     std::set<ServiceName> orders;
+    bool has_configuration = false;
     for (const std::string& text : keys) {
       StoreEntryKey key = platform_.ParseKey(text);
+      if (key.kind == StoreEntryKind::kRouting) has_configuration = true;
       if (key.kind == StoreEntryKind::kClosedZone) zones.insert(key.name);
       if (key.kind == StoreEntryKind::kRolloutOrder) orders.insert(key.name);
     }
+    if (!has_configuration) feed_.SetConfigurationUsable(true);
     state().OnAllClosedZones(zones);
     rollouts_.OnAllOrders(orders);
   }
@@ -373,14 +376,18 @@
     std::set<NodeName> nodes;
     std::set<ServiceName> orders;
     std::set<ServiceName> records;
+    bool has_configuration = false;
     for (const std::string& text : keys) {
       StoreEntryKey key = platform_.ParseKey(text);
+      if (key.kind == StoreEntryKind::kRouting) has_configuration = true;
       if (key.kind == StoreEntryKind::kRolloutOrder) orders.insert(key.name);
       if (key.kind == StoreEntryKind::kRolloutRecord) records.insert(key.name);
       if (key.kind == StoreEntryKind::kBackend) backends.insert(key.name);
       if (key.kind == StoreEntryKind::kClosedZone) zones.insert(key.name);
       if (key.kind == StoreEntryKind::kNode) nodes.insert(key.name);
     }
+    // An unusable configuration was removed while its removal could not be seen.
+    if (!has_configuration) feed_.SetConfigurationUsable(true);
     state().OnAllBackends(backends, after_outage);
     state().OnAllClosedZones(zones);
     nodes_.RetainOnly(nodes, Now());
--- a/tests/key_revocation_test.cc
+++ b/tests/key_revocation_test.cc
@@ -114,6 +114,20 @@
   }
 }
 
+TEST_CASE("keys are in use again after an unusable configuration was removed unseen") {
+  // Guards against keyed requests that are refused until the next configuration is written.
+  KeyedNode node(kBound);
+  node.store.Remove(platform::kConfigKey);
+  node.AddServers();
+  node.store.TakeCopy();
+  node.store.Write(platform::kConfigKey, KeyedNode::KeyedConfig(1, KeyedNode::kKey));
+  REQUIRE(node.StartServing(4));
+  node.store.Write(platform::kConfigKey, KeyedNode::KeyedConfig(2, KeyedNode::kOtherKey));
+  CheckNoneRunsAfterBound(node, SteadyClock().Now());
+  node.store.Restore();
+  CHECK(PlatformFixture::Await([&] { return node.GetWithKey("/one/x").status == 200; }));
+}
+
 // Blocks the event loop of a node, as a stopped process does.
 struct Pause {
   explicit Pause(KeyedNode& node) {
