Quotas: nodes state that they have charged a request

A node that knows no quota of the tenant passed requests on without a token, and the other node took them as charged. The header Damask-Peer-Charged replaces Damask-Peer-Uncharged; requests of other nodes without it are charged.

--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -157,7 +157,7 @@
     int max_attempts = 1;
     bool canary = false;
     const Tenant* tenant = nullptr;  // Held by the routes in force; null if there is none.
-    bool uncharged = false;          // The other node has not charged it to a quota.
+    bool charged = false;            // The other node has charged it to a quota.
     bool outdated = false;           // Must not run here, as the configuration is too old.
   };
 
--- a/include/damaskroute/node/peer_request.h
+++ b/include/damaskroute/node/peer_request.h
@@ -25,8 +25,8 @@
   std::chrono::microseconds spent{};
   /// Whether the request may crash backend servers, so that it runs as a canary.
   bool canary = false;
-  /// Whether it has not been charged to the quota of its tenant.
-  bool uncharged = false;
+  /// Whether it has been charged to the quota of its tenant.
+  bool charged = false;
 };
 
 /// In a response to another node: this node cannot serve the request either, and has not run it.
--- a/src/node/forward_exchange.h
+++ b/src/node/forward_exchange.h
@@ -36,7 +36,7 @@
   std::vector<std::pair<BackendName, Duration>> cancelled;  // With call ages, for the log.
   std::string failures;            // Failed calls and their reasons, for the log.
   const Tenant* tenant = nullptr;  // Held by `routes`; null if there is none.
-  bool uncharged = false;          // Of another node, which has not charged it to a quota.
+  bool charged = false;            // Of another node, which has charged it to a quota.
   bool outdated = false;           // Must not run here, as the configuration is too old.
   bool from_peer = false;
   bool canary = false;            // Runs as a canary; see `CrashGuard`.
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -147,7 +147,7 @@
   exchange->route = &route;
   exchange->tenant = origin.tenant;
   exchange->outdated = origin.outdated;
-  exchange->uncharged = origin.uncharged;
+  exchange->charged = origin.charged;
   exchange->from_peer = origin.peer;
   if (RefuseIfBlocked(*exchange)) return;
   if (!AwaitQuota(exchange, origin.canary)) Begin(exchange, origin.canary);
--- a/src/node/forward_service_peers.cc
+++ b/src/node/forward_service_peers.cc
@@ -63,7 +63,7 @@
   Origin origin{.peer = true,
                 .max_attempts = info->attempts,
                 .canary = info->canary,
-                .uncharged = info->uncharged};
+                .charged = info->charged};
   if (!Authorize(request, std::move(credentials), *route, origin, respond)) return;
   Serve(std::move(request), std::move(presence), *route, origin, std::move(respond));
 }
@@ -122,10 +122,10 @@
                CallerNetworkDelay(exchange->request.connection, exchange->route->objective);
   const Route& found = *exchange->route;
   bool keyed = exchange->routes->keys().is_configured();
-  PeerRequestInfo info{keyed ? KeyedRouteFingerprint(found) : RouteFingerprint(found),
-                       exchange->run.attempts_left(),
-                       std::chrono::duration_cast<std::chrono::microseconds>(spent),
-                       request_guard_.IsSuspect(exchange->keys, now), exchange->outdated};
+  PeerRequestInfo info{
+      keyed ? KeyedRouteFingerprint(found) : RouteFingerprint(found), exchange->run.attempts_left(),
+      std::chrono::duration_cast<std::chrono::microseconds>(spent),
+      request_guard_.IsSuspect(exchange->keys, now), exchange->quota_token.has_value()};
   exchange->peers.push_back(*peer);
   exchange->peer_client = client;
   peer_selector_.OnSent(*peer);
--- a/src/node/forward_service_quota.cc
+++ b/src/node/forward_service_quota.cc
@@ -4,8 +4,8 @@
 #include "damaskroute/node/forward_service.h"
 #include "forward_exchange.h"
 
-// Tokens for requests of tenants that have a quota. Requests of other nodes were charged there,
-// unless the node could not tell the tenant, as its configuration was too old.
+// Tokens for requests of tenants that have a quota. Requests of other nodes are charged here
+// unless the node states that it has charged them: it may not have known the tenant or its quota.
 
 namespace damaskroute {
 namespace {
@@ -22,7 +22,7 @@
 // Returns false if the request needs no token. Otherwise it is begun or refused later.
 bool ForwardService::AwaitQuota(const std::shared_ptr<Exchange>& exchange, bool as_canary) {
   const std::string& tenant = exchange->request.tenant;
-  bool charged_elsewhere = exchange->from_peer && !exchange->uncharged;
+  bool charged_elsewhere = exchange->from_peer && exchange->charged;
   if (quotas_ == nullptr || charged_elsewhere || exchange->outdated) return false;
   if (!quotas_->HasQuota(tenant)) return false;
   exchange->awaits_quota = true;
--- a/src/node/peer_request.cc
+++ b/src/node/peer_request.cc
@@ -15,7 +15,7 @@
 constexpr char kAttemptsHeader[] = "Damask-Peer-Attempts";
 constexpr char kSpentHeader[] = "Damask-Peer-Spent-Us";
 constexpr char kCanaryHeader[] = "Damask-Peer-Canary";
-constexpr char kUnchargedHeader[] = "Damask-Peer-Uncharged";
+constexpr char kChargedHeader[] = "Damask-Peer-Charged";
 
 // Longer than the deadline of any request.
 constexpr std::chrono::hours kMaxSpent{1};
@@ -23,7 +23,7 @@
 bool IsPeerHeader(std::string_view name) {
   return SameHeaderName(name, kRouteHeader) || SameHeaderName(name, kAttemptsHeader) ||
          SameHeaderName(name, kSpentHeader) || SameHeaderName(name, kCanaryHeader) ||
-         SameHeaderName(name, kUnchargedHeader);
+         SameHeaderName(name, kChargedHeader);
 }
 
 template <typename T>
@@ -66,7 +66,7 @@
     call.bytes.append(name).append(value.empty() ? ":" : ": ").append(value).append("\r\n");
   };
   if (info.canary) append(kCanaryHeader, "1");
-  if (info.uncharged) append(kUnchargedHeader, "1");
+  if (info.charged) append(kChargedHeader, "1");
   if (!request.id.empty()) append(protocol.request_id, request.id);
   if (request.caller_timeout) {
     append(protocol.deadline_ms, std::to_string(request.caller_timeout->count()));
@@ -90,10 +90,10 @@
   auto attempts = NumberIn<int>(request.headers, kAttemptsHeader);
   auto spent = NumberIn<std::int64_t>(request.headers, kSpentHeader);
   bool canary = FindHeader(request.headers, kCanaryHeader) != nullptr;
-  bool uncharged = FindHeader(request.headers, kUnchargedHeader) != nullptr;
+  bool charged = FindHeader(request.headers, kChargedHeader) != nullptr;
   std::erase_if(request.headers, [](const HeaderField& field) { return IsPeerHeader(field.name); });
   if (!route || !attempts || *attempts < 1 || !spent || *spent < 0) return std::nullopt;
-  PeerRequestInfo info{*route, *attempts, std::chrono::microseconds(*spent), canary, uncharged};
+  PeerRequestInfo info{*route, *attempts, std::chrono::microseconds(*spent), canary, charged};
   if (info.spent > kMaxSpent) return std::nullopt;
   request.received -= info.spent;
   return info;
--- a/tests/quota_service_test.cc
+++ b/tests/quota_service_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include "damaskroute/node/peer_request.h"
 #include "fmt/format.h"
 #include "tests/support/platform_fixture.h"
 
@@ -15,15 +16,32 @@
     store.Write(platform::kConfigKey, config);
     settings.quota = QuotaBounds{std::chrono::milliseconds(5'000), 0.1, 20};
     settings.quota_port = standins::NonEphemeralEndpoint();
+    settings.peers = standins::NonEphemeralEndpoint();
     settings.config_bound = std::chrono::milliseconds(500);
     AddServer("i-1", "desk");
     REQUIRE(StartServing(1));
   }
 
   HttpTestClient::Response GetWithKey(const std::string& id) {
-    HttpTestClient client(settings.callers);
+    return SendTo(settings.callers, id, "");
+  }
+
+  // A request that another node has passed on.
+  HttpTestClient::Response GetFromPeer(const std::string& id, const std::string& header_lines) {
+    auto route = ReadForwardingState([](const ForwardingState& state) {
+      return RouteFingerprint(*state.routes()->Find("desk.example", "/one/x"));
+    });
+    return SendTo(*settings.peers, id,
+                  fmt::format("Damask-Peer-Route: {}\r\nDamask-Peer-Attempts: 1\r\n"
+                              "Damask-Peer-Spent-Us: 10\r\n{}",
+                              route, header_lines));
+  }
+
+  HttpTestClient::Response SendTo(const Endpoint& endpoint, const std::string& id,
+                                  const std::string& header_lines) {
+    HttpTestClient client(endpoint);
     std::string text = Render("GET", "/one/x", id);
-    text.insert(text.size() - 2, "Authorization: Token key-1\r\n");
+    text.insert(text.size() - 2, "Authorization: Token key-1\r\n" + header_lines);
     client.SendRaw(text);
     return client.Receive();
   }
@@ -51,6 +69,21 @@
         std::string::npos);
 }
 
+TEST_CASE("requests of another node are charged unless it has charged them") {
+  // Guards against requests that no node counts, as the other one knows no quota of the tenant.
+  OneTenant fixture;
+  REQUIRE(fixture.Await([&] { return fixture.GetWithKey("first").status == 200; }));
+  for (int i = 0; i < 60; ++i) {
+    auto response = fixture.GetFromPeer(fmt::format("c-{}", i), "Damask-Peer-Charged: 1\r\n");
+    CHECK(response.status == 200);
+  }
+  bool refused = false;
+  for (int i = 0; i < 10'000 && !refused; ++i) {
+    refused = fixture.GetFromPeer(fmt::format("id-{}", i), "").status == 429;
+  }
+  CHECK(refused);
+}
+
 TEST_CASE("a token whose request found no server is used by the next request") {
   // Guards against tokens that are lost with requests that have not run.
   OneTenant fixture;
