Quotas: tokens of calls that failed to connect and of status 401 return

The token was lost when the caller left after calls that reached no server, and when another node refused the key. No test covers these cases.

--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -383,7 +383,7 @@
   } else if (at_peer) {
     CancelPeerCall(*exchange);
   } else {
-    if (exchange->run.counts().calls == 0) ReturnQuota(*exchange);
+    if (!exchange->run.may_have_run() && exchange->calls.empty()) ReturnQuota(*exchange);
     Execute(exchange, exchange->run.Abandon(Now()));
     ReportLosses(*exchange);
     ReleaseLimits(*exchange, Now());
--- a/src/node/forward_service_peers.cc
+++ b/src/node/forward_service_peers.cc
@@ -177,6 +177,7 @@
     response = MakeForwardRefusal(request, 502, "no other node serves it, and it may have run here",
                                   {}, protocol_);
   }
+  if (is_unauthorized && !exchange->run.may_have_run()) ReturnQuota(*exchange);
   Duration latency = Now() - request.received;
   metrics_.request_latency.Record(latency);
   ++metrics_.answers[name];
