--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -147,7 +147,7 @@
   exchange->route = &route;
   exchange->tenant = origin.tenant;
   exchange->outdated = origin.outdated;
-  exchange->uncharged = origin.uncharged;
+  exchange->charged = origin.charged;
   exchange->from_peer = origin.peer;
   if (RefuseIfBlocked(*exchange)) return;
   if (!AwaitQuota(exchange, origin.canary)) Begin(exchange, origin.canary);
@@ -364,7 +364,7 @@
 
 void ForwardService::Complete(const std::shared_ptr<Exchange>& exchange, HttpResponse response) {
   if (exchange->presence) exchange->presence->on_disconnect = nullptr;
-  ReturnQuotaIfNotRun(*exchange, response.status);
+  ReturnQuotaIfNotRun(*exchange, response);
   exchange->respond(std::move(response));
   active_.erase(exchange);
 }
@@ -383,7 +383,7 @@
   } else if (at_peer) {
     CancelPeerCall(*exchange);
   } else {
-    if (exchange->run.counts().calls == 0) ReturnQuota(*exchange);
+    if (!exchange->run.may_have_run() && exchange->calls.empty()) ReturnQuota(*exchange);
     Execute(exchange, exchange->run.Abandon(Now()));
     ReportLosses(*exchange);
     ReleaseLimits(*exchange, Now());
--- a/src/node/forward_service_peers.cc
+++ b/src/node/forward_service_peers.cc
@@ -63,7 +63,7 @@
   Origin origin{.peer = true,
                 .max_attempts = info->attempts,
                 .canary = info->canary,
-                .uncharged = info->uncharged};
+                .charged = info->charged};
   if (!Authorize(request, std::move(credentials), *route, origin, respond)) return;
   Serve(std::move(request), std::move(presence), *route, origin, std::move(respond));
 }
@@ -122,10 +122,10 @@
                CallerNetworkDelay(exchange->request.connection, exchange->route->objective);
   const Route& found = *exchange->route;
   bool keyed = exchange->routes->keys().is_configured();
-  PeerRequestInfo info{keyed ? KeyedRouteFingerprint(found) : RouteFingerprint(found),
-                       exchange->run.attempts_left(),
-                       std::chrono::duration_cast<std::chrono::microseconds>(spent),
-                       request_guard_.IsSuspect(exchange->keys, now), exchange->outdated};
+  PeerRequestInfo info{
+      keyed ? KeyedRouteFingerprint(found) : RouteFingerprint(found), exchange->run.attempts_left(),
+      std::chrono::duration_cast<std::chrono::microseconds>(spent),
+      request_guard_.IsSuspect(exchange->keys, now), exchange->quota_token.has_value()};
   exchange->peers.push_back(*peer);
   exchange->peer_client = client;
   peer_selector_.OnSent(*peer);
@@ -177,6 +177,7 @@
     response = MakeForwardRefusal(request, 502, "no other node serves it, and it may have run here",
                                   {}, protocol_);
   }
+  if (is_unauthorized && !exchange->run.may_have_run()) ReturnQuota(*exchange);
   Duration latency = Now() - request.received;
   metrics_.request_latency.Record(latency);
   ++metrics_.answers[name];
--- a/src/node/forward_service_quota.cc
+++ b/src/node/forward_service_quota.cc
@@ -4,8 +4,8 @@
 #include "damaskroute/node/forward_service.h"
 #include "forward_exchange.h"
 
-// Tokens for requests of tenants that have a quota. Requests of other nodes were charged there,
-// unless the node could not tell the tenant, as its configuration was too old.
+// Tokens for requests of tenants that have a quota. Requests of other nodes are charged here
+// unless the node states that it has charged them: it may not have known the tenant or its quota.
 
 namespace damaskroute {
 namespace {
@@ -22,7 +22,7 @@
 // Returns false if the request needs no token. Otherwise it is begun or refused later.
 bool ForwardService::AwaitQuota(const std::shared_ptr<Exchange>& exchange, bool as_canary) {
   const std::string& tenant = exchange->request.tenant;
-  bool charged_elsewhere = exchange->from_peer && !exchange->uncharged;
+  bool charged_elsewhere = exchange->from_peer && exchange->charged;
   if (quotas_ == nullptr || charged_elsewhere || exchange->outdated) return false;
   if (!quotas_->HasQuota(tenant)) return false;
   exchange->awaits_quota = true;
@@ -64,8 +64,13 @@
   if (token && quotas_ != nullptr) quotas_->Return(exchange.request.tenant, *token);
 }
 
-void ForwardService::ReturnQuotaIfNotRun(Exchange& exchange, int status) {
-  if (PromisesNotRun(status) && !exchange.run.may_have_run()) ReturnQuota(exchange);
+// A response with a stamp is that of a server, which may have run the request, here or at another
+// node.
+void ForwardService::ReturnQuotaIfNotRun(Exchange& exchange, const HttpResponse& response) {
+  bool from_server = FindHeader(response.headers, protocol_.server_stamp) != nullptr;
+  if (PromisesNotRun(response.status) && !from_server && !exchange.run.may_have_run()) {
+    ReturnQuota(exchange);
+  }
 }
 
 void ForwardService::WriteQuotaMetrics(Exposition& page) const {
