HTTP: refuse transfer encodings that do not frame the body

A request whose Transfer-Encoding was not a final `chunked`, or which used it with HTTP/1.0, was read without a body, and the body ran as the next request. Such requests are refused with 400.

--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -36,9 +36,17 @@
 }  // namespace
 
 std::optional<Problem> RequestReader::HeaderProblem() const {
-  if (repeated_ == nullptr) return std::nullopt;
-  return Problem{400, "duplicate_header",
-                 fmt::format("header {} occurs more than once", repeated_)};
+  if (repeated_ != nullptr) {
+    return Problem{400, "duplicate_header",
+                   fmt::format("header {} occurs more than once", repeated_)};
+  }
+  // The parser takes the body for the next request if the last encoding is not `chunked`. HTTP/1.0
+  // has no transfer encodings, so that an intermediary may frame the message differently.
+  if (has_transfer_encoding_ && (!chunked() || version_ < 11)) {
+    return Problem{400, "bad_transfer_encoding",
+                   "only the transfer encoding chunked of HTTP/1.1 is supported"};
+  }
+  return std::nullopt;
 }
 
 bool RequestReader::Reserve(std::size_t bytes, Error& error) {
@@ -48,8 +56,9 @@
   return false;
 }
 
-void RequestReader::on_request_impl(boost::beast::http::verb, Text method, Text target, int,
+void RequestReader::on_request_impl(boost::beast::http::verb, Text method, Text target, int version,
                                     Error&) {
+  version_ = version;
   request_.method.assign(method.data(), method.size());
   request_.target.assign(target.data(), target.size());
   field_bytes_ += TextBytes(method.size()) + TextBytes(target.size());
@@ -70,6 +79,7 @@
     request_.content_type.assign(value.data(), value.size());
     field_bytes_ += TextBytes(value.size());
   }
+  if (field == Field::transfer_encoding) has_transfer_encoding_ = true;
   if (field == Field::expect && boost::beast::iequals(value, "100-continue")) {
     expects_continue_ = true;
   }
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -60,10 +60,12 @@
   const std::size_t max_fields_;
   const MayHold may_hold_;
   HttpRequest request_;
+  int version_ = 11;  // As in Beast: 11 is HTTP/1.1.
   std::size_t fields_ = 0;
   std::size_t field_bytes_ = 0;
   std::uint32_t seen_headers_ = 0;  // Bit set of the headers that must not be repeated.
   const char* repeated_ = nullptr;  // The first of them that was.
+  bool has_transfer_encoding_ = false;
   bool expects_continue_ = false;
   bool out_of_memory_ = false;
 };
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -128,6 +128,25 @@
   }
 }
 
+// Guards against request smuggling: the body of a request with another framing must not be read as
+// the next request.
+TEST_CASE("refuses transfer encodings that do not frame the body") {
+  Fixture fixture;
+  const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  for (const char* encoding : {"gzip", "chunked, identity", "xchunked"}) {
+    CAPTURE(encoding);
+    CHECK(HasStatus(fixture.Exchange("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " +
+                                     std::string(encoding) + "\r\n\r\n" + smuggled),
+                    400));
+  }
+  CHECK(HasStatus(fixture.Exchange("POST /x HTTP/1.0\r\nTransfer-Encoding: chunked\r\n"
+                                   "Connection: keep-alive\r\n\r\n0\r\n\r\n" +
+                                   smuggled),
+                  400));
+  CHECK(fixture.handled() == 0);
+  CHECK(HasStatus(fixture.Exchange(Post("Transfer-Encoding: chunked\r\n", "0\r\n\r\n")), 200));
+}
+
 TEST_CASE("closes idle connections and incomplete requests after their timeouts") {
   Fixture fixture([](HttpServerOptions& options) {
     options.limits.idle_timeout = milliseconds(20);
