HTTP: ignore trailer fields of requests

Fields after a chunked body became header fields after the header had been checked, so that a second Host or a credential reached the handler. They are ignored, and still count against the limit of fields.

--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -69,6 +69,8 @@
     error = boost::beast::http::error::header_limit;
     return;
   }
+  // Trailer fields arrive after the header was checked and must not become part of it.
+  if (is_header_done()) return;
   for (std::size_t i = 0; i < std::size(kUniqueHeaders); ++i) {
     if (field != kUniqueHeaders[i].field) continue;
     std::uint32_t bit = 1U << i;
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -147,6 +147,39 @@
   CHECK(HasStatus(fixture.Exchange(Post("Transfer-Encoding: chunked\r\n", "0\r\n\r\n")), 200));
 }
 
+// Guards against trailer fields that reach the handler as unchecked header fields, and against
+// trailers that evade the limit of fields.
+TEST_CASE("ignores trailer fields but counts them") {
+  std::atomic<std::size_t> passed{0};
+  Endpoint endpoint = testing::FreeEndpoint();
+  EventLoop loop(1);
+  HttpServerOptions options;
+  options.listen = endpoint;
+  options.pass_headers = true;
+  options.limits.max_header_fields = 10;
+  HttpServer server({&loop.context()}, options,
+                    [&passed](const HttpRequest& request, const HttpResponder& respond) {
+                      passed = request.headers.size();
+                      respond({200, "text/plain", request.content_type});
+                    });
+  REQUIRE(server.Start().ok());
+  loop.Start();
+  auto exchange = [&endpoint](const std::string& text) {
+    asio::io_context client;
+    Tcp::socket socket(client);
+    socket.connect({asio::ip::make_address("127.0.0.1"), endpoint.port});
+    asio::write(socket, asio::buffer(text));
+    return Fixture::ReadAll(socket);
+  };
+  const std::string start = Post("Transfer-Encoding: chunked\r\n", "1\r\nx\r\n0\r\n");
+  CHECK(HasStatus(exchange(start + "Authorization: a\r\nContent-Type: b\r\n\r\n"), 200));
+  CHECK(passed == 3);
+  std::string many;
+  for (int i = 0; i < 10; ++i) many += "a: b\r\n";
+  CHECK(HasStatus(exchange(start + many + "\r\n"), 431));
+  loop.Stop();
+}
+
 TEST_CASE("closes idle connections and incomplete requests after their timeouts") {
   Fixture fixture([](HttpServerOptions& options) {
     options.limits.idle_timeout = milliseconds(20);
