HTTP: refuse requests of connections that were told to close

A connection that ClientMemory had chosen could still run its request. It then counted as leaving, and its memory was not counted again, so that the limit could be exceeded without bound. The request is now refused with 503 just before its handler would run.

--- a/include/damaskroute/http/client_memory.h
+++ b/include/damaskroute/http/client_memory.h
@@ -58,6 +58,11 @@
     /// The same for bytes that are already in memory and cannot be refused, such as a response.
     void Hold(std::size_t bytes, MemoryUse use, TimePoint now);
 
+    /// Changes the use to `kServing`, so that the connection is not told to close while its request
+    /// runs. Returns false if it was told before; the request must then be refused, since the
+    /// memory of the connection counts as released.
+    bool TryServe(TimePoint now);
+
    private:
     friend class ClientMemory;
 
--- a/src/http/client_memory.cc
+++ b/src/http/client_memory.cc
@@ -44,6 +44,17 @@
   memory_->Change(*this, bytes, use, now, /*may_refuse=*/false);
 }
 
+bool ClientMemory::Account::TryServe(TimePoint now) {
+  std::lock_guard lock(memory_->mutex_);
+  if (leaving_) {
+    ++memory_->refusals_;
+    return false;
+  }
+  if (use_ != MemoryUse::kServing) since_ = now;
+  use_ = MemoryUse::kServing;
+  return true;
+}
+
 void ClientMemory::SetHeld(std::size_t held) {
   held_ = held;
   peak_ = std::max(peak_, held_);
--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -222,6 +222,11 @@
 
 void HttpSession::DispatchRequest() {
   if (shared_->closed) return Close();
+  if (!account_->TryServe(Now())) {
+    evicted_ = true;
+    if (std::exchange(has_turn_, false)) shared_->turns.Return();
+    return RejectOnReadError(asio::error::no_memory);
+  }
   keep_alive_ = reader_->keep_alive();
   std::size_t bytes = reader_->held_bytes();
   HttpRequest request = std::move(reader_->request());
@@ -333,14 +338,14 @@
 
 void HttpSession::Evict() {
   shared_->ScheduleUpkeep();
-  if (continue_) return Close();  // A response cannot be sent at the same time.
+  if (std::exchange(evicted_, true)) return;  // The refusal is being sent.
+  if (continue_) return Close();              // A response cannot be sent at the same time.
   switch (phase_) {
     case Phase::kHeader:
     case Phase::kBody:
     case Phase::kAwaitingTurn:
       return RejectOnReadError(asio::error::no_memory);
-    case Phase::kServing:
-      keep_alive_ = false;  // The request began after it was chosen.
+    case Phase::kServing:  // Not chosen; see `DispatchRequest`.
       return;
     case Phase::kIdle:
     case Phase::kSending:
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -102,6 +102,7 @@
   bool caller_disconnected_ = false;  // The caller closed during its request.
   bool keep_alive_ = false;
   bool rejected_ = false;
+  bool evicted_ = false;  // Has reacted to being chosen by `ClientMemory`.
   std::size_t discarded_ = 0;
 };
 
--- a/tests/client_memory_test.cc
+++ b/tests/client_memory_test.cc
@@ -46,6 +46,19 @@
   CHECK(c.evicted.front() == 0);
 }
 
+// Guards against memory that is never counted again because a chosen connection runs its request.
+TEST_CASE("a connection that was told to close does not begin to serve") {
+  Connections c;
+  auto first = c.Add(2 * kLarge, MemoryUse::kTransfer);
+  auto serving = c.Add(kLarge, MemoryUse::kTransfer);
+  CHECK(c.accounts[serving]->TryServe(c.now));
+  c.now += seconds(5);
+  for (int i = 0; i < 50; ++i) c.Add(kLarge, MemoryUse::kServing);
+  CHECK(c.evicted == std::vector<std::size_t>{first});
+  CHECK_FALSE(c.accounts[first]->TryServe(c.now));
+  CHECK(c.accounts[serving]->TryServe(c.now));
+}
+
 TEST_CASE("idle connections are closed after transfers, and running requests never") {
   Connections c;
   auto idle = c.Add(kLarge, MemoryUse::kIdle);
