HTTP: serve readiness and metrics while clients fill the memory

The connections of the two internal ports were refused or closed like those of callers when the account of client memory was used up. They are now marked as essential: each gets up to the ordinary size in any case and is not told to close. Their number is limited by the ports.

--- a/include/damaskroute/http/client_memory.h
+++ b/include/damaskroute/http/client_memory.h
@@ -46,7 +46,10 @@
    public:
     /// `evict` tells the connection to close. It is called at most once, by the thread of any
     /// connection, and possibly after this object was destroyed, to which it must not refer.
-    Account(std::shared_ptr<ClientMemory> memory, std::function<void()> evict, TimePoint now);
+    /// An `essential` connection is never told to close, and `TryHold` always grants it up to
+    /// `kOrdinaryBytes`; the number of such connections must have another bound.
+    Account(std::shared_ptr<ClientMemory> memory, std::function<void()> evict, TimePoint now,
+            bool essential = false);
     ~Account();
     Account(const Account&) = delete;
     Account& operator=(const Account&) = delete;
@@ -68,6 +71,7 @@
 
     const std::shared_ptr<ClientMemory> memory_;
     const std::function<void()> evict_;
+    const bool essential_;
     std::list<Account*>::iterator position_;
     std::size_t bytes_ = 0;
     MemoryUse use_ = MemoryUse::kIdle;
--- a/include/damaskroute/http/http_server_options.h
+++ b/include/damaskroute/http/http_server_options.h
@@ -21,6 +21,9 @@
   /// Account of what the clients hold in memory; servers of one process share it. If null, the
   /// server has an account of its own with the default limit.
   std::shared_ptr<ClientMemory> memory;
+  /// Whether callers are served also while `memory` is used up, as far as they need no more than
+  /// `ClientMemory::kOrdinaryBytes` each. Requires a small `max_connections`.
+  bool essential = false;
   /// If there are more, the connection that has waited longest for its client is closed.
   std::size_t max_connections = 4096;
   std::chrono::milliseconds body_timeout{10'000};   ///< From the header to the whole body.
--- a/src/http/client_memory.cc
+++ b/src/http/client_memory.cc
@@ -23,8 +23,8 @@
 }  // namespace
 
 ClientMemory::Account::Account(std::shared_ptr<ClientMemory> memory, std::function<void()> evict,
-                               TimePoint now)
-    : memory_(std::move(memory)), evict_(std::move(evict)), since_(now) {
+                               TimePoint now, bool essential)
+    : memory_(std::move(memory)), evict_(std::move(evict)), essential_(essential), since_(now) {
   std::lock_guard lock(memory_->mutex_);
   position_ = memory_->accounts_.insert(memory_->accounts_.end(), this);
 }
@@ -37,7 +37,8 @@
 }
 
 bool ClientMemory::Account::TryHold(std::size_t bytes, MemoryUse use, TimePoint now) {
-  return memory_->Change(*this, bytes, use, now, /*may_refuse=*/true);
+  bool may_refuse = !essential_ || bytes > kOrdinaryBytes;
+  return memory_->Change(*this, bytes, use, now, may_refuse) || !may_refuse;
 }
 
 void ClientMemory::Account::Hold(std::size_t bytes, MemoryUse use, TimePoint now) {
@@ -96,7 +97,8 @@
   using Rank = std::tuple<MemoryUse, double>;
   std::vector<std::pair<Rank, Account*>> candidates;
   for (Account* account : accounts_) {
-    if (account->leaving_ || account->use_ == MemoryUse::kServing) continue;
+    if (account->leaving_ || account->essential_) continue;
+    if (account->use_ == MemoryUse::kServing) continue;
     double bytes = static_cast<double>(account->bytes_);
     double age = std::chrono::duration<double>(now - account->since_ + kBaseAge).count();
     candidates.push_back({{account->use_, bytes * age}, account});
--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -71,7 +71,7 @@
       if (auto self = weak.lock()) self->Close();
     });
   };
-  account_.emplace(shared_->options.memory, std::move(evict), now);
+  account_.emplace(shared_->options.memory, std::move(evict), now, shared_->options.essential);
   position_ = shared_->waiting.Add(std::move(close), now);
   if (!TryHold(OwnBytes() + kReadSize, MemoryUse::kIdle)) return Close();
   ReadNextRequest();
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -112,6 +112,7 @@
   options.memory = std::move(memory);
   options.max_connections = max_connections;
   options.limits.max_body_bytes = 1024;
+  options.essential = true;  // Operators need readiness and metrics most while the node is full.
   return options;
 }
 
--- a/tests/client_memory_test.cc
+++ b/tests/client_memory_test.cc
@@ -59,6 +59,21 @@
   CHECK(c.accounts[serving]->TryServe(c.now));
 }
 
+// Guards against readiness and metrics that get no answer while requests fill the memory.
+TEST_CASE("an essential connection is served while the memory is used up") {
+  Connections c;
+  while (c.Add(4096, MemoryUse::kServing), c.held) {
+  }
+  bool closed = false;
+  ClientMemory::Account essential(
+      c.memory, [&closed] { closed = true; }, c.now, /*essential=*/true);
+  CHECK(essential.TryHold(ClientMemory::kOrdinaryBytes, MemoryUse::kIdle, c.now));
+  CHECK_FALSE(essential.TryHold(ClientMemory::kOrdinaryBytes + 1, MemoryUse::kTransfer, c.now));
+  c.now += seconds(100);
+  c.Add(kLarge, MemoryUse::kTransfer);
+  CHECK_FALSE(closed);
+}
+
 TEST_CASE("idle connections are closed after transfers, and running requests never") {
   Connections c;
   auto idle = c.Add(kLarge, MemoryUse::kIdle);
