Relay: limit the large pages that are sent at once

Each follower that asked at once got a copy of a page of up to 512 KB before the account of client memory could refuse it. At most 8 pages above 16 KB exist at once; beyond that the relay answers 503, and the follower asks another node or the store.

--- a/include/damaskroute/http/http_response.h
+++ b/include/damaskroute/http/http_response.h
@@ -2,6 +2,7 @@
 #define DAMASKROUTE_HTTP_HTTP_RESPONSE_H_
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
   std::string body;
   std::vector<HeaderField> headers;  ///< Additional headers, none of which frames the message.
   std::chrono::milliseconds retry_after{0};  ///< Sent as `Retry-After` if above 0.
+  std::shared_ptr<void> token;               ///< Released when the response was written or dropped.
 };
 
 }  // namespace damaskroute
--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -278,6 +278,7 @@
   phase_ = Phase::kSending;
   SetDeadline(shared_->options.write_timeout);
   Hold(OwnBytes() + ResponseBytes(response), MemoryUse::kTransfer);
+  response_token_ = std::move(response.token);
   response_.emplace(ToBeast(std::move(response), keep_alive_));
   boost::beast::http::async_write(
       socket_, *response_, [self = shared_from_this()](const error_code& error, std::size_t) {
@@ -287,6 +288,7 @@
 
 void HttpSession::OnWritten(const error_code& error) {
   response_.reset();
+  response_token_.reset();
   active_request_count_.reset();
   if (phase_ != Phase::kSending) return;
   if (rejected_) return DiscardUnreadInput();
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -91,6 +91,7 @@
   std::optional<RequestReader> reader_;
   std::optional<boost::beast::http::response<boost::beast::http::empty_body>> continue_;
   std::optional<boost::beast::http::response<boost::beast::http::string_body>> response_;
+  std::shared_ptr<void> response_token_;
   std::optional<ScopedCount> active_request_count_;  // While a request is received or served.
   TimePoint received_at_;
   std::uint64_t request_number_ = 0;
--- a/src/relay/change_relay.cc
+++ b/src/relay/change_relay.cc
@@ -23,6 +23,11 @@
 // Limit of the requested wait. Followers request less.
 constexpr milliseconds kMaxWait{10'000};
 
+// Limit of the large pages that are being sent at once. A page has up to 512 KB, so that these hold
+// up to 4 MB; without a limit, a thousand followers that ask at once would take 500 MB.
+constexpr std::size_t kMaxLargePages = 8;
+constexpr std::size_t kLargePageBytes = std::size_t{16} << 10;
+
 HttpServerOptions RelayOptions(const Endpoint& listen, const ChangeRelay::Limits& limits) {
   HttpServerOptions options;
   options.listen = listen;
@@ -79,6 +84,9 @@
                const HttpResponder& respond) const;
   std::optional<StorePage> Find(const Position& position) const;
 
+  // Returns a token for sending a large page; null if there are too many.
+  std::shared_ptr<void> TakeLargePage() const;
+
   // Removes all waiting requests and runs `answer` on each.
   template <typename Answer>
   void RemoveAll(const Answer& answer) {
@@ -108,6 +116,8 @@
   std::weak_ptr<State> self;
   ChangeLog log;
   std::set<std::shared_ptr<Waiting>> waiting;
+  // The tokens may outlive this object.
+  std::shared_ptr<std::size_t> large_pages = std::make_shared<std::size_t>(0);
 };
 
 void ChangeRelay::State::Handle(const HttpRequest& request, HttpResponder respond) {
@@ -139,6 +149,12 @@
   return position.era == log.era() ? log.After(position.after) : std::nullopt;
 }
 
+std::shared_ptr<void> ChangeRelay::State::TakeLargePage() const {
+  if (*large_pages >= kMaxLargePages) return nullptr;
+  ++*large_pages;
+  return {large_pages.get(), [pages = large_pages](void*) { --*pages; }};
+}
+
 void ChangeRelay::State::Respond(const Position& position, const Arrival& arrival,
                                  const HttpResponder& respond) const {
   auto page = Find(position);
@@ -149,6 +165,10 @@
   response.body = EncodeRelayedPage(
       {*std::move(page), std::chrono::duration_cast<microseconds>(age()),
        std::chrono::duration_cast<microseconds>(SteadyClock().Now() - arrival.at)});
+  if (response.body.size() > kLargePageBytes) {
+    response.token = TakeLargePage();
+    if (!response.token) return respond(Failure(503));  // The follower asks another node.
+  }
   // Relative to the arrival, so that no time passes unnoticed between reading a clock and sending.
   auto until = certain_until ? certain_until() : std::nullopt;
   if (arrival.since_boot && until) {
