HTTP: displace connections with one request before regular ones

At the limit of a port, the keep-alive connection that had been idle longest was closed first, also while its next request was being received. Its time now starts anew with the first byte of a request, and connections that have sent at most one request are closed before others.

--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -147,6 +147,8 @@
   // being received.
   active_request_count_.emplace(shared_->active_requests, 1);
   phase_ = Phase::kHeader;
+  // A client that is sending its next request has not been idle for longer than other clients.
+  if (request_number_ > 0) shared_->waiting.SetWaiting(*position_, Now());
   SetDeadline(options.limits.header_timeout);
   Parse();
 }
--- a/src/http/waiting_connections.h
+++ b/src/http/waiting_connections.h
@@ -2,6 +2,7 @@
 #define DAMASKROUTE_SRC_HTTP_WAITING_CONNECTIONS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <iterator>
 #include <list>
@@ -22,8 +23,8 @@
 
   struct Entry {
     Close close;
-    TimePoint since;      // When it began to wait for its client.
-    bool served = false;  // Whether it has sent a request before.
+    TimePoint since;           // When it began to wait for its client.
+    std::size_t requests = 0;  // Number of requests that it has sent.
   };
   using Position = std::list<Entry>::iterator;
 
@@ -37,14 +38,16 @@
   void SetServing(Position position) {
     std::lock_guard lock(mutex_);
     serving_.splice(serving_.end(), ListOf(*position, position->since), position);
-    position->served = true;
+    ++position->requests;
     position->since = TimePoint::max();
   }
 
-  /// The connection waits for its client to read the response or to send the next request.
+  /// The connection waits for its client to read the response or to send the next request, or has
+  /// received the first bytes of that request. Requires a request before.
   void SetWaiting(Position position, TimePoint now) {
     std::lock_guard lock(mutex_);
-    known_.splice(known_.end(), ListOf(*position, position->since), position);
+    auto& list = position->requests > 1 ? known_ : once_;
+    list.splice(list.end(), ListOf(*position, position->since), position);
     position->since = now;
   }
 
@@ -54,10 +57,11 @@
   }
 
   /// Returns how to close the connection that has waited longest: first one that has never sent a
-  /// request, then one that has. Nullopt if none has waited for `kMinWait`.
+  /// request, then one that has sent one, then any other. Nullopt if none has waited for
+  /// `kMinWait`.
   std::optional<Close> TakeOldest(TimePoint now) {
     std::lock_guard lock(mutex_);
-    for (auto* list : {&new_, &known_}) {
+    for (auto* list : {&new_, &once_, &known_}) {
       if (list->empty() || now - list->front().since < kMinWait) continue;
       // At the end of the list while it is being closed.
       Entry& entry = list->front();
@@ -76,12 +80,14 @@
 
   std::list<Entry>& ListOf(const Entry& entry, TimePoint since) {
     if (since == TimePoint::max()) return serving_;
-    return entry.served ? known_ : new_;
+    if (entry.requests == 0) return new_;
+    return entry.requests == 1 ? once_ : known_;
   }
 
   std::mutex mutex_;
   std::list<Entry> new_;    // Have sent no request yet; the oldest first.
-  std::list<Entry> known_;  // Wait after a response; the oldest first.
+  std::list<Entry> once_;   // Wait after the first response; the oldest first.
+  std::list<Entry> known_;  // Wait after a later response; the oldest first.
   std::list<Entry> serving_;
 };
 
--- a/tests/client_turns_test.cc
+++ b/tests/client_turns_test.cc
@@ -72,6 +72,28 @@
   c.waiting.Remove(idle);
 }
 
+// Guards against a crowd of connections with one request each that displaces a regular client.
+TEST_CASE("connections with one request are closed before those with more") {
+  Connections c;
+  auto serve = [&c](WaitingConnections::Position position) {
+    c.waiting.SetServing(position);
+    c.waiting.SetWaiting(position, c.now);
+  };
+  auto regular = c.Add(0);
+  serve(regular);
+  serve(regular);
+  c.now += seconds(20);
+  auto first = c.Add(1);
+  serve(first);
+  c.now += seconds(1);
+  CHECK(c.Oldest() == 1);
+  CHECK(c.Oldest() == 0);
+  c.now += seconds(1);
+  c.waiting.SetWaiting(regular, c.now);  // Begins to send its next request.
+  CHECK(c.Oldest() == 1);
+  CHECK(c.Oldest() == -1);
+}
+
 // Guards against new clients that close each other's connections before they can send, and against
 // a running request whose connection is closed.
 TEST_CASE("new connections and running requests are not closed") {
