--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -211,17 +211,24 @@
     });
     return true;
   };
-  if (shared_->turns.TryTake(std::move(begin))) OnTurn();
+  ticket_ = shared_->turns.TakeOrWait(std::move(begin));
+  if (!ticket_) OnTurn();
 }
 
 // Returns false if the turn is not needed any more.
 bool HttpSession::OnTurn() {
   if (phase_ != Phase::kAwaitingTurn) return false;
+  ticket_.reset();
   has_turn_ = true;
   DispatchRequest();
   return true;
 }
 
+// Without this, the queue would keep the memory of closed connections.
+void HttpSession::LeaveQueue() {
+  if (ticket_) shared_->turns.Cancel(*std::exchange(ticket_, std::nullopt));
+}
+
 void HttpSession::DispatchRequest() {
   if (shared_->closed) return Close();
   if (!account_->TryServe(Now())) {
@@ -312,6 +319,7 @@
 }
 
 void HttpSession::Reject(Problem problem) {
+  LeaveQueue();
   // The request line was parsed before the invalid header.
   const std::string& target = reader_->request().target;
   if (!target.empty() && shared_->options.refusal_verdict) {
@@ -363,6 +371,7 @@
 void HttpSession::Close() {
   if (phase_ == Phase::kClosed) return;
   phase_ = Phase::kClosed;
+  LeaveQueue();
   timer_.cancel();
   active_request_count_.reset();
   if (std::exchange(has_turn_, false)) shared_->turns.Return();
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -54,6 +54,7 @@
   void ReadBody();
   void OnRequestRead();
   bool OnTurn();
+  void LeaveQueue();
   void DispatchRequest();
   std::chrono::microseconds MeasuredRoundTrip();
   void Respond(std::uint64_t number, HttpResponse response);
@@ -88,6 +89,7 @@
   boost::beast::flat_buffer buffer_;
   std::optional<ClientMemory::Account> account_;
   std::optional<WaitingConnections::Position> position_;
+  std::optional<PipelineTurns::Ticket> ticket_;  // While it waits for a turn.
   std::optional<RequestReader> reader_;
   std::optional<boost::beast::http::response<boost::beast::http::empty_body>> continue_;
   std::optional<boost::beast::http::response<boost::beast::http::string_body>> response_;
--- a/src/http/pipeline_turns.h
+++ b/src/http/pipeline_turns.h
@@ -2,9 +2,11 @@
 #define DAMASKROUTE_SRC_HTTP_PIPELINE_TURNS_H_
 
 #include <cstddef>
-#include <deque>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <utility>
 
 namespace damaskroute::internal {
@@ -17,15 +19,31 @@
   /// `begin` returns false if the connection no longer needs its turn.
   using Begin = std::function<bool()>;
 
-  /// Takes a turn and returns true, or returns false and calls `begin` later, when a turn is free.
-  bool TryTake(Begin begin) {
+  /// Identifies a connection that waits.
+  using Ticket = std::uint64_t;
+
+  /// Takes a turn and returns nullopt, or returns a ticket and calls `begin` later, when a turn is
+  /// free.
+  std::optional<Ticket> TakeOrWait(Begin begin) {
     std::lock_guard lock(mutex_);
     if (taken_ < kMaxTurns) {
       ++taken_;
-      return true;
+      return std::nullopt;
     }
-    waiting_.push_back(std::move(begin));
-    return false;
+    waiting_.emplace(++last_ticket_, std::move(begin));
+    return last_ticket_;
+  }
+
+  /// Removes a connection that no longer waits. No effect if its `begin` was called.
+  void Cancel(Ticket ticket) {
+    std::lock_guard lock(mutex_);
+    waiting_.erase(ticket);
+  }
+
+  /// Number of connections that wait.
+  std::size_t waiting() const {
+    std::lock_guard lock(mutex_);
+    return waiting_.size();
   }
 
   /// Returns a turn, which passes to the connection that has waited longest.
@@ -38,8 +56,8 @@
           --taken_;
           return;
         }
-        next = std::move(waiting_.front());
-        waiting_.pop_front();
+        next = std::move(waiting_.begin()->second);
+        waiting_.erase(waiting_.begin());
       }
       if (next()) return;
     }
@@ -50,9 +68,10 @@
   // a server runs for ordinary clients.
   static constexpr std::size_t kMaxTurns = 8;
 
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::size_t taken_ = 0;
-  std::deque<Begin> waiting_;
+  Ticket last_ticket_ = 0;
+  std::map<Ticket, Begin> waiting_;  // The one that has waited longest first.
 };
 
 }  // namespace damaskroute::internal
--- a/tests/client_turns_test.cc
+++ b/tests/client_turns_test.cc
@@ -19,14 +19,14 @@
   PipelineTurns turns;
   std::vector<int> begun;
   int taken = 0;
-  while (turns.TryTake([&] {
+  while (!turns.TakeOrWait([&] {
     begun.push_back(0);
     return true;
   })) {
     REQUIRE(++taken < 100);
   }
-  CHECK_FALSE(turns.TryTake([] { return false; }));  // A connection that ends before its turn.
-  CHECK_FALSE(turns.TryTake([&] {
+  CHECK(turns.TakeOrWait([] { return false; }));  // A connection that ends before its turn.
+  CHECK(turns.TakeOrWait([&] {
     begun.push_back(1);
     return true;
   }));
@@ -35,7 +35,23 @@
   turns.Return();
   CHECK(begun == std::vector<int>{0, 1});
   for (int i = 0; i < taken; ++i) turns.Return();
-  CHECK(turns.TryTake([] { return true; }));
+  CHECK_FALSE(turns.TakeOrWait([] { return true; }));
+}
+
+// Guards against closed connections whose memory stays in the queue while all turns are taken.
+TEST_CASE("a connection that closes leaves the queue of turns") {
+  PipelineTurns turns;
+  std::optional<PipelineTurns::Ticket> first;
+  for (int i = 0; i < 100 && !first; ++i) first = turns.TakeOrWait([] { return true; });
+  REQUIRE(first.has_value());
+  bool begun = false;
+  CHECK(turns.TakeOrWait([&begun] { return begun = true; }).has_value());
+  turns.Cancel(*first);
+  CHECK(turns.waiting() == 1);
+  turns.Return();
+  CHECK(begun);
+  turns.Cancel(*first);
+  CHECK(turns.waiting() == 0);
 }
 
 struct Connections {
