--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -237,6 +237,7 @@
     return RejectOnReadError(asio::error::no_memory);
   }
   keep_alive_ = reader_->keep_alive();
+  head_ = reader_->request().method == "HEAD";
   std::size_t bytes = reader_->held_bytes();
   HttpRequest request = std::move(reader_->request());
   reader_.reset();
@@ -289,6 +290,7 @@
   Hold(OwnBytes() + ResponseBytes(response), MemoryUse::kTransfer);
   response_token_ = std::move(response.token);
   response_.emplace(ToBeast(std::move(response), keep_alive_));
+  if (head_) response_->body().clear();  // `Content-Length` stays.
   boost::beast::http::async_write(
       socket_, *response_, [self = shared_from_this()](const error_code& error, std::size_t) {
         self->OnWritten(error);
@@ -325,6 +327,7 @@
   if (!target.empty() && shared_->options.refusal_verdict) {
     problem.verdict = shared_->options.refusal_verdict(target);
   }
+  head_ = reader_->request().method == "HEAD";
   reader_.reset();
   rejected_ = true;
   keep_alive_ = false;
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -104,6 +104,7 @@
   bool has_turn_ = false;             // Holds one of `PipelineTurns`.
   bool caller_disconnected_ = false;  // The caller closed during its request.
   bool keep_alive_ = false;
+  bool head_ = false;  // The response has no body; see the method HEAD of HTTP.
   bool rejected_ = false;
   bool evicted_ = false;  // Has reacted to being chosen by `ClientMemory`.
   std::size_t discarded_ = 0;
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -180,6 +180,16 @@
   loop.Stop();
 }
 
+// Guards against a body that the caller would read as the start of the next response.
+TEST_CASE("a response to HEAD has a length but no body") {
+  Fixture fixture;
+  std::string answer = fixture.Exchange(
+      "HEAD /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody");
+  CHECK(HasStatus(answer, 200));
+  CHECK(answer.find("Content-Length: 4\r\n") != std::string::npos);
+  CHECK(answer.ends_with("\r\n\r\n"));
+}
+
 TEST_CASE("closes idle connections and incomplete requests after their timeouts") {
   Fixture fixture([](HttpServerOptions& options) {
     options.limits.idle_timeout = milliseconds(20);
