--- a/include/damaskroute/http/client_memory.h
+++ b/include/damaskroute/http/client_memory.h
@@ -46,7 +46,10 @@
    public:
     /// `evict` tells the connection to close. It is called at most once, by the thread of any
     /// connection, and possibly after this object was destroyed, to which it must not refer.
-    Account(std::shared_ptr<ClientMemory> memory, std::function<void()> evict, TimePoint now);
+    /// An `essential` connection is never told to close, and `TryHold` always grants it up to
+    /// `kOrdinaryBytes`; the number of such connections must have another bound.
+    Account(std::shared_ptr<ClientMemory> memory, std::function<void()> evict, TimePoint now,
+            bool essential = false);
     ~Account();
     Account(const Account&) = delete;
     Account& operator=(const Account&) = delete;
@@ -58,11 +61,17 @@
     /// The same for bytes that are already in memory and cannot be refused, such as a response.
     void Hold(std::size_t bytes, MemoryUse use, TimePoint now);
 
+    /// Changes the use to `kServing`, so that the connection is not told to close while its request
+    /// runs. Returns false if it was told before; the request must then be refused, since the
+    /// memory of the connection counts as released.
+    bool TryServe(TimePoint now);
+
    private:
     friend class ClientMemory;
 
     const std::shared_ptr<ClientMemory> memory_;
     const std::function<void()> evict_;
+    const bool essential_;
     std::list<Account*>::iterator position_;
     std::size_t bytes_ = 0;
     MemoryUse use_ = MemoryUse::kIdle;
--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -71,7 +71,7 @@
       if (auto self = weak.lock()) self->Close();
     });
   };
-  account_.emplace(shared_->options.memory, std::move(evict), now);
+  account_.emplace(shared_->options.memory, std::move(evict), now, shared_->options.essential);
   position_ = shared_->waiting.Add(std::move(close), now);
   if (!TryHold(OwnBytes() + kReadSize, MemoryUse::kIdle)) return Close();
   ReadNextRequest();
@@ -147,6 +147,8 @@
   // being received.
   active_request_count_.emplace(shared_->active_requests, 1);
   phase_ = Phase::kHeader;
+  // A client that is sending its next request has not been idle for longer than other clients.
+  if (request_number_ > 0) shared_->waiting.SetWaiting(*position_, Now());
   SetDeadline(options.limits.header_timeout);
   Parse();
 }
@@ -209,20 +211,33 @@
     });
     return true;
   };
-  if (shared_->turns.TryTake(std::move(begin))) OnTurn();
+  ticket_ = shared_->turns.TakeOrWait(std::move(begin));
+  if (!ticket_) OnTurn();
 }
 
 // Returns false if the turn is not needed any more.
 bool HttpSession::OnTurn() {
   if (phase_ != Phase::kAwaitingTurn) return false;
+  ticket_.reset();
   has_turn_ = true;
   DispatchRequest();
   return true;
 }
 
+// Without this, the queue would keep the memory of closed connections.
+void HttpSession::LeaveQueue() {
+  if (ticket_) shared_->turns.Cancel(*std::exchange(ticket_, std::nullopt));
+}
+
 void HttpSession::DispatchRequest() {
   if (shared_->closed) return Close();
+  if (!account_->TryServe(Now())) {
+    evicted_ = true;
+    if (std::exchange(has_turn_, false)) shared_->turns.Return();
+    return RejectOnReadError(asio::error::no_memory);
+  }
   keep_alive_ = reader_->keep_alive();
+  head_ = reader_->request().method == "HEAD";
   std::size_t bytes = reader_->held_bytes();
   HttpRequest request = std::move(reader_->request());
   reader_.reset();
@@ -273,7 +288,9 @@
   phase_ = Phase::kSending;
   SetDeadline(shared_->options.write_timeout);
   Hold(OwnBytes() + ResponseBytes(response), MemoryUse::kTransfer);
+  response_token_ = std::move(response.token);
   response_.emplace(ToBeast(std::move(response), keep_alive_));
+  if (head_) response_->body().clear();  // `Content-Length` stays.
   boost::beast::http::async_write(
       socket_, *response_, [self = shared_from_this()](const error_code& error, std::size_t) {
         self->OnWritten(error);
@@ -282,6 +299,7 @@
 
 void HttpSession::OnWritten(const error_code& error) {
   response_.reset();
+  response_token_.reset();
   active_request_count_.reset();
   if (phase_ != Phase::kSending) return;
   if (rejected_) return DiscardUnreadInput();
@@ -303,11 +321,13 @@
 }
 
 void HttpSession::Reject(Problem problem) {
+  LeaveQueue();
   // The request line was parsed before the invalid header.
   const std::string& target = reader_->request().target;
   if (!target.empty() && shared_->options.refusal_verdict) {
     problem.verdict = shared_->options.refusal_verdict(target);
   }
+  head_ = reader_->request().method == "HEAD";
   reader_.reset();
   rejected_ = true;
   keep_alive_ = false;
@@ -333,14 +353,14 @@
 
 void HttpSession::Evict() {
   shared_->ScheduleUpkeep();
-  if (continue_) return Close();  // A response cannot be sent at the same time.
+  if (std::exchange(evicted_, true)) return;  // The refusal is being sent.
+  if (continue_) return Close();              // A response cannot be sent at the same time.
   switch (phase_) {
     case Phase::kHeader:
     case Phase::kBody:
     case Phase::kAwaitingTurn:
       return RejectOnReadError(asio::error::no_memory);
-    case Phase::kServing:
-      keep_alive_ = false;  // The request began after it was chosen.
+    case Phase::kServing:  // Not chosen; see `DispatchRequest`.
       return;
     case Phase::kIdle:
     case Phase::kSending:
@@ -354,6 +374,7 @@
 void HttpSession::Close() {
   if (phase_ == Phase::kClosed) return;
   phase_ = Phase::kClosed;
+  LeaveQueue();
   timer_.cancel();
   active_request_count_.reset();
   if (std::exchange(has_turn_, false)) shared_->turns.Return();
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -54,6 +54,7 @@
   void ReadBody();
   void OnRequestRead();
   bool OnTurn();
+  void LeaveQueue();
   void DispatchRequest();
   std::chrono::microseconds MeasuredRoundTrip();
   void Respond(std::uint64_t number, HttpResponse response);
@@ -88,9 +89,11 @@
   boost::beast::flat_buffer buffer_;
   std::optional<ClientMemory::Account> account_;
   std::optional<WaitingConnections::Position> position_;
+  std::optional<PipelineTurns::Ticket> ticket_;  // While it waits for a turn.
   std::optional<RequestReader> reader_;
   std::optional<boost::beast::http::response<boost::beast::http::empty_body>> continue_;
   std::optional<boost::beast::http::response<boost::beast::http::string_body>> response_;
+  std::shared_ptr<void> response_token_;
   std::optional<ScopedCount> active_request_count_;  // While a request is received or served.
   TimePoint received_at_;
   std::uint64_t request_number_ = 0;
@@ -101,7 +104,9 @@
   bool has_turn_ = false;             // Holds one of `PipelineTurns`.
   bool caller_disconnected_ = false;  // The caller closed during its request.
   bool keep_alive_ = false;
+  bool head_ = false;  // The response has no body; see the method HEAD of HTTP.
   bool rejected_ = false;
+  bool evicted_ = false;  // Has reacted to being chosen by `ClientMemory`.
   std::size_t discarded_ = 0;
 };
 
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -128,6 +128,68 @@
   }
 }
 
+// Guards against request smuggling: the body of a request with another framing must not be read as
+// the next request.
+TEST_CASE("refuses transfer encodings that do not frame the body") {
+  Fixture fixture;
+  const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  for (const char* encoding : {"gzip", "chunked, identity", "xchunked"}) {
+    CAPTURE(encoding);
+    CHECK(HasStatus(fixture.Exchange("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " +
+                                     std::string(encoding) + "\r\n\r\n" + smuggled),
+                    400));
+  }
+  CHECK(HasStatus(fixture.Exchange("POST /x HTTP/1.0\r\nTransfer-Encoding: chunked\r\n"
+                                   "Connection: keep-alive\r\n\r\n0\r\n\r\n" +
+                                   smuggled),
+                  400));
+  CHECK(fixture.handled() == 0);
+  CHECK(HasStatus(fixture.Exchange(Post("Transfer-Encoding: chunked\r\n", "0\r\n\r\n")), 200));
+}
+
+// Guards against trailer fields that reach the handler as unchecked header fields, and against
+// trailers that evade the limit of fields.
+TEST_CASE("ignores trailer fields but counts them") {
+  std::atomic<std::size_t> passed{0};
+  Endpoint endpoint = testing::FreeEndpoint();
+  EventLoop loop(1);
+  HttpServerOptions options;
+  options.listen = endpoint;
+  options.pass_headers = true;
+  options.limits.max_header_fields = 10;
+  HttpServer server({&loop.context()}, options,
+                    [&passed](const HttpRequest& request, const HttpResponder& respond) {
+                      passed = request.headers.size();
+                      respond({200, "text/plain", request.content_type});
+                    });
+  REQUIRE(server.Start().ok());
+  loop.Start();
+  auto exchange = [&endpoint](const std::string& text) {
+    asio::io_context client;
+    Tcp::socket socket(client);
+    socket.connect({asio::ip::make_address("127.0.0.1"), endpoint.port});
+    asio::write(socket, asio::buffer(text));
+    return Fixture::ReadAll(socket);
+  };
+  const std::string start = Post("Transfer-Encoding: chunked\r\n", "1\r\nx\r\n0\r\n");
+  CHECK(HasStatus(exchange(start + "Authorization: a\r\nContent-Type: b\r\n\r\n"), 200));
+  CHECK(passed == 3);
+  std::string many;
+  for (int i = 0; i < 10; ++i) many += "a: b\r\n";
+  CHECK(HasStatus(exchange(start + many + "\r\n"), 431));
+  loop.Stop();
+}
+
+// Guards against a body that the caller would read as the start of the next response.
+TEST_CASE("a response to HEAD has a length but no body") {
+  Fixture fixture;
+  std::string answer = fixture.Exchange(
+      "HEAD /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody");
+  CHECK(HasStatus(answer, 200));
+  CHECK(answer.find("Content-Length: 4\r\n") != std::string::npos);
+  CHECK(answer.ends_with("\r\n\r\n"));
+}
+
 TEST_CASE("closes idle connections and incomplete requests after their timeouts") {
   Fixture fixture([](HttpServerOptions& options) {
     options.limits.idle_timeout = milliseconds(20);
