Rollouts: a node without news of the store avoids a version being promoted

Cause: a node that saw promoting and then froze or lost the store sent all calls to the target version, also after other nodes had stored rolled_back. Change: without news it allows both versions and prefers the old ones while they have entries. The canary share while running is unchanged. Measured: the new test fails before the change and passes with it.

--- a/include/damaskroute/rollout/rollout_decider.h
+++ b/include/damaskroute/rollout/rollout_decider.h
@@ -127,6 +127,7 @@
   Duration ConfirmTime() const;
   Duration RankDelay() const;
   bool IsHeld(TimePoint now) const;
+  bool IsUnsure(TimePoint now) const;
   std::chrono::milliseconds AgeAt(TimePoint now) const;
   void LimitWrittenAt(std::chrono::milliseconds age, TimePoint now);
   void Follow(const RolloutRecord& record, TimePoint now);
--- a/src/rollout/rollout_decider.cc
+++ b/src/rollout/rollout_decider.cc
@@ -55,6 +55,7 @@
   own_ = {};
   stopped_ = false;
   last_tick_ = now;  // There are no ticks between rollouts.
+  confirmed_store_at_ = std::max(confirmed_store_at_, written_at);
   report_written_ = false;
   reported_state_ = RolloutState::kRunning;
   reported_open_ = 0;
@@ -176,6 +177,11 @@
   return interrupted || confirmed_store_at_ < hold_since_;
 }
 
+// Others may have stored a final state in the meantime.
+bool RolloutDecider::IsUnsure(TimePoint now) const {
+  return IsHeld(now) || now - confirmed_store_at_ > options_.max_store_age;
+}
+
 RolloutState RolloutDecider::state() const {
   if (order_) {
     return known_ && IsOfOrder(*known_) ? known_->state : RolloutState::kRunning;
@@ -226,14 +232,20 @@
     case RolloutState::kRunning:
       return is_target ? AllowsCanary(now) : AllowsOther(version);
     case RolloutState::kPromoting:
-      return is_target;
+      // An unsure node cannot tell which versions still have servers; `PreferenceFor` orders them.
+      return is_target || (IsUnsure(now) && AllowsOther(version));
     default:
       return !is_target && AllowsOther(version);
   }
 }
 
 VersionPreference RolloutDecider::PreferenceFor(bool repeated, TimePoint now) const {
-  if (!order_ || SeenState() != RolloutState::kRunning) return {};
+  if (!order_) return {};
+  RolloutState seen = SeenState();
+  if (seen == RolloutState::kPromoting && IsUnsure(now)) {
+    return {&order_->order.target_version, /*avoid=*/HasOthers()};
+  }
+  if (seen != RolloutState::kRunning) return {};
   bool canary = !repeated && order_->share.Allows(now) && AllowsCanary(now);
   return {&order_->order.target_version, /*avoid=*/!canary};
 }
--- a/tests/rollout_faults_test.cc
+++ b/tests/rollout_faults_test.cc
@@ -82,6 +82,27 @@
   CHECK(decider.Allows("v1", wake));
 }
 
+// Guards against calls to a version that other nodes rolled back while this node could not reach
+// the store, and against refused requests while the store is away for all nodes.
+TEST_CASE("a node without news of the store avoids a version that is being promoted") {
+  RolloutSimulation simulation(Scenario(VersionKind::kGood));
+  simulation.Order("v2");
+  simulation.RunUntil(seconds(10));
+  RolloutDecider& decider = *simulation.nodes()[0].decider;
+  simulation.store_up = false;
+  simulation.RunUntil(seconds(17));
+  RolloutRecord record = simulation.record().record;
+  record.state = RolloutState::kPromoting;
+  decider.OnRecord(record, simulation.record().revision + 1000, simulation.now());
+  CHECK(decider.Allows("v1", simulation.now()));
+  VersionPreference preference = decider.PreferenceFor(false, simulation.now());
+  REQUIRE(preference.version != nullptr);
+  CHECK(preference.avoid);
+  decider.SetVersions({"v2"});
+  CHECK(decider.Allows("v2", simulation.now()));
+  CHECK_FALSE(decider.PreferenceFor(false, simulation.now()).avoid);
+}
+
 // Guards against a bad version that is used on while no decision can be written, and against a
 // promotion after the deadline.
 TEST_CASE("nodes stop a bad version on their own evidence while the store is away") {
