Rollouts: a promotion without servers of the version is rolled back

Cause: succeeded was stored although the target version had no server left. Change: the holder rolls back when no server has the version during promoting. Measured: the new test fails before the change and passes with it.

--- a/src/rollout/rollout_decider.cc
+++ b/src/rollout/rollout_decider.cc
@@ -354,6 +354,7 @@
   RolloutState current = state();
   if (current == RolloutState::kRunning) return NextStateWhileRunning(now);
   if (current == RolloutState::kPromoting) {
+    if (!HasTarget()) return RollBack("no server has the ordered version any more");
     auto verdict = RolloutVerdict::Judge(Total(), RolloutVerdict::kEarlyScore);
     if (verdict.judgement == Judgement::kRollBack) return RollBack(verdict.reason);
   }
--- a/tests/rollout_faults_test.cc
+++ b/tests/rollout_faults_test.cc
@@ -252,5 +252,19 @@
   CHECK(said);
 }
 
+// Guards against a success that stops the old servers although no new server is left.
+TEST_CASE("a promotion is rolled back when the target version has no servers any more") {
+  RolloutSimulation simulation(Scenario(VersionKind::kGood));
+  simulation.Order("v2");
+  milliseconds at{0};
+  while (simulation.stored_state() != RolloutState::kPromoting && at < seconds(30)) {
+    simulation.RunUntil(at += milliseconds(20));
+  }
+  REQUIRE(simulation.stored_state() == RolloutState::kPromoting);
+  simulation.SetVersions({"v1"});
+  simulation.RunUntil(seconds(35));
+  CHECK(simulation.HasStatus(RolloutState::kRolledBack));
+}
+
 }  // namespace
 }  // namespace damaskroute
