Rollouts: a node that reported a promotion waits for the rollback

Cause: a node that reported promoting returned to the old version on its own evidence, although succeeded may already be stored after its report. Change: it follows the promotion from its first report on, until the rollback. Measured: the new test fails before the change and passes with it.

--- a/include/damaskroute/rollout/rollout_decider.h
+++ b/include/damaskroute/rollout/rollout_decider.h
@@ -88,7 +88,7 @@
   /// State that this node follows.
   RolloutState state() const;
   /// The state that this node's calls follow: a node that has seen enough bad responses does not
-  /// follow a promotion.
+  /// follow a promotion, unless it has reported it: `succeeded` may then be stored already.
   RolloutState SeenState() const;
   const std::string& target() const;
   const CanaryShare* share() const { return order_ ? &order_->share : nullptr; }
@@ -173,6 +173,7 @@
   TimePoint last_written_;
   TimePoint next_report_;
   bool report_written_ = false;
+  bool promotion_reported_ = false;  // A report of `promoting` was sent, and may be stored.
   std::uint64_t reported_changes_ = 0;
   RolloutState reported_state_ = RolloutState::kRunning;
   std::int64_t reported_open_ = 0;
--- a/src/rollout/rollout_decider.cc
+++ b/src/rollout/rollout_decider.cc
@@ -56,7 +56,7 @@
   stopped_ = false;
   last_tick_ = now;  // There are no ticks between rollouts.
   confirmed_store_at_ = std::max(confirmed_store_at_, written_at);
-  report_written_ = false;
+  report_written_ = promotion_reported_ = false;
   reported_state_ = RolloutState::kRunning;
   reported_open_ = 0;
   reported_changes_ = own_changes_ = 0;
@@ -482,7 +482,8 @@
 
 RolloutState RolloutDecider::SeenState() const {
   RolloutState current = state();
-  return stopped_ && current == RolloutState::kPromoting ? RolloutState::kRunning : current;
+  bool refuses = stopped_ && !promotion_reported_;
+  return refuses && current == RolloutState::kPromoting ? RolloutState::kRunning : current;
 }
 
 Duration RolloutDecider::ReportInterval() const {
@@ -501,6 +502,7 @@
   bool changed =
       own_changes_ != reported_changes_ || seen != reported_state_ || open != reported_open_;
   if (!changed) return std::nullopt;
+  if (seen == RolloutState::kPromoting) promotion_reported_ = true;
   return RolloutReport{order_->revision, process_, AgeAt(now), seen, open, own_};
 }
 
--- a/tests/rollout_faults_test.cc
+++ b/tests/rollout_faults_test.cc
@@ -266,5 +266,24 @@
   CHECK(simulation.HasStatus(RolloutState::kRolledBack));
 }
 
+// Guards against calls to old servers after `succeeded`, which a report of this node allowed.
+TEST_CASE("a node that has reported a promotion does not return to the old version by itself") {
+  RolloutSimulation simulation(Scenario(VersionKind::kGood));
+  simulation.Order("v2");
+  RolloutDecider& decider = *simulation.nodes()[0].decider;
+  milliseconds at{0};
+  while (decider.state() != RolloutState::kPromoting && at < seconds(30)) {
+    simulation.RunUntil(at += milliseconds(20));
+  }
+  simulation.RunUntil(at + milliseconds(600));
+  REQUIRE(decider.state() == RolloutState::kPromoting);
+  for (int i = 0; i < 100; ++i) {
+    decider.OnResponse("v2", "r0", /*failed=*/true, milliseconds(20), simulation.now());
+  }
+  REQUIRE(decider.stopped());
+  CHECK_FALSE(decider.Allows("v1", simulation.now()));
+  CHECK(decider.SeenState() == RolloutState::kPromoting);
+}
+
 }  // namespace
 }  // namespace damaskroute
