Rollouts: an order for the promoted version succeeds at once

Cause: the rollback of such an order excluded the last version that was allowed. Change: if the record names the version as promoted, the rollout begins with succeeded. Measured: the new test fails before the change and passes with it.

--- a/src/rollout/rollout_decider.cc
+++ b/src/rollout/rollout_decider.cc
@@ -334,6 +334,11 @@
       return std::nullopt;
     }
     if (now < order_->seen_at + RankDelay() || now >= order_->deadline()) return std::nullopt;
+    // The other versions are excluded already: a rollback would leave no version.
+    if (known_ && known_->promoted == order_->order.target_version) {
+      reason_ = "the version is promoted already";
+      return MakeWrite(RolloutState::kSucceeded, now);
+    }
     reason_ = "begun";
     return MakeWrite(RolloutState::kRunning, now);
   }
--- a/tests/rollout_faults_test.cc
+++ b/tests/rollout_faults_test.cc
@@ -285,5 +285,20 @@
   CHECK(decider.SeenState() == RolloutState::kPromoting);
 }
 
+// Guards against a service without any allowed version after a rollback of the promoted one.
+TEST_CASE("an order for the version that is promoted already succeeds at once") {
+  RolloutSimulation simulation(Scenario(VersionKind::kGood));
+  simulation.Order("v2");
+  simulation.RunToDeadline();
+  REQUIRE(simulation.HasStatus(RolloutState::kSucceeded));
+  simulation.Order("v2");
+  simulation.RunUntil(seconds(5));
+  CHECK(simulation.HasStatus(RolloutState::kSucceeded));
+  CHECK(simulation.record().record.order == simulation.nodes()[0].decider->known()->order);
+  simulation.RunUntil(seconds(40));
+  CHECK(simulation.nodes()[0].decider->Allows("v2", simulation.now()));
+  CHECK(simulation.refused == 0);
+}
+
 }  // namespace
 }  // namespace damaskroute
