Rollouts: a restarted node with an unusable order follows a promotion

Cause: without a usable order it blocked the target version and allowed the old ones. Change: with a promoting record and no removed order, only its target version is allowed, if that has servers. Measured: the new test fails before the change and passes with it.

--- a/include/damaskroute/rollout/rollout_decider.h
+++ b/include/damaskroute/rollout/rollout_decider.h
@@ -149,6 +149,7 @@
   const std::uint64_t process_;
   std::optional<Order> order_;
   Revision order_key_ = 0;  // Revision of the order's key, usable or not; 0 if there is none.
+  bool order_removed_ = false;
   std::optional<Stored> stored_;
   TimePoint rewrite_from_;              // When a stored record that is behind may be replaced.
   std::optional<RolloutRecord> known_;  // The record that this node follows.
--- a/src/rollout/rollout_decider.cc
+++ b/src/rollout/rollout_decider.cc
@@ -49,6 +49,7 @@
 void RolloutDecider::OnOrder(const RolloutOrder& order, Revision revision, bool is_new,
                              TimePoint now) {
   order_key_ = revision;
+  order_removed_ = false;
   if (order_ && order_->revision == revision && order_->order == order) return;
   TimePoint written_at = now - options_.notice_delay;
   order_.emplace(Order{order, revision, now, written_at, CanaryShare(0, 0, now, now)});
@@ -75,6 +76,7 @@
 
 void RolloutDecider::OnOrderRemoved(TimePoint now) {
   order_key_ = 0;
+  order_removed_ = true;
   if (!order_) return;
   if (!IsFinal(state()) && (HasTarget() || (known_ && IsOfOrder(*known_)))) {
     RolloutRecord record = MakeWrite(RolloutState::kWithdrawn, now).record;
@@ -224,6 +226,11 @@
 
 bool RolloutDecider::Allows(const std::string& version, TimePoint now) const {
   if (!order_ || IsFinal(state())) {
+    // The order is unusable since before this process started: others follow the promotion.
+    bool promoting = known_ && !order_ && !order_removed_ &&
+                     known_->state == RolloutState::kPromoting &&
+                     (!has_versions_ || versions_.contains(known_->target_version));
+    if (promoting) return version == known_->target_version;
     bool withdrawn = known_ && !order_ && !IsFinal(known_->state);
     return AllowsOther(version) && !(withdrawn && version == known_->target_version);
   }
--- a/tests/rollout_faults_test.cc
+++ b/tests/rollout_faults_test.cc
@@ -300,5 +300,24 @@
   CHECK(simulation.refused == 0);
 }
 
+// Guards against a restarted node that blocks the version to which all others send their calls.
+TEST_CASE("a node that starts with an unusable order follows a promotion in progress") {
+  RolloutDecider decider("desk", "n0", RolloutOptions(), 7);
+  TimePoint now{std::chrono::hours(1)};
+  RolloutRecord record;
+  record.order = 5;
+  record.target_version = "v2";
+  record.state = RolloutState::kPromoting;
+  record.holder = "n1";
+  decider.OnRecord(record, 6, now);
+  decider.OnOrderUnusable(7);
+  decider.SetVersions({"v1", "v2"});
+  CHECK(decider.Allows("v2", now));
+  CHECK_FALSE(decider.Allows("v1", now));
+  decider.OnOrderRemoved(now);
+  CHECK_FALSE(decider.Allows("v2", now));
+  CHECK(decider.Allows("v1", now));
+}
+
 }  // namespace
 }  // namespace damaskroute
