Rollouts: an order that ran out before it began does not exclude its version

Cause: past the deadline the target version was refused, also without a record and without others. Change: without a record of the order it is allowed if no other version has servers. Measured: the new test fails before the change and passes with it.

--- a/src/rollout/rollout_decider.cc
+++ b/src/rollout/rollout_decider.cc
@@ -220,7 +220,9 @@
 }
 
 bool RolloutDecider::AllowsCanary(TimePoint now) const {
-  if (stopped_ || now >= order_->deadline() || IsHeld(now)) return false;
+  if (stopped_ || IsHeld(now)) return false;
+  // A rollout that never began is not decided any more, and excludes no version.
+  if (now >= order_->deadline()) return !(known_ && IsOfOrder(*known_)) && !HasOthers();
   return order_->share.Allows(now) || !HasOthers();
 }
 
--- a/tests/rollout_faults_test.cc
+++ b/tests/rollout_faults_test.cc
@@ -319,5 +319,16 @@
   CHECK(decider.Allows("v1", now));
 }
 
+// Guards against an outage when servers of the ordered version start late and replace all others.
+TEST_CASE("a version whose order ran out before it had servers is used when it is the only one") {
+  RolloutSimulation simulation(Scenario(VersionKind::kGood));
+  simulation.SetVersions({"v1"});
+  simulation.Order("v2");
+  simulation.RunUntil(seconds(40));
+  simulation.SetVersions({"v2"});
+  simulation.RunUntil(seconds(45));
+  CHECK(simulation.refused == 0);
+}
+
 }  // namespace
 }  // namespace damaskroute
