--- a/include/damaskroute/rollout/rollout_decider.h
+++ b/include/damaskroute/rollout/rollout_decider.h
@@ -88,7 +88,7 @@
   /// State that this node follows.
   RolloutState state() const;
   /// The state that this node's calls follow: a node that has seen enough bad responses does not
-  /// follow a promotion.
+  /// follow a promotion, unless it has reported it: `succeeded` may then be stored already.
   RolloutState SeenState() const;
   const std::string& target() const;
   const CanaryShare* share() const { return order_ ? &order_->share : nullptr; }
@@ -127,6 +127,7 @@
   Duration ConfirmTime() const;
   Duration RankDelay() const;
   bool IsHeld(TimePoint now) const;
+  bool IsUnsure(TimePoint now) const;
   std::chrono::milliseconds AgeAt(TimePoint now) const;
   void LimitWrittenAt(std::chrono::milliseconds age, TimePoint now);
   void Follow(const RolloutRecord& record, TimePoint now);
@@ -148,6 +149,7 @@
   const std::uint64_t process_;
   std::optional<Order> order_;
   Revision order_key_ = 0;  // Revision of the order's key, usable or not; 0 if there is none.
+  bool order_removed_ = false;
   std::optional<Stored> stored_;
   TimePoint rewrite_from_;              // When a stored record that is behind may be replaced.
   std::optional<RolloutRecord> known_;  // The record that this node follows.
@@ -172,6 +174,7 @@
   TimePoint last_written_;
   TimePoint next_report_;
   bool report_written_ = false;
+  bool promotion_reported_ = false;  // A report of `promoting` was sent, and may be stored.
   std::uint64_t reported_changes_ = 0;
   RolloutState reported_state_ = RolloutState::kRunning;
   std::int64_t reported_open_ = 0;
--- a/src/rollout/rollout_decider.cc
+++ b/src/rollout/rollout_decider.cc
@@ -49,13 +49,15 @@
 void RolloutDecider::OnOrder(const RolloutOrder& order, Revision revision, bool is_new,
                              TimePoint now) {
   order_key_ = revision;
+  order_removed_ = false;
   if (order_ && order_->revision == revision && order_->order == order) return;
   TimePoint written_at = now - options_.notice_delay;
   order_.emplace(Order{order, revision, now, written_at, CanaryShare(0, 0, now, now)});
   own_ = {};
   stopped_ = false;
   last_tick_ = now;  // There are no ticks between rollouts.
-  report_written_ = false;
+  confirmed_store_at_ = std::max(confirmed_store_at_, written_at);
+  report_written_ = promotion_reported_ = false;
   reported_state_ = RolloutState::kRunning;
   reported_open_ = 0;
   reported_changes_ = own_changes_ = 0;
@@ -74,6 +76,7 @@
 
 void RolloutDecider::OnOrderRemoved(TimePoint now) {
   order_key_ = 0;
+  order_removed_ = true;
   if (!order_) return;
   if (!IsFinal(state()) && (HasTarget() || (known_ && IsOfOrder(*known_)))) {
     RolloutRecord record = MakeWrite(RolloutState::kWithdrawn, now).record;
@@ -176,6 +179,11 @@
   return interrupted || confirmed_store_at_ < hold_since_;
 }
 
+// Others may have stored a final state in the meantime.
+bool RolloutDecider::IsUnsure(TimePoint now) const {
+  return IsHeld(now) || now - confirmed_store_at_ > options_.max_store_age;
+}
+
 RolloutState RolloutDecider::state() const {
   if (order_) {
     return known_ && IsOfOrder(*known_) ? known_->state : RolloutState::kRunning;
@@ -212,12 +220,19 @@
 }
 
 bool RolloutDecider::AllowsCanary(TimePoint now) const {
-  if (stopped_ || now >= order_->deadline() || IsHeld(now)) return false;
+  if (stopped_ || IsHeld(now)) return false;
+  // A rollout that never began is not decided any more, and excludes no version.
+  if (now >= order_->deadline()) return !(known_ && IsOfOrder(*known_)) && !HasOthers();
   return order_->share.Allows(now) || !HasOthers();
 }
 
 bool RolloutDecider::Allows(const std::string& version, TimePoint now) const {
   if (!order_ || IsFinal(state())) {
+    // The order is unusable since before this process started: others follow the promotion.
+    bool promoting = known_ && !order_ && !order_removed_ &&
+                     known_->state == RolloutState::kPromoting &&
+                     (!has_versions_ || versions_.contains(known_->target_version));
+    if (promoting) return version == known_->target_version;
     bool withdrawn = known_ && !order_ && !IsFinal(known_->state);
     return AllowsOther(version) && !(withdrawn && version == known_->target_version);
   }
@@ -226,14 +241,20 @@
     case RolloutState::kRunning:
       return is_target ? AllowsCanary(now) : AllowsOther(version);
     case RolloutState::kPromoting:
-      return is_target;
+      // An unsure node cannot tell which versions still have servers; `PreferenceFor` orders them.
+      return is_target || (IsUnsure(now) && AllowsOther(version));
     default:
       return !is_target && AllowsOther(version);
   }
 }
 
 VersionPreference RolloutDecider::PreferenceFor(bool repeated, TimePoint now) const {
-  if (!order_ || SeenState() != RolloutState::kRunning) return {};
+  if (!order_) return {};
+  RolloutState seen = SeenState();
+  if (seen == RolloutState::kPromoting && IsUnsure(now)) {
+    return {&order_->order.target_version, /*avoid=*/HasOthers()};
+  }
+  if (seen != RolloutState::kRunning) return {};
   bool canary = !repeated && order_->share.Allows(now) && AllowsCanary(now);
   return {&order_->order.target_version, /*avoid=*/!canary};
 }
@@ -322,6 +343,11 @@
       return std::nullopt;
     }
     if (now < order_->seen_at + RankDelay() || now >= order_->deadline()) return std::nullopt;
+    // The other versions are excluded already: a rollback would leave no version.
+    if (known_ && known_->promoted == order_->order.target_version) {
+      reason_ = "the version is promoted already";
+      return MakeWrite(RolloutState::kSucceeded, now);
+    }
     reason_ = "begun";
     return MakeWrite(RolloutState::kRunning, now);
   }
@@ -342,6 +368,7 @@
   RolloutState current = state();
   if (current == RolloutState::kRunning) return NextStateWhileRunning(now);
   if (current == RolloutState::kPromoting) {
+    if (!HasTarget()) return RollBack("no server has the ordered version any more");
     auto verdict = RolloutVerdict::Judge(Total(), RolloutVerdict::kEarlyScore);
     if (verdict.judgement == Judgement::kRollBack) return RollBack(verdict.reason);
   }
@@ -469,7 +496,8 @@
 
 RolloutState RolloutDecider::SeenState() const {
   RolloutState current = state();
-  return stopped_ && current == RolloutState::kPromoting ? RolloutState::kRunning : current;
+  bool refuses = stopped_ && !promotion_reported_;
+  return refuses && current == RolloutState::kPromoting ? RolloutState::kRunning : current;
 }
 
 Duration RolloutDecider::ReportInterval() const {
@@ -488,6 +516,7 @@
   bool changed =
       own_changes_ != reported_changes_ || seen != reported_state_ || open != reported_open_;
   if (!changed) return std::nullopt;
+  if (seen == RolloutState::kPromoting) promotion_reported_ = true;
   return RolloutReport{order_->revision, process_, AgeAt(now), seen, open, own_};
 }
 
--- a/tests/rollout_faults_test.cc
+++ b/tests/rollout_faults_test.cc
@@ -82,6 +82,27 @@
   CHECK(decider.Allows("v1", wake));
 }
 
+// Guards against calls to a version that other nodes rolled back while this node could not reach
+// the store, and against refused requests while the store is away for all nodes.
+TEST_CASE("a node without news of the store avoids a version that is being promoted") {
+  RolloutSimulation simulation(Scenario(VersionKind::kGood));
+  simulation.Order("v2");
+  simulation.RunUntil(seconds(10));
+  RolloutDecider& decider = *simulation.nodes()[0].decider;
+  simulation.store_up = false;
+  simulation.RunUntil(seconds(17));
+  RolloutRecord record = simulation.record().record;
+  record.state = RolloutState::kPromoting;
+  decider.OnRecord(record, simulation.record().revision + 1000, simulation.now());
+  CHECK(decider.Allows("v1", simulation.now()));
+  VersionPreference preference = decider.PreferenceFor(false, simulation.now());
+  REQUIRE(preference.version != nullptr);
+  CHECK(preference.avoid);
+  decider.SetVersions({"v2"});
+  CHECK(decider.Allows("v2", simulation.now()));
+  CHECK_FALSE(decider.PreferenceFor(false, simulation.now()).avoid);
+}
+
 // Guards against a bad version that is used on while no decision can be written, and against a
 // promotion after the deadline.
 TEST_CASE("nodes stop a bad version on their own evidence while the store is away") {
@@ -231,5 +252,83 @@
   CHECK(said);
 }
 
+// Guards against a success that stops the old servers although no new server is left.
+TEST_CASE("a promotion is rolled back when the target version has no servers any more") {
+  RolloutSimulation simulation(Scenario(VersionKind::kGood));
+  simulation.Order("v2");
+  milliseconds at{0};
+  while (simulation.stored_state() != RolloutState::kPromoting && at < seconds(30)) {
+    simulation.RunUntil(at += milliseconds(20));
+  }
+  REQUIRE(simulation.stored_state() == RolloutState::kPromoting);
+  simulation.SetVersions({"v1"});
+  simulation.RunUntil(seconds(35));
+  CHECK(simulation.HasStatus(RolloutState::kRolledBack));
+}
+
+// Guards against calls to old servers after `succeeded`, which a report of this node allowed.
+TEST_CASE("a node that has reported a promotion does not return to the old version by itself") {
+  RolloutSimulation simulation(Scenario(VersionKind::kGood));
+  simulation.Order("v2");
+  RolloutDecider& decider = *simulation.nodes()[0].decider;
+  milliseconds at{0};
+  while (decider.state() != RolloutState::kPromoting && at < seconds(30)) {
+    simulation.RunUntil(at += milliseconds(20));
+  }
+  simulation.RunUntil(at + milliseconds(600));
+  REQUIRE(decider.state() == RolloutState::kPromoting);
+  for (int i = 0; i < 100; ++i) {
+    decider.OnResponse("v2", "r0", /*failed=*/true, milliseconds(20), simulation.now());
+  }
+  REQUIRE(decider.stopped());
+  CHECK_FALSE(decider.Allows("v1", simulation.now()));
+  CHECK(decider.SeenState() == RolloutState::kPromoting);
+}
+
+// Guards against a service without any allowed version after a rollback of the promoted one.
+TEST_CASE("an order for the version that is promoted already succeeds at once") {
+  RolloutSimulation simulation(Scenario(VersionKind::kGood));
+  simulation.Order("v2");
+  simulation.RunToDeadline();
+  REQUIRE(simulation.HasStatus(RolloutState::kSucceeded));
+  simulation.Order("v2");
+  simulation.RunUntil(seconds(5));
+  CHECK(simulation.HasStatus(RolloutState::kSucceeded));
+  CHECK(simulation.record().record.order == simulation.nodes()[0].decider->known()->order);
+  simulation.RunUntil(seconds(40));
+  CHECK(simulation.nodes()[0].decider->Allows("v2", simulation.now()));
+  CHECK(simulation.refused == 0);
+}
+
+// Guards against a restarted node that blocks the version to which all others send their calls.
+TEST_CASE("a node that starts with an unusable order follows a promotion in progress") {
+  RolloutDecider decider("desk", "n0", RolloutOptions(), 7);
+  TimePoint now{std::chrono::hours(1)};
+  RolloutRecord record;
+  record.order = 5;
+  record.target_version = "v2";
+  record.state = RolloutState::kPromoting;
+  record.holder = "n1";
+  decider.OnRecord(record, 6, now);
+  decider.OnOrderUnusable(7);
+  decider.SetVersions({"v1", "v2"});
+  CHECK(decider.Allows("v2", now));
+  CHECK_FALSE(decider.Allows("v1", now));
+  decider.OnOrderRemoved(now);
+  CHECK_FALSE(decider.Allows("v2", now));
+  CHECK(decider.Allows("v1", now));
+}
+
+// Guards against an outage when servers of the ordered version start late and replace all others.
+TEST_CASE("a version whose order ran out before it had servers is used when it is the only one") {
+  RolloutSimulation simulation(Scenario(VersionKind::kGood));
+  simulation.SetVersions({"v1"});
+  simulation.Order("v2");
+  simulation.RunUntil(seconds(40));
+  simulation.SetVersions({"v2"});
+  simulation.RunUntil(seconds(45));
+  CHECK(simulation.refused == 0);
+}
+
 }  // namespace
 }  // namespace damaskroute
