--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -3,7 +3,7 @@
 #
 #   scripts/soak.sh FIRST LAST [SECONDS] [PROCESSES] [NODES] [FLAG...]
 #
-# FLAG: --store_outages, --crash_delay_ms=MS, --crashing_timeout_ms=MS
+# FLAG: --store_outages, --tenants, --crash_delay_ms=MS, --crashing_timeout_ms=MS
 set -euo pipefail
 cd "$(dirname "$0")/.."
 first=${1:?first seed}
