Early repeats: apply to requests of one tenant only

Cause: the key of a request does not name its caller, so after one refusal the first identical query of each other caller counted as an early repeat, also without tenants. In the shares, one early repeat set the part of its tenant's requests that is within the usual use to zero.

Change: EarlyRepeats is keyed by tenant and request and ignores requests without a tenant; without tenants it is not asked. An early repeat keeps the stored fraction of its tenant.

The two new cases fail before and pass now.

--- a/include/damaskroute/forward/fair_share.h
+++ b/include/damaskroute/forward/fair_share.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -35,9 +36,10 @@
   FairShare(std::uint64_t seed, TimePoint now);
 
   /// Decides whether a request may run, and counts it. `usual_fraction`: the part of the tenant's
-  /// requests, 0 to 1, that is within its usual use.
-  FairShareDecision Admit(const TenantName& tenant, int priority, double usual_fraction,
-                          TimePoint now);
+  /// requests, 0 to 1, that is within its usual use; absent for an early repeat, which does not
+  /// change what is known of its tenant.
+  FairShareDecision Admit(const TenantName& tenant, int priority,
+                          std::optional<double> usual_fraction, TimePoint now);
 
   /// An admitted request found capacity.
   void OnServed(TimePoint now);
@@ -51,7 +53,7 @@
  private:
   struct Entry {
     double requests = 0;        // Decayed count as of `last`.
-    double usual_fraction = 1;  // Of the latest request.
+    double usual_fraction = 1;  // Of the latest request that stated it.
     double probability = 1;
     double credit = 0;  // The next request is admitted when it reaches 1.
     TimePoint last;
@@ -59,7 +61,8 @@
   };
 
   static void Count(double& requests, TimePoint& last, TimePoint now);
-  Entry& Find(const TenantName& tenant, int priority, double usual_fraction, TimePoint now);
+  Entry& Find(const TenantName& tenant, int priority, std::optional<double> usual_fraction,
+              TimePoint now);
   void Update(TimePoint now);
   void CollectPriorities();
   double TotalRequests(TimePoint now);
--- a/include/damaskroute/node/forward_service.h
+++ b/include/damaskroute/node/forward_service.h
@@ -213,7 +213,7 @@
   void RefuseWith(const CallerRequest& request, int status, const char* reason,
                   const HttpResponder& respond, std::chrono::milliseconds retry_after);
   bool Admit(Exchange& exchange);
-  bool AdmitByTenant(Exchange& exchange, bool early_repeat, TimePoint now);
+  bool AdmitByTenant(Exchange& exchange, TimePoint now);
   bool AdmitQuery(Exchange& exchange, bool urgent, bool only_if_spare, TimePoint now);
   void ReleaseLimits(Exchange& exchange, TimePoint now);
   void RefuseOverload(const Exchange& exchange);
--- a/src/forward/early_repeats.cc
+++ b/src/forward/early_repeats.cc
@@ -1,5 +1,7 @@
 #include "damaskroute/forward/early_repeats.h"
 
+#include "damaskroute/core/hash.h"
+
 namespace damaskroute {
 namespace {
 
@@ -9,16 +11,20 @@
 
 }  // namespace
 
-void EarlyRepeats::OnRefused(std::uint64_t request_key, TimePoint retry_at, TimePoint now) {
-  if (IsEarly(request_key, now)) return;
+void EarlyRepeats::OnRefused(const TenantName& tenant, std::uint64_t request_key,
+                             TimePoint retry_at, TimePoint now) {
+  if (tenant.empty() || IsEarly(tenant, request_key, now)) return;
   if (slots_.empty()) slots_.resize(kSlots);
-  slots_[request_key % kSlots] = {request_key, retry_at};
+  std::uint64_t key = Hash64(tenant, request_key);
+  slots_[key % kSlots] = {key, retry_at};
 }
 
-bool EarlyRepeats::IsEarly(std::uint64_t request_key, TimePoint now) const {
-  if (slots_.empty()) return false;
-  const Slot& slot = slots_[request_key % kSlots];
-  return slot.request_key == request_key && now < slot.retry_at;
+bool EarlyRepeats::IsEarly(const TenantName& tenant, std::uint64_t request_key,
+                           TimePoint now) const {
+  if (tenant.empty() || slots_.empty()) return false;
+  std::uint64_t key = Hash64(tenant, request_key);
+  const Slot& slot = slots_[key % kSlots];
+  return slot.key == key && now < slot.retry_at;
 }
 
 }  // namespace damaskroute
--- a/src/forward/fair_share.cc
+++ b/src/forward/fair_share.cc
@@ -63,8 +63,8 @@
   last = now;
 }
 
-FairShare::Entry& FairShare::Find(const TenantName& tenant, int priority, double usual_fraction,
-                                  TimePoint now) {
+FairShare::Entry& FairShare::Find(const TenantName& tenant, int priority,
+                                  std::optional<double> usual_fraction, TimePoint now) {
   std::uint64_t key = Hash64(tenant, static_cast<std::uint64_t>(priority));
   auto found = entries_.find(key);
   if (found == entries_.end()) {
@@ -73,7 +73,7 @@
       key = static_cast<std::uint64_t>(std::clamp(priority, 0, kLastSharedPriority));
     }
     Entry entry;
-    entry.usual_fraction = usual_fraction;
+    if (usual_fraction) entry.usual_fraction = *usual_fraction;
     entry.priority = priority;
     entry.last = now;
     entry.probability = std::max(UnboundedProbability(entry), LeastProbability());
@@ -81,12 +81,12 @@
     entry.credit = random_.NextDouble();
     found = entries_.try_emplace(key, entry).first;
   }
-  found->second.usual_fraction = usual_fraction;
+  if (usual_fraction) found->second.usual_fraction = *usual_fraction;
   return found->second;
 }
 
-FairShareDecision FairShare::Admit(const TenantName& tenant, int priority, double usual_fraction,
-                                   TimePoint now) {
+FairShareDecision FairShare::Admit(const TenantName& tenant, int priority,
+                                   std::optional<double> usual_fraction, TimePoint now) {
   if (now >= next_update_) Update(now);
   Entry& entry = Find(tenant, priority, usual_fraction, now);
   Count(entry.requests, entry.last, now);
--- a/src/forward/tenant_admission.cc
+++ b/src/forward/tenant_admission.cc
@@ -1,5 +1,7 @@
 #include "damaskroute/forward/tenant_admission.h"
 
+#include <optional>
+
 namespace damaskroute {
 
 void TenantAdmission::SetRoutes(const std::shared_ptr<const RouteTable>& routes) {
@@ -26,7 +28,8 @@
   }
   auto own = priorities_.find(request.tenant);
   int priority = own == priorities_.end() ? request.route_priority : own->second;
-  double usual = request.early_repeat ? 0 : use_.UsualFraction(request.tenant, now);
+  std::optional<double> usual;
+  if (!request.early_repeat) usual = use_.UsualFraction(request.tenant, now);
   return share->second.Admit(request.tenant, priority, usual, now);
 }
 
--- a/src/node/forward_service_load.cc
+++ b/src/node/forward_service_load.cc
@@ -28,16 +28,18 @@
 
 bool ForwardService::Admit(Exchange& exchange) {
   TimePoint now = Now();
-  bool early_repeat = early_repeats_.IsEarly(exchange.keys.exact, now);
   tenant_admission_.SetRoutes(exchange.routes);
-  if (tenant_admission_.has_tenants()) return AdmitByTenant(exchange, early_repeat, now);
+  if (tenant_admission_.has_tenants()) return AdmitByTenant(exchange, now);
   if (exchange.route->shards.empty()) return true;
-  return AdmitQuery(exchange, exchange.routes->Plan(*exchange.route).urgent, early_repeat, now);
+  return AdmitQuery(exchange, exchange.routes->Plan(*exchange.route).urgent,
+                    /*only_if_spare=*/false, now);
 }
 
-bool ForwardService::AdmitByTenant(Exchange& exchange, bool early_repeat, TimePoint now) {
+bool ForwardService::AdmitByTenant(Exchange& exchange, TimePoint now) {
+  const TenantName& tenant = exchange.request.tenant;
+  bool early_repeat = early_repeats_.IsEarly(tenant, exchange.keys.exact, now);
   FairShareDecision decision = tenant_admission_.Admit({.servers = ServersOf(exchange),
-                                                        .tenant = exchange.request.tenant,
+                                                        .tenant = tenant,
                                                         .route_priority = exchange.route->priority,
                                                         .early_repeat = early_repeat},
                                                        now);
@@ -98,8 +100,11 @@
 void ForwardService::RefuseOverload(const Exchange& exchange) {
   TimePoint now = Now();
   auto retry_after = RetryAfter(exchange, now);
-  early_repeats_.OnRefused(exchange.keys.exact, now + retry_after, now);
-  tenant_admission_.OnRefused(exchange.request.tenant);
+  if (tenant_admission_.has_tenants()) {
+    const TenantName& tenant = exchange.request.tenant;
+    early_repeats_.OnRefused(tenant, exchange.keys.exact, now + retry_after, now);
+    tenant_admission_.OnRefused(tenant);
+  }
   bool query = !exchange.route->shards.empty();
   RefuseWith(exchange.request, 503, query ? "too many queries" : "too many requests",
              exchange.respond, retry_after);
--- a/tests/retry_after_policy_test.cc
+++ b/tests/retry_after_policy_test.cc
@@ -54,17 +54,32 @@
 TEST_CASE("a repeat is early until the stated time, however often it is sent") {
   ManualClock clock;
   EarlyRepeats repeats;
-  CHECK_FALSE(repeats.IsEarly(5, clock.Now()));
+  CHECK_FALSE(repeats.IsEarly("a", 5, clock.Now()));
   TimePoint retry_at = clock.Now() + milliseconds(200);
-  repeats.OnRefused(5, retry_at, clock.Now());
+  repeats.OnRefused("a", 5, retry_at, clock.Now());
   for (int i = 0; i < 19; ++i) {
     clock.Advance(milliseconds(10));
-    CHECK(repeats.IsEarly(5, clock.Now()));
-    CHECK_FALSE(repeats.IsEarly(6, clock.Now()));
-    repeats.OnRefused(5, clock.Now() + milliseconds(200), clock.Now());
+    CHECK(repeats.IsEarly("a", 5, clock.Now()));
+    CHECK_FALSE(repeats.IsEarly("a", 6, clock.Now()));
+    repeats.OnRefused("a", 5, clock.Now() + milliseconds(200), clock.Now());
   }
   clock.Advance(milliseconds(10));
-  CHECK_FALSE(repeats.IsEarly(5, clock.Now()));
+  CHECK_FALSE(repeats.IsEarly("a", 5, clock.Now()));
+}
+
+// Guards against callers whose first request is taken for the repeat of another caller's, because
+// the key of a request does not name its caller.
+TEST_CASE("a refusal of one tenant does not make requests of others early") {
+  ManualClock clock;
+  EarlyRepeats repeats;
+  TimePoint retry_at = clock.Now() + milliseconds(200);
+  repeats.OnRefused("a", 5, retry_at, clock.Now());
+  CHECK(repeats.IsEarly("a", 5, clock.Now()));
+  CHECK_FALSE(repeats.IsEarly("b", 5, clock.Now()));
+  CHECK_FALSE(repeats.IsEarly("", 5, clock.Now()));
+  // Requests without a tenant come from callers that cannot be told apart.
+  repeats.OnRefused("", 7, retry_at, clock.Now());
+  CHECK_FALSE(repeats.IsEarly("", 7, clock.Now()));
 }
 
 // Replays a load of 2.5 times what a limit of eight queries of 40 ms allows. Half of the callers
@@ -115,14 +130,14 @@
         limit.Release();
       }
       bool impatient = attempt.caller % 2 == 0;
-      bool early = refuse_early_repeats && repeats.IsEarly(attempt.caller, now);
+      bool early = refuse_early_repeats && repeats.IsEarly("tenant", attempt.caller, now);
       if ((!early || limit.HasSpareRoom()) && limit.TryAcquire(true)) {
         ends.push(now + kWork);
         ++(impatient ? repeating : waiting);
         continue;
       }
       auto retry_after = policy.Choose(seconds(1), milliseconds(150), now);
-      repeats.OnRefused(attempt.caller, now + retry_after, now);
+      repeats.OnRefused("tenant", attempt.caller, now + retry_after, now);
       int max_attempts = impatient ? 5 : 2;
       if (++attempt.attempts >= max_attempts) continue;
       attempt.at += impatient ? milliseconds(2) : retry_after;
--- a/tests/tenant_admission_test.cc
+++ b/tests/tenant_admission_test.cc
@@ -187,6 +187,29 @@
   CHECK(replay.Served("last") >= 0.25 * replay.Served("urgent"));
 }
 
+// Guards against a tenant whose share falls because some of its callers repeat requests early: only
+// the repeats are to come last.
+TEST_CASE("early repeats do not lower the share of their tenant") {
+  ManualClock clock;
+  TenantAdmission admission(1);
+  admission.SetRoutes(RoutesOf({{.name = "repeating"}, {.name = "waiting"}}));
+  std::map<TenantName, int> admitted;
+  for (int i = 0; i < 4000; ++i) {
+    clock.Advance(milliseconds(5));
+    for (const TenantName tenant : {"waiting", "repeating"}) {
+      bool early_repeat = tenant == "repeating" && i % 3 != 0;
+      auto decision = admission.Admit(
+          {.servers = kServers, .tenant = tenant, .early_repeat = early_repeat}, clock.Now());
+      if (decision == FairShareDecision::kAdmitIfSpare) continue;
+      ++admitted[tenant];
+      i % 2 == 0 ? admission.OnServed(kServers, clock.Now())
+                 : static_cast<void>(admission.OnTurnedAway(kServers, clock.Now()));
+    }
+  }
+  CAPTURE(admitted["waiting"]);
+  CHECK(admitted["repeating"] >= 0.9 * admitted["waiting"]);
+}
+
 // Guards against capacity that stays unused because it is kept for tenants that do not send.
 TEST_CASE("a tenant alone gets all of the capacity") {
   Load load = MakeLoad("alone", 20, 300);
