Shares of tenants: admitted requests use the whole limit

Cause: while requests are limited by tenant, those of tenants with less than the greatest probability also left the last tenth of the limit to others. At a limit that is mostly full, tenants of low priority were hardly served.

Change: while limited, all admitted requests may use the whole limit.

--- a/src/forward/fair_share.cc
+++ b/src/forward/fair_share.cc
@@ -29,8 +29,8 @@
 constexpr double kMinCapacityFraction = 0.2;
 
 // Least probability of a tenant in relation to the greatest one. The stated limit is 0.25; the rest
-// covers what is turned away later, which concerns limited tenants more than others.
-constexpr double kLeastShare = 0.35;
+// covers what is turned away later. At 0.33 a flood takes too much of the capacity.
+constexpr double kLeastShare = 0.3;
 
 // Tenants with at least this part of the greatest probability may use all of the capacity.
 constexpr double kFirstFraction = 0.99;
--- a/src/node/forward_service_load.cc
+++ b/src/node/forward_service_load.cc
@@ -47,10 +47,12 @@
   // Without a limit it is not known whether a service has capacity to spare.
   if (exchange.route->shards.empty()) return !only_if_spare;
   only_if_spare = only_if_spare || early_repeat;
-  // Before requests are turned away, the last of the limit is left to the most urgent ones.
-  bool first = decision == FairShareDecision::kAdmitFirst &&
-               (tenant_admission_.IsLimited(ServersOf(exchange)) ||
-                exchange.routes->IsUrgent(*exchange.route, exchange.tenant));
+  // Before requests are turned away, the last of the limit is left to the most urgent ones. Then
+  // the probabilities rank the tenants; a reserve as well would leave less than a quarter to the
+  // last.
+  bool first = tenant_admission_.IsLimited(ServersOf(exchange))
+                   ? decision != FairShareDecision::kAdmitIfSpare
+                   : exchange.routes->IsUrgent(*exchange.route, exchange.tenant);
   if (AdmitQuery(exchange, first, only_if_spare, now)) {
     tenant_admission_.OnServed(ServersOf(exchange), now);
     return true;
