ProcessorLimit: reserve time for merging only while timers are late

Cause: with less than a third of a core, a node reserved more time for merging in calm as well (9.6 ms at 0.12 core and 90 shards), so it answered with fewer parts than it could have had.

Change: ExtraMergeTime is zero below the timer delay from which Allows takes the node for busy.

--- a/include/damaskroute/forward/processor_limit.h
+++ b/include/damaskroute/forward/processor_limit.h
@@ -27,8 +27,9 @@
   /// Records the end of a query that was started with as many calls.
   void OnEnded(std::size_t calls) { unfinished_calls_ -= calls; }
 
-  /// Time that merging takes in addition to what every node reserves.
-  Duration ExtraMergeTime(std::size_t parts) const;
+  /// Time that merging takes in addition to what every node reserves; zero while the node's timers
+  /// are expected to be in time. `timer_delay`: as for `Allows`.
+  Duration ExtraMergeTime(std::size_t parts, Duration timer_delay) const;
 
  private:
   Duration Backlog(TimePoint now) const;
--- a/src/forward/processor_limit.cc
+++ b/src/forward/processor_limit.cc
@@ -50,8 +50,8 @@
   unfinished_calls_ += calls;
 }
 
-Duration ProcessorLimit::ExtraMergeTime(std::size_t parts) const {
-  if (!cpu_quota_) return {};
+Duration ProcessorLimit::ExtraMergeTime(std::size_t parts, Duration timer_delay) const {
+  if (!cpu_quota_ || timer_delay < kBusyTimerDelay) return {};
   auto per_part = std::chrono::duration_cast<Duration>(kMergeTimePerPart / *cpu_quota_);
   return std::max<Duration>(per_part - kReservedMergeTime, Duration::zero()) *
          static_cast<Duration::rep>(parts);
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -182,8 +182,9 @@
 }
 
 Duration ForwardService::ReservedTime(const Route& route, const CallerRequest& request) const {
-  Duration merge_time = processor_limit_.ExtraMergeTime(route.shards.size());
-  return CallerNetworkDelay(request.connection, route.objective) + timer_delay_.allowance() +
+  Duration timer_delay = timer_delay_.allowance();
+  Duration merge_time = processor_limit_.ExtraMergeTime(route.shards.size(), timer_delay);
+  return CallerNetworkDelay(request.connection, route.objective) + timer_delay +
          std::min<Duration>(merge_time, route.objective / 4);
 }
 
--- a/tests/processor_limit_test.cc
+++ b/tests/processor_limit_test.cc
@@ -103,15 +103,21 @@
   ProcessorLimit unknown(std::nullopt);
   unknown.OnStarted(100'000, clock.Now());
   CHECK(unknown.Allows(kCalls, milliseconds(1), milliseconds(25), clock.Now()));
-  CHECK(unknown.ExtraMergeTime(kCalls) == Duration::zero());
+  CHECK(unknown.ExtraMergeTime(kCalls, milliseconds(25)) == Duration::zero());
 }
 
 // Guards against answers of small nodes that are late because merging takes longer than reserved.
 TEST_CASE("only nodes with less than a third of a core reserve more time for merging") {
-  CHECK(ProcessorLimit(0.5).ExtraMergeTime(kCalls) == Duration::zero());
-  CHECK(ProcessorLimit(0.34).ExtraMergeTime(kCalls) == Duration::zero());
-  CHECK(ProcessorLimit(0.12).ExtraMergeTime(kCalls) > milliseconds(9));
-  CHECK(ProcessorLimit(0.12).ExtraMergeTime(0) == Duration::zero());
+  CHECK(ProcessorLimit(0.5).ExtraMergeTime(kCalls, milliseconds(25)) == Duration::zero());
+  CHECK(ProcessorLimit(0.34).ExtraMergeTime(kCalls, milliseconds(25)) == Duration::zero());
+  CHECK(ProcessorLimit(0.12).ExtraMergeTime(kCalls, milliseconds(25)) > milliseconds(9));
+  CHECK(ProcessorLimit(0.12).ExtraMergeTime(0, milliseconds(25)) == Duration::zero());
+}
+
+// Guards against answers that lack parts in calm, because a small node answers earlier than needed.
+TEST_CASE("a node whose timers fire in time reserves no more time for merging") {
+  CHECK(ProcessorLimit(0.12).ExtraMergeTime(kCalls, milliseconds(2)) == Duration::zero());
+  CHECK(ProcessorLimit(0.12).ExtraMergeTime(kCalls, milliseconds(19)) == Duration::zero());
 }
 
 }  // namespace
