--- a/include/damaskroute/forward/fair_share.h
+++ b/include/damaskroute/forward/fair_share.h
@@ -16,8 +16,8 @@
 /// Decision on one request.
 enum class FairShareDecision : std::uint8_t {
   kAdmitIfSpare,  ///< May only run if much of the capacity is free.
-  kAdmit,         ///< May run, but leaves the last of the capacity to others.
-  kAdmitFirst,    ///< May use all of the capacity: its tenant is not limited.
+  kAdmit,         ///< May run; its tenant is limited.
+  kAdmitFirst,    ///< May run; its tenant is not limited.
 };
 
 /// Divides the capacity of the servers of a query, or of one service, among tenants while there is
