--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -217,7 +217,7 @@
 
 constexpr std::size_t kMemory = std::size_t{1} << 20;
 
-// A request with a body of 800 KB that stops after 300 KB.
+// A request with a body of 200 KB that stops after 30 KB.
 std::string IncompleteBody() {
   return "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" + std::string(30'000, 'b');
 }
