Client memory: do not choose connections that hold nothing

Closing them releases nothing. Accounts without bytes were sorted by their address, so that the test of running requests failed or passed depending on the layout of the heap: it failed after two test cases had been added before it, and passes with this change.

--- a/src/http/client_memory.cc
+++ b/src/http/client_memory.cc
@@ -97,7 +97,7 @@
   using Rank = std::tuple<MemoryUse, double>;
   std::vector<std::pair<Rank, Account*>> candidates;
   for (Account* account : accounts_) {
-    if (account->leaving_ || account->essential_) continue;
+    if (account->leaving_ || account->essential_ || account->bytes_ == 0) continue;
     if (account->use_ == MemoryUse::kServing) continue;
     double bytes = static_cast<double>(account->bytes_);
     double age = std::chrono::duration<double>(now - account->since_ + kBaseAge).count();
