Relay: limit large pages by their bytes

Cause: at most 8 pages above 16 KB were sent at once, so a new configuration reached 8 followers of a reader, and the others of up to 32 went to the store. Change: the limit is 8 MB of such pages. Result: by arithmetic, 32 followers get pages of 256 KB; not measured.

--- a/src/relay/change_relay.cc
+++ b/src/relay/change_relay.cc
@@ -23,9 +23,10 @@
 // Limit of the requested wait. Followers request less.
 constexpr milliseconds kMaxWait{10'000};
 
-// Limit of the large pages that are being sent at once. A page has up to 512 KB, so that these hold
-// up to 4 MB; without a limit, a thousand followers that ask at once would take 500 MB.
-constexpr std::size_t kMaxLargePages = 8;
+// Limit of all large pages that are being sent. A page has up to 512 KB; without a limit, a
+// thousand followers that ask at once would take 500 MB. The 32 followers of a reader can all get a
+// page of 256 KB, several times a configuration of 180 shards.
+constexpr std::size_t kMaxLargePageBytes = std::size_t{8} << 20;
 constexpr std::size_t kLargePageBytes = std::size_t{16} << 10;
 
 HttpServerOptions RelayOptions(const Endpoint& listen, const ChangeRelay::Limits& limits) {
@@ -84,8 +85,8 @@
                const HttpResponder& respond) const;
   std::optional<StorePage> Find(const Position& position) const;
 
-  // Returns a token for sending a large page; null if there are too many.
-  std::shared_ptr<void> TakeLargePage() const;
+  // Returns a token for sending a large page of `size` bytes; null if too many are being sent.
+  std::shared_ptr<void> TakeLargePage(std::size_t size) const;
 
   // Removes all waiting requests and runs `answer` on each.
   template <typename Answer>
@@ -117,7 +118,7 @@
   ChangeLog log;
   std::set<std::shared_ptr<Waiting>> waiting;
   // The tokens may outlive this object.
-  std::shared_ptr<std::size_t> large_pages = std::make_shared<std::size_t>(0);
+  std::shared_ptr<std::size_t> large_page_bytes = std::make_shared<std::size_t>(0);
 };
 
 void ChangeRelay::State::Handle(const HttpRequest& request, HttpResponder respond) {
@@ -149,10 +150,10 @@
   return position.era == log.era() ? log.After(position.after) : std::nullopt;
 }
 
-std::shared_ptr<void> ChangeRelay::State::TakeLargePage() const {
-  if (*large_pages >= kMaxLargePages) return nullptr;
-  ++*large_pages;
-  return {large_pages.get(), [pages = large_pages](void*) { --*pages; }};
+std::shared_ptr<void> ChangeRelay::State::TakeLargePage(std::size_t size) const {
+  if (*large_page_bytes + size > kMaxLargePageBytes) return nullptr;
+  *large_page_bytes += size;
+  return {large_page_bytes.get(), [bytes = large_page_bytes, size](void*) { *bytes -= size; }};
 }
 
 void ChangeRelay::State::Respond(const Position& position, const Arrival& arrival,
@@ -166,7 +167,7 @@
       {*std::move(page), std::chrono::duration_cast<microseconds>(age()),
        std::chrono::duration_cast<microseconds>(SteadyClock().Now() - arrival.at)});
   if (response.body.size() > kLargePageBytes) {
-    response.token = TakeLargePage();
+    response.token = TakeLargePage(response.body.size());
     if (!response.token) return respond(Failure(503));  // The follower asks another node.
   }
   // Relative to the arrival, so that no time passes unnoticed between reading a clock and sending.
