One function for the statuses that promise that a request has not run

Cause: the files for quotas and for requests of other nodes each had a copy. Change: PromisesNotRun stands beside the functions that make and classify responses.

--- a/include/damaskroute/node/forward_call.h
+++ b/include/damaskroute/node/forward_call.h
@@ -33,6 +33,9 @@
                                 std::chrono::milliseconds retry_after,
                                 const ForwardProtocol& protocol);
 
+/// Whether a response with this status states that the request has not run and will not run.
+bool PromisesNotRun(int status);
+
 }  // namespace damaskroute
 
 #endif  // DAMASKROUTE_NODE_FORWARD_CALL_H_
--- a/src/node/forward_call.cc
+++ b/src/node/forward_call.cc
@@ -214,4 +214,8 @@
   return MakeForwardRefusal(request, 502, answer.reason, {}, protocol);
 }
 
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 }  // namespace damaskroute
--- a/src/node/forward_service_peers.cc
+++ b/src/node/forward_service_peers.cc
@@ -34,11 +34,6 @@
   return PeerOutcome::kLost;
 }
 
-// Whether the status states that the request has not run.
-bool PromisesNotRun(int status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 }  // namespace
 
 void ForwardService::SetPeers(std::vector<Peer> peers) {
--- a/src/node/forward_service_quota.cc
+++ b/src/node/forward_service_quota.cc
@@ -1,6 +1,6 @@
 #include <utility>
 
-#include "damaskroute/log/log_line.h"
+#include "damaskroute/node/forward_call.h"
 #include "damaskroute/node/forward_service.h"
 #include "forward_exchange.h"
 
@@ -12,11 +12,6 @@
 
 TimePoint Now() { return SteadyClock().Now(); }
 
-// Whether the status states that the request has not run.
-bool PromisesNotRun(int status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 }  // namespace
 
 // Returns false if the request needs no token. Otherwise it is begun or refused later.
