Tests: write default-made records as aggregates

Cause: GCC 12 on x86-64 warns at -O3 that the field `holder` of an initialized local record may be used uninitialized, when a short literal is assigned to it (tests/rollout_faults_test.cc, line 311). Change: the record is an aggregate with designated initializers, and so are the other local records of the tests of routes, keys, shares and entries that were written in the same manner. The tests check what they checked.

--- a/tests/api_keys_test.cc
+++ b/tests/api_keys_test.cc
@@ -180,8 +180,7 @@
 
 // Guards against a crash guard that blocks the request of one tenant because of another's.
 TEST_CASE("the tenant takes part in the identity of a request, its key does not") {
-  CallerRequest request;
-  request.authorization = "Token a";
+  CallerRequest request = {.authorization = "Token a"};
   auto without = KeysOf(request);
   request.authorization = "Token b";
   CHECK(KeysOf(request).exact == without.exact);
--- a/tests/feed_backlog_test.cc
+++ b/tests/feed_backlog_test.cc
@@ -107,10 +107,7 @@
     auto put = [&](std::size_t from, std::size_t to) {
       forwarding_state.BeginBatch(to - from);
       for (std::size_t i = from; i < to; ++i) {
-        BackendEntry entry;
-        entry.id = fmt::format("i-{}", i);
-        entry.service = "desk";
-        forwarding_state.OnBackend(entry);
+        forwarding_state.OnBackend({.id = fmt::format("i-{}", i), .service = "desk"});
       }
       forwarding_state.EndBatch();
     };
--- a/tests/keys_test.cc
+++ b/tests/keys_test.cc
@@ -154,8 +154,7 @@
 // Guards against requests that are refused during an upgrade because two builds hash a route
 // differently, and against a node without keys that runs a request for one that checks them.
 TEST_CASE("the fingerprint of a route differs from earlier builds only if it uses new fields") {
-  Route route;
-  route.name = "r";
+  Route route = {.name = "r"};
   constexpr std::uint64_t kOfEarlierBuild = 11575421713392249804U;
   CHECK(RouteFingerprint(route) == kOfEarlierBuild);
   Route open = route;
--- a/tests/rollout_faults_test.cc
+++ b/tests/rollout_faults_test.cc
@@ -304,11 +304,8 @@
 TEST_CASE("a node that starts with an unusable order follows a promotion in progress") {
   RolloutDecider decider("desk", "n0", RolloutOptions(), 7);
   TimePoint now{std::chrono::hours(1)};
-  RolloutRecord record;
-  record.order = 5;
-  record.target_version = "v2";
-  record.state = RolloutState::kPromoting;
-  record.holder = "n1";
+  RolloutRecord record = {
+      .order = 5, .target_version = "v2", .state = RolloutState::kPromoting, .holder = "n1"};
   decider.OnRecord(record, 6, now);
   decider.OnOrderUnusable(7);
   decider.SetVersions({"v1", "v2"});
--- a/tests/route_table_test.cc
+++ b/tests/route_table_test.cc
@@ -8,11 +8,7 @@
 namespace {
 
 Route MakeRoute(const std::string& name, const std::string& prefix) {
-  Route route;
-  route.name = name;
-  route.host = "desk.example";
-  route.prefix = prefix;
-  return route;
+  return {.name = name, .host = "desk.example", .prefix = prefix};
 }
 
 TEST_CASE("the longest matching prefix of the path wins") {
--- a/tests/share_handover_test.cc
+++ b/tests/share_handover_test.cc
@@ -18,8 +18,7 @@
     ConfigDocument config;
     config.change_id = fmt::format("{} {} {}", backends, slots, later_slots);
     config.zones.push_back({"zone", "r", {}});
-    Service service;
-    service.name = "s";
+    Service service = {.name = "s"};
     for (int i = 0; i < backends; ++i) {
       service.backends.push_back({fmt::format("x{}", i), "zone", {}, value, 1, value, {}});
     }
