New servers get calls at light load

Cause: a call went to the server with the least average of latency, where an average below the mean of the route never rose again without calls, and a server without calls counted as the mean. Calls that come one at a time thus all went to the least of several noisy averages. When calls take less than 0.5 ms, which is the least mean that a route counts, every average is below the mean, and one server got all calls. Servers that were added at a quiet hour stayed without work. Change: in the choice of a server, averages below 1.2 times the mean count as the mean: each is of about ten calls, which vary by that much. The averages themselves, and with them the deadlines that a server can meet, are as before.

--- a/src/forward/backend_table.cc
+++ b/src/forward/backend_table.cc
@@ -33,6 +33,11 @@
 // server. Smaller than the cost of another zone.
 constexpr double kCostSpread = 0.05;
 
+// Below this ratio to the mean latency servers count as equally fast, as a server without a call
+// does: the latency of a server is the average of about ten calls that vary. Otherwise the least of
+// the averages would get all calls that come one at a time, and a new server none.
+constexpr double kMinSlowness = 1.2;
+
 // Fraction of its latency that a call to another zone must save, besides the constant cost.
 constexpr double kZoneCostFraction = 0.1;
 
@@ -200,7 +205,9 @@
   const BackendCallStats& call_stats = backend.call_stats;
   double load = 1.0 + static_cast<double>(call_stats.outstanding()) /
                           static_cast<double>(std::max(backend.entry.slots, 1));
-  double cost = Seconds(ExpectedLatency(backend, times, now)) * load *
+  double slowness = call_stats.Slowness(now);
+  if (slowness < kMinSlowness) slowness = 1;
+  double cost = Seconds(times.mean_latency) * slowness * load *
                 (1 + kFailureCostFactor * call_stats.FailureRate(now)) *
                 (1 + kCostSpread * random_.NextDouble());
   if (backend.entry.zone != options_.local_zone) {
