A destroyed server closes every connection that it accepted

Cause: the destructor of HttpServer left its connections to their pending operations, which end with the loop. A request in progress holds its connection through the responder, and was itself never released when the loop had ended: a call to a backend server holds its request, which holds the client of the call. So the connection stayed open, and its client waited without end. Only a node that is destroyed in a process that goes on shows this, as in tests: in a running node each call ends at its deadline, and a process that exits closes its descriptors. Change: the destructor of HttpServer closes all connections and the listening socket, at once if the loop has ended, else on the loop. ForwardService lets go of the calls of its requests, and BackendClient of the callbacks that it will not call any more. Test: destroyed_server_test, for a server and for a node, after the loop has ended and while it runs: accepted and silent, in a head, in a body, answered and idle, waiting for a response or a backend server.

--- a/include/damaskroute/http/http_server.h
+++ b/include/damaskroute/http/http_server.h
@@ -27,6 +27,9 @@
  public:
   /// The loops must outlive the server; their owner runs them with one thread each.
   HttpServer(std::vector<asio::io_context*> loops, HttpServerOptions options, HttpHandler handler);
+
+  /// Closes the listening socket and all connections: at once those of loops that have ended, whose
+  /// threads must have ended as well, and the others on their loops.
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -369,8 +369,11 @@
 BackendClient::~BackendClient() {
   state_->closed = true;
   CloseIdleConnections();
+  // Not called any more. If the loop has ended, `Finish` would never release them.
+  std::vector<Callback> released;
   for (const auto& connection : state_->active_connections) {
     connection->Abort(ExchangeEnd::kCancelled);
+    released.push_back(std::exchange(connection->done, nullptr));
   }
   state_->timer.cancel();
 }
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -130,9 +130,18 @@
 HttpServer::~HttpServer() {
   shared_->draining = true;
   shared_->closed = true;
-  // Sessions on other loops can keep the shared state alive after the first loop, which owns the
-  // acceptor, has been destroyed.
-  if (!shared_->loops.empty() && shared_->loops.front()->stopped()) shared_->acceptor.reset();
+  // Sessions can keep the shared state alive after the first loop, which owns the acceptor, has
+  // been destroyed.
+  if (!shared_->loops.empty() && shared_->loops.front()->stopped()) {
+    shared_->acceptor.reset();
+  } else if (shared_->acceptor) {
+    asio::post(*shared_->loops.front(), [shared = shared_] {
+      error_code ignored;
+      shared->acceptor->close(ignored);
+    });
+  }
+  // A request in progress, or what holds its responder, may keep its connection alive for longer.
+  for (const auto& close : shared_->waiting.All()) close();
 }
 
 absl::Status HttpServer::Start() {
--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -57,7 +57,12 @@
   if (shared_->options.memory->release_due()) shared_->ScheduleUpkeep();
 }
 
+bool HttpSession::HasEnded() const {
+  return shared_->closed && shared_->loops[loop_index_]->stopped();
+}
+
 void HttpSession::Start() {
+  if (shared_->closed) return Close();
   TimePoint now = Now();
   // Does not run at once, as it is called while another connection reads its request.
   auto evict = [weak = weak_from_this(), executor = socket_.get_executor()] {
@@ -65,11 +70,15 @@
       if (auto self = weak.lock()) self->Evict();
     });
   };
-  // Runs at once if the connection is on the thread of the caller, so that its descriptor is free.
+  // Runs at once if the connection is on the thread of the caller, so that its descriptor is free,
+  // and if the server is destroyed after its loops have ended.
   auto close = [weak = weak_from_this(), executor = socket_.get_executor()] {
-    asio::dispatch(executor, [weak] {
+    auto run = [weak] {
       if (auto self = weak.lock()) self->Close();
-    });
+    };
+    auto self = weak.lock();
+    if (self && self->HasEnded()) return run();
+    asio::dispatch(executor, run);
   };
   account_.emplace(shared_->options.memory, std::move(evict), now, shared_->options.essential);
   position_ = shared_->waiting.Add(std::move(close), now);
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -43,6 +43,9 @@
     kClosed,
   };
 
+  // Whether the server was destroyed after the loop had ended.
+  bool HasEnded() const;
+
   void ReadNextRequest();
   void ReadSome(std::size_t size);
   void OnBytes(const boost::system::error_code& error, std::size_t size);
--- a/src/http/waiting_connections.h
+++ b/src/http/waiting_connections.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "damaskroute/core/time.h"
 
@@ -56,6 +57,16 @@
     ListOf(*position, position->since).erase(position);
   }
 
+  /// How to close each connection of the server.
+  std::vector<Close> All() {
+    std::lock_guard lock(mutex_);
+    std::vector<Close> all;
+    for (const auto* list : {&new_, &once_, &known_, &serving_}) {
+      for (const Entry& entry : *list) all.push_back(entry.close);
+    }
+    return all;
+  }
+
   /// Returns how to close the connection that has waited longest: first one that has never sent a
   /// request, then one that has sent one, then any other. Nullopt if none has waited for
   /// `kMinWait`.
--- a/src/node/forward_service.cc
+++ b/src/node/forward_service.cc
@@ -111,7 +111,14 @@
       crash_exchange_(loop, crash_guard_, peer_clients_, options_.seed),
       given_up_timer_(loop) {}
 
-ForwardService::~ForwardService() = default;
+ForwardService::~ForwardService() {
+  // A call holds its request, which holds the clients of its calls: if the loop has ended, requests
+  // in progress would never be released.
+  for (const auto& exchange : std::exchange(active_, {})) {
+    exchange->calls.clear();
+    exchange->peer_client.reset();
+  }
+}
 
 void ForwardService::Handle(HttpRequest http_request, HttpResponder respond) {
   auto presence = http_request.presence;
