Quotas: tokens that a node has not used of its share are leased with it

Cause: quota_service_test failed now and then, with 429 for nearly all requests of a tenant that had run one. A request that arrives before a node may use its share of the quotas waits 60 ms. When its wait ends in the moment in which the node may, it is served from the share, and the share is leased directly afterwards. A share that its node has used was leased without its tokens (`idle_ms` 0), so that the tenant had to wait for new ones: traced in a run in which the first request was served after 62.7 ms and the next 60 within 50 ms were refused. Change: the tokens that are left are leased as the time in which they accumulate, the least of all tenants of the slot.

--- a/include/damaskroute/quota/quota_bucket.h
+++ b/include/damaskroute/quota/quota_bucket.h
@@ -27,6 +27,10 @@
   /// Time until there is a whole token; `Duration::max()` if there never is one.
   Duration NextTokenIn(Duration now);
 
+  /// Time in which an empty bucket accumulates the tokens that are left; `Duration::max()` if it
+  /// accumulates none.
+  Duration FillTime(Duration now);
+
   double max_level() const { return fraction_ * Depth(); }
   const QuotaLimit& limit() const { return limit_; }
 
--- a/include/damaskroute/quota/quota_client.h
+++ b/include/damaskroute/quota/quota_client.h
@@ -125,7 +125,7 @@
   NodeName AskTarget(const Slot& slot) const;
   void DriveSlot(std::size_t index, Duration now);
   void SendLease(std::size_t index, Duration now);
-  std::uint32_t IdleTime(const Slot& slot, Duration now) const;
+  std::uint32_t IdleTime(Slot& slot, Duration now) const;
   void SendStampRequest(const NodeName& to, std::size_t index);
   void BackOff(Slot& slot, const NodeName& to, Duration now);
   void OnHeard(const NodeName& node, Duration now);
--- a/src/quota/quota_bucket.cc
+++ b/src/quota/quota_bucket.cc
@@ -65,4 +65,11 @@
   return std::chrono::ceil<Duration>(std::min(Seconds(missing / rate), kMaxWait));
 }
 
+Duration QuotaBucket::FillTime(Duration now) {
+  Settle(now);
+  double rate = limit_.rate_per_s * fraction_;
+  if (rate <= 0) return Duration::max();
+  return std::chrono::floor<Duration>(std::min(Seconds(level_ / rate), kMaxWait));
+}
+
 }  // namespace damaskroute
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -175,13 +175,18 @@
 }
 
 // Time for which nobody has used the share. The predecessor of this process may have leased it
-// until just before it ended.
-std::uint32_t QuotaClient::IdleTime(const Slot& slot, Duration now) const {
+// until just before it ended. Of a share that this node has used, the tokens that are left count as
+// the time in which they accumulate.
+std::uint32_t QuotaClient::IdleTime(Slot& slot, Duration now) const {
   Duration since = std::max(slot.own_since, started_ + period_);
-  if (!slot.own.empty() || now <= since) return 0;
+  if (now <= since) return 0;
   constexpr Duration kMaxIdle = std::chrono::hours(1);
-  return static_cast<std::uint32_t>(
-      duration_cast<milliseconds>(std::min(now - since, kMaxIdle)).count());
+  Duration idle = std::min(now - since, kMaxIdle);
+  for (auto& [id, bucket] : slot.own) {
+    bucket.SetFraction(Share(), now);
+    idle = std::min(idle, bucket.FillTime(now));
+  }
+  return static_cast<std::uint32_t>(duration_cast<milliseconds>(idle).count());
 }
 
 void QuotaClient::BackOff(Slot& slot, const NodeName& to, Duration now) {
