Tests: RawServer accepts nothing once it is being destroyed

Cause: unbounded_answer_test was seen to end with SIGSEGV now and then on x86-64. Of two connections that arrive together the second is accepted by a handler that waits in the queue of the loop, and that could run after the destructor had closed the port and the object was gone. Handlers of connections that had succeeded before ran after the object as well. Change: such a handler accepts nothing, and the destructor waits until the handlers ahead of it have run.

--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -12,8 +12,8 @@
 
 namespace damaskroute {
 
-/// Server port on which a test writes the bytes itself. The destructor closes its connections.
-/// Handlers of their operations may still run afterwards, with an error or on a closed socket.
+/// Server port on which a test writes the bytes itself. The destructor closes its connections; must
+/// not be called on the loop. Handlers of their operations may still run afterwards with an error.
 class RawServer {
  public:
   using Tcp = asio::ip::tcp;
@@ -34,6 +34,8 @@
       acceptor_.reset();
       for (auto& connection : connections_) connection->close();
     });
+    // Handlers of operations that had succeeded before are ahead of this in the loop's queue.
+    loop_.Run([] {});
   }
 
   RawServer(const RawServer&) = delete;
@@ -46,7 +48,7 @@
  private:
   void Accept() {
     acceptor_->async_accept([this](const boost::system::error_code& error, Tcp::socket socket) {
-      if (error) return;
+      if (error || !acceptor_) return;
       connections_.push_back(std::make_shared<Tcp::socket>(std::move(socket)));
       on_connection_(connections_.back());
       Accept();
